--- /dev/null
+++ b/Libraries/LibCore/SystemClock.cpp
@@ -0,0 +1,25 @@
+#include <LibCore/SystemClock.h>
+
+#include <ctime>
+
+namespace verbenachute {
+
+Instant
+SystemClock::Now() const
+{
+  // CLOCK_BOOTTIME goes on while a VM is suspended, so a lease lapses for a
+  // holder that was paused together with its machine.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Instant(std::chrono::duration_cast<Duration>(
+    seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+UnixMilliseconds
+SystemClock::WallTime() const
+{
+  return std::chrono::duration_cast<UnixMilliseconds>(
+    std::chrono::system_clock::now().time_since_epoch());
+}
+
+} // namespace verbenachute
