--- /dev/null
+++ b/Libraries/LibQuery/QueryPlanner.cpp
@@ -0,0 +1,85 @@
+#include <LibQuery/QueryPlanner.h>
+
+#include <LibQuery/SnapshotChooser.h>
+
+namespace verbenachute {
+
+namespace {
+
+/// Choices that are kept; one holds a few hundred bytes a shard.
+constexpr std::size_t kMaximumChoices = 64;
+
+} // namespace
+
+QueryPlanner::QueryPlanner(TargetCatalogue& aCatalogue,
+                           ReplicaSelector& aSelector,
+                           pcg32 aRandom)
+  : mCatalogue(aCatalogue)
+  , mSelector(aSelector)
+  , mRandom(aRandom)
+{
+}
+
+void
+QueryPlanner::SetConfiguration(std::shared_ptr<const ConfigurationView> aView)
+{
+  mView = std::move(aView);
+  mChoices.clear();
+}
+
+Result<QueryPlan>
+QueryPlanner::Plan(const ServiceName& aService,
+                   const CallerId& aCaller,
+                   const std::vector<IndexVersion>& aExcluded,
+                   Instant aNow)
+{
+  Result<QueryPlan> result = Choose(aService, aCaller, aExcluded);
+  if (IsError(result)) {
+    return result;
+  }
+  QueryPlan plan = TakeValue(std::move(result));
+  for (std::vector<ShardReplica>& candidates : plan.mCandidates) {
+    mSelector.Order(candidates, aNow, mRandom);
+  }
+  return plan;
+}
+
+Result<QueryPlan>
+QueryPlanner::Choose(const ServiceName& aService,
+                     const CallerId& aCaller,
+                     const std::vector<IndexVersion>& aExcluded)
+{
+  if (mView == nullptr) {
+    return Error{ Step::Plan,
+                  ErrorCode::Unavailable,
+                  "",
+                  "this node has no configuration yet" };
+  }
+  if (mView->TargetsOf(aService).empty()) {
+    return Error{ Step::Plan,
+                  ErrorCode::NotFound,
+                  "",
+                  "no target is registered for the service" };
+  }
+  const std::pair<ServiceName, CallerId> key(aService, aCaller);
+  const auto known = mChoices.find(key);
+  if (aExcluded.empty() && known != mChoices.end() &&
+      known->second.mRevision == mView->CurrentRevision() &&
+      known->second.mGeneration == mCatalogue.Generation()) {
+    return known->second.mPlan;
+  }
+  SnapshotChooser chooser(*mView, aCaller);
+  Result<QueryPlan> result =
+    chooser.Choose(mCatalogue.ShardMapsOf(aService, *mView), aExcluded);
+  if (aExcluded.empty() && !IsError(result)) {
+    if (mChoices.size() >= kMaximumChoices) {
+      mChoices.clear();
+    }
+    mChoices[key] = Choice{ mView->CurrentRevision(),
+                            mCatalogue.Generation(),
+                            ValueOf(result) };
+  }
+  return result;
+}
+
+} // namespace verbenachute
