LibConfiguration: Add the configuration, its codec and the follower

The daemon needs one immutable view of the operators' intent and a rule for which revision a node has in force.

Configuration answers eligibility from standings that are worked out once a revision and target. The codec cuts it into parts under the store's limit that are named by digest and by the attempt that wrote them: names by digest alone were ruled out, since a writer that lost a race could not delete its parts without taking equal ones of the winner. Cuts by fixed position were ruled out too, since one target more would move all of them. The follower takes only larger revisions and only whole ones, from the store or a peer alike.

The faults of the follower are not tested yet.

--- /dev/null
+++ b/Libraries/LibConfiguration/EncodedConfiguration.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <LibConfiguration/ConfigurationHead.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace verbenachute {
+
+/// Texts of parts by their names.
+using ConfigurationParts =
+  std::map<PartName, std::shared_ptr<const std::string>>;
+
+/// A configuration as the store keeps it.
+struct EncodedConfiguration
+{
+  ConfigurationHead mHead;
+  ConfigurationParts mParts;
+};
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibConfiguration/FollowerAction.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <LibConfiguration/Configuration.h>
+#include <LibConfiguration/PartName.h>
+#include <LibCore/Time.h>
+
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace verbenachute {
+
+/// The platform's store as a source of configuration.
+struct PlatformStore
+{
+  friend bool operator==(const PlatformStore&, const PlatformStore&) = default;
+};
+
+/// Where a head or part can be read: the store, or a peer that serves what it
+/// has in force.
+using ConfigurationSource = std::variant<PlatformStore, NodeName>;
+
+/// Names one request of a follower; its reply carries the same number.
+using AskId = Strong<struct AskIdTag, std::uint64_t>;
+
+/// Read kHeadKey; answer with OnHead, OnNoHead or OnFailure.
+struct ReadHead
+{
+  AskId mAsk;
+  ConfigurationSource mSource;
+};
+
+/// Watch kHeadKey in the store; answer with OnHead, OnUnchanged after mWait
+/// without a change, or OnFailure.
+struct WatchHead
+{
+  AskId mAsk;
+  /// Revision of the key in the store beyond which a change counts.
+  std::uint64_t mAfter = 0;
+  Duration mWait{ 0 };
+};
+
+/// Read the part under mPart.Key(); answer with OnPart or OnFailure.
+struct ReadPart
+{
+  AskId mAsk;
+  ConfigurationSource mSource;
+  PartName mPart;
+};
+
+/// Use this configuration from now on, and tell peers of its revision.
+struct PutInForce
+{
+  std::shared_ptr<const Configuration> mConfiguration;
+};
+
+/// Something to log: a source offered what can't be taken.
+struct ReportRefused
+{
+  ConfigurationSource mSource;
+  Revision mOffered;
+  Error mError;
+};
+
+using FollowerAction =
+  std::variant<ReadHead, WatchHead, ReadPart, PutInForce, ReportRefused>;
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibConfiguration/LabelTable.cpp
@@ -0,0 +1,54 @@
+#include <LibConfiguration/LabelTable.h>
+
+#include <LibCore/RendezvousHash.h>
+
+namespace verbenachute {
+
+const LabelSet&
+LabelTable::LabelsOf(const TargetName& aTarget) const
+{
+  static const LabelSet kNoLabels;
+  const std::shared_ptr<const Bucket>& bucket = mBuckets[BucketOf(aTarget)];
+  if (!bucket) {
+    return kNoLabels;
+  }
+  const auto found = bucket->find(aTarget);
+  return found == bucket->end() ? kNoLabels : found->second;
+}
+
+void
+LabelTable::Set(const TargetName& aTarget, LabelSet aLabels)
+{
+  std::shared_ptr<const Bucket>& bucket = mBuckets[BucketOf(aTarget)];
+  const std::shared_ptr<Bucket> copy =
+    bucket ? std::make_shared<Bucket>(*bucket) : std::make_shared<Bucket>();
+  if (aLabels.empty()) {
+    copy->erase(aTarget);
+  } else {
+    copy->insert_or_assign(aTarget, std::move(aLabels));
+  }
+  bucket = copy;
+}
+
+std::map<TargetName, const LabelSet*>
+LabelTable::All() const
+{
+  std::map<TargetName, const LabelSet*> all;
+  for (const std::shared_ptr<const Bucket>& bucket : mBuckets) {
+    if (!bucket) {
+      continue;
+    }
+    for (const auto& [target, labels] : *bucket) {
+      all.emplace(target, &labels);
+    }
+  }
+  return all;
+}
+
+std::size_t
+LabelTable::BucketOf(const TargetName& aTarget)
+{
+  return StableHash(aTarget.value()) % kBucketCount;
+}
+
+} // namespace verbenachute
