--- /dev/null
+++ b/Libraries/LibTransport/EventLoop.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibCore/SystemClock.h>
+#include <LibCore/Time.h>
+
+#include <functional>
+#include <memory>
+#include <sigc++/sigc++.h>
+#include <vector>
+
+struct event;
+struct event_base;
+
+namespace verbenachute {
+
+/// The one loop of a process. Everything runs on the thread that runs it.
+class EventLoop
+{
+public:
+  [[nodiscard]] static Result<std::unique_ptr<EventLoop>> Create();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  /// Runs until Stop is called.
+  void Run();
+  void Stop();
+
+  /// Runs the task before the loop waits for the next event. Used to leave
+  /// a library's callback before its object is freed.
+  void Defer(std::function<void()> aTask);
+
+  /// Emitted with the number of each SIGTERM and SIGINT.
+  [[nodiscard]] sigc::signal<void(int)>& SignalArrived();
+
+  [[nodiscard]] Instant Now() const;
+  [[nodiscard]] const Clock& SystemTime() const;
+  [[nodiscard]] event_base* Base() const;
+
+private:
+  EventLoop() = default;
+  void RunDeferred();
+
+  event_base* mBase = nullptr;
+  event* mDeferredEvent = nullptr;
+  std::vector<event*> mSignalEvents;
+  std::vector<std::function<void()>> mDeferred;
+  sigc::signal<void(int)> mSignalArrived;
+  SystemClock mClock;
+};
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibTransport/FrameLink.cpp
@@ -0,0 +1,166 @@
+#include <LibTransport/FrameLink.h>
+
+#include <arpa/inet.h>
+#include <cstring>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace verbenachute {
+
+namespace {
+
+constexpr std::size_t kHeaderBytes = 5;
+constexpr std::uint32_t kMaximumFrameBytes = 16 * 1024 * 1024;
+
+// Batches are already formed by the sender; waiting for more would only add
+// delay.
+void
+DisableNagle(evutil_socket_t aSocket)
+{
+  const int enabled = 1;
+  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+}
+
+} // namespace
+
+std::unique_ptr<FrameLink>
+FrameLink::Dial(EventLoop& aLoop, const SocketAddress& aAddress)
+{
+  bufferevent* stream =
+    bufferevent_socket_new(aLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  std::unique_ptr<FrameLink> link(new FrameLink(stream));
+  link->InstallCallbacks();
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aAddress.mPort);
+  inet_pton(AF_INET, aAddress.mHost.c_str(), &address.sin_addr);
+  // A failure at once is reported through the event callback as well.
+  static_cast<void>(bufferevent_socket_connect(
+    stream, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
+  return link;
+}
+
+std::unique_ptr<FrameLink>
+FrameLink::Adopt(EventLoop& aLoop, int aSocket)
+{
+  evutil_make_socket_nonblocking(aSocket);
+  DisableNagle(aSocket);
+  std::unique_ptr<FrameLink> link(new FrameLink(
+    bufferevent_socket_new(aLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE)));
+  link->InstallCallbacks();
+  return link;
+}
+
+FrameLink::FrameLink(bufferevent* aStream)
+  : mStream(aStream)
+{
+}
+
+FrameLink::~FrameLink()
+{
+  bufferevent_free(mStream);
+}
+
+void
+FrameLink::Send(FrameKind aKind, const std::string& aPayload)
+{
+  if (mClosed) {
+    return;
+  }
+  const std::uint32_t length =
+    htonl(static_cast<std::uint32_t>(aPayload.size()));
+  char header[kHeaderBytes];
+  std::memcpy(header, &length, sizeof(length));
+  header[sizeof(length)] = static_cast<char>(aKind);
+  evbuffer* output = bufferevent_get_output(mStream);
+  evbuffer_add(output, header, sizeof(header));
+  evbuffer_add(output, aPayload.data(), aPayload.size());
+}
+
+std::size_t
+FrameLink::Backlog() const
+{
+  return evbuffer_get_length(bufferevent_get_output(mStream));
+}
+
+sigc::signal<void()>&
+FrameLink::Connected()
+{
+  return mConnected;
+}
+
+FrameLink::FrameArrivedSignal&
+FrameLink::FrameArrived()
+{
+  return mFrameArrived;
+}
+
+sigc::signal<void()>&
+FrameLink::Closed()
+{
+  return mClosedSignal;
+}
+
+void
+FrameLink::InstallCallbacks()
+{
+  bufferevent_setcb(
+    mStream,
+    [](bufferevent*, void* aLink) {
+      static_cast<FrameLink*>(aLink)->ReadFrames();
+    },
+    nullptr,
+    [](bufferevent* aStream, short aEvents, void* aLink) {
+      FrameLink* link = static_cast<FrameLink*>(aLink);
+      if ((aEvents & BEV_EVENT_CONNECTED) != 0) {
+        DisableNagle(bufferevent_getfd(aStream));
+        link->mConnected.emit();
+        return;
+      }
+      link->Close();
+    },
+    this);
+  bufferevent_enable(mStream, EV_READ | EV_WRITE);
+}
+
+void
+FrameLink::ReadFrames()
+{
+  evbuffer* input = bufferevent_get_input(mStream);
+  while (!mClosed && evbuffer_get_length(input) >= kHeaderBytes) {
+    char header[kHeaderBytes];
+    evbuffer_copyout(input, header, sizeof(header));
+    std::uint32_t length = 0;
+    std::memcpy(&length, header, sizeof(length));
+    length = ntohl(length);
+    const std::uint8_t kind = static_cast<std::uint8_t>(header[4]);
+    if (length > kMaximumFrameBytes ||
+        kind > static_cast<std::uint8_t>(FrameKind::ControlReply)) {
+      Close();
+      return;
+    }
+    if (evbuffer_get_length(input) < kHeaderBytes + length) {
+      return;
+    }
+    evbuffer_drain(input, kHeaderBytes);
+    std::string payload(length, '\0');
+    evbuffer_remove(input, payload.data(), length);
+    mFrameArrived.emit(static_cast<FrameKind>(kind), payload);
+  }
+}
+
+void
+FrameLink::Close()
+{
+  if (mClosed) {
+    return;
+  }
+  mClosed = true;
+  bufferevent_disable(mStream, EV_READ | EV_WRITE);
+  mClosedSignal.emit();
+}
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibTransport/HttpExchange.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <LibTransport/HttpMessage.h>
+
+#include <sigc++/sigc++.h>
+
+struct evhttp_request;
+struct evhttp_connection;
+
+namespace verbenachute {
+
+/// One request at a server, waiting for its reply. It may outlive the
+/// connection; a reply after the caller hung up is dropped.
+class HttpExchange
+{
+public:
+  HttpExchange(evhttp_request* aRaw, HttpRequest aRequest);
+  ~HttpExchange();
+  HttpExchange(const HttpExchange&) = delete;
+  HttpExchange& operator=(const HttpExchange&) = delete;
+
+  [[nodiscard]] const HttpRequest& Request() const;
+  /// Replies once; further calls are a broken invariant.
+  void Reply(const HttpReply& aReply);
+  /// Emitted when the caller hangs up before the reply.
+  [[nodiscard]] sigc::signal<void()>& CallerGone();
+
+private:
+  static void OnClosed(evhttp_connection* aConnection, void* aExchange);
+
+  evhttp_request* mRaw;
+  HttpRequest mRequest;
+  bool mReplied = false;
+  sigc::signal<void()> mCallerGone;
+};
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibTransport/HttpServer.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibTransport/EventLoop.h>
+#include <LibTransport/HttpExchange.h>
+
+#include <memory>
+
+struct evhttp;
+struct evhttp_bound_socket;
+
+namespace verbenachute {
+
+/// Bounds of what a server reads; evhttp answers larger requests itself.
+struct HttpLimits
+{
+  std::size_t mHeaderBytes = 8 * 1024;
+  std::size_t mBodyBytes = 256 * 1024;
+  /// A connection that is silent for this long is closed.
+  seconds mIdle{ 60 };
+};
+
+/// An HTTP server on one address.
+class HttpServer
+{
+public:
+  using RequestArrivedSignal =
+    sigc::signal<void(const std::shared_ptr<HttpExchange>&)>;
+
+  /// Fails with step Settings when the address can not be bound.
+  [[nodiscard]] static Result<std::unique_ptr<HttpServer>> Create(
+    EventLoop& aLoop,
+    const SocketAddress& aAddress,
+    const HttpLimits& aLimits);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  [[nodiscard]] RequestArrivedSignal& RequestArrived();
+  /// Refuses new connections; those that stand go on.
+  void StopAccepting();
+
+private:
+  HttpServer() = default;
+  void Handle(evhttp_request* aRaw);
+
+  evhttp* mServer = nullptr;
+  evhttp_bound_socket* mSocket = nullptr;
+  RequestArrivedSignal mRequestArrived;
+};
+
+} // namespace verbenachute
