LibSettings: Check the daemon's settings from flags and the environment

Each setting stands in one table with its default and what is allowed; an error names the flag, the value and the allowed range.

--- /dev/null
+++ b/Libraries/LibSettings/SettingTable.cpp
@@ -0,0 +1,77 @@
+#include <LibSettings/SettingTable.h>
+
+#include <LibCore/Verify.h>
+
+#include <string_view>
+
+namespace verbenachute {
+
+namespace {
+
+constexpr const char* kNameRule = "1 to 64 letters, digits, '-', '_' or '.'";
+constexpr const char* kAddressRule = "IP:PORT";
+
+constexpr SettingDescription kSettings[] = {
+  { "name", "", kNameRule, "name of this VM, unique in the fleet" },
+  { "region", "", kNameRule, "region of this VM" },
+  { "failure_domain", "", kNameRule, "failure domain of this VM" },
+  { "caller_address", "", kAddressRule, "address that callers connect to" },
+  { "peer_address", "", kAddressRule, "address that other nodes connect to" },
+  { "operator_address",
+    "",
+    kAddressRule,
+    "address for operators and their automation" },
+  { "platform",
+    "",
+    kAddressRule,
+    "address of the platform's key-value service and VM list" },
+  { "seeds",
+    "none",
+    "none, or IP:PORT separated by commas",
+    "peer addresses to try when the list of VMs is not available" },
+  { "address_validity_ms",
+    "5000",
+    "100 to 60000",
+    "how long callers may keep an address answer" },
+  { "ticket_validity_ms",
+    "600000",
+    "1000 to 3600000",
+    "how long a ticket for non-idempotent requests holds" },
+  { "drain_limit_ms",
+    "30000",
+    "100 to 600000",
+    "longest wait of a graceful shutdown for work in hand" },
+  { "query_limit",
+    "512",
+    "1 to 100000",
+    "queries of this node that may run at one time" },
+  { "hedge_policy",
+    "adaptive",
+    "adaptive, fixed or none",
+    "when a second replica is asked for a shard that is slow" },
+  { "extra_load_per_mille",
+    "50",
+    "0 to 1000",
+    "hedges and retries that each thousand first attempts pay for" },
+};
+
+} // namespace
+
+std::span<const SettingDescription>
+SettingTable()
+{
+  return kSettings;
+}
+
+const SettingDescription&
+DescriptionOf(const char* aName)
+{
+  for (const SettingDescription& setting : kSettings) {
+    if (std::string_view(setting.mName) == aName) {
+      return setting;
+    }
+  }
+  VERIFY(!"unknown setting");
+}
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibSettings/Settings.cpp
@@ -0,0 +1,182 @@
+#include <LibSettings/Settings.h>
+
+#include <LibCore/SocketAddressText.h>
+#include <LibSettings/SettingTable.h>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace verbenachute {
+
+namespace {
+
+constexpr std::size_t kMaximumNameBytes = 64;
+
+bool
+IsNameCharacter(char aCharacter)
+{
+  return (aCharacter >= 'a' && aCharacter <= 'z') ||
+         (aCharacter >= 'A' && aCharacter <= 'Z') ||
+         (aCharacter >= '0' && aCharacter <= '9') || aCharacter == '-' ||
+         aCharacter == '_' || aCharacter == '.';
+}
+
+// Reads settings one by one and keeps the first problem.
+class Reader
+{
+public:
+  explicit Reader(const RawSettings& aRaw)
+    : mRaw(aRaw)
+  {
+  }
+
+  std::string Name(const char* aName)
+  {
+    std::string text = TextOf(aName);
+    if (text.empty() || text.size() > kMaximumNameBytes ||
+        !std::all_of(text.begin(), text.end(), IsNameCharacter)) {
+      Refuse(aName, text);
+    }
+    return text;
+  }
+
+  SocketAddress Address(const char* aName)
+  {
+    const std::string text = TextOf(aName);
+    const Result<SocketAddress> address = ParseSocketAddress(text);
+    if (IsError(address)) {
+      Refuse(aName, text);
+      return {};
+    }
+    return ValueOf(address);
+  }
+
+  std::vector<SocketAddress> Addresses(const char* aName)
+  {
+    const std::string text = TextOf(aName);
+    std::vector<SocketAddress> addresses;
+    if (text == "none") {
+      return addresses;
+    }
+    std::size_t begin = 0;
+    while (begin <= text.size()) {
+      const std::size_t end = std::min(text.find(',', begin), text.size());
+      const Result<SocketAddress> address =
+        ParseSocketAddress(std::string_view(text).substr(begin, end - begin));
+      if (IsError(address)) {
+        Refuse(aName, text);
+        return {};
+      }
+      addresses.push_back(ValueOf(address));
+      begin = end + 1;
+    }
+    return addresses;
+  }
+
+  std::uint32_t Number(const char* aName,
+                       std::uint32_t aMinimum,
+                       std::uint32_t aMaximum)
+  {
+    const std::string text = TextOf(aName);
+    std::uint32_t number = 0;
+    const char* end = text.data() + text.size();
+    const std::from_chars_result read =
+      std::from_chars(text.data(), end, number);
+    if (text.empty() || read.ec != std::errc() || read.ptr != end ||
+        number < aMinimum || number > aMaximum) {
+      Refuse(aName, text);
+      return aMinimum;
+    }
+    return number;
+  }
+
+  std::string OneOf(const char* aName,
+                    std::initializer_list<const char*> aAllowed)
+  {
+    std::string text = TextOf(aName);
+    if (std::find(aAllowed.begin(), aAllowed.end(), text) == aAllowed.end()) {
+      Refuse(aName, text);
+    }
+    return text;
+  }
+
+  void RefuseUnknown()
+  {
+    for (const RawSettings::value_type& entry : mRaw) {
+      const std::span<const SettingDescription> table = SettingTable();
+      const bool known = std::any_of(
+        table.begin(), table.end(), [&](const SettingDescription& aSetting) {
+          return entry.first == aSetting.mName;
+        });
+      if (!known && !mProblem.has_value()) {
+        mProblem = Error{ Step::Settings,
+                          ErrorCode::InvalidInput,
+                          "",
+                          "setting '" + entry.first + "' is unknown" };
+      }
+    }
+  }
+
+  [[nodiscard]] const std::optional<Error>& Problem() const { return mProblem; }
+
+private:
+  std::string TextOf(const char* aName) const
+  {
+    const auto found = mRaw.find(aName);
+    if (found != mRaw.end()) {
+      return found->second;
+    }
+    return DescriptionOf(aName).mDefault;
+  }
+
+  void Refuse(const char* aName, const std::string& aText)
+  {
+    if (mProblem.has_value()) {
+      return;
+    }
+    mProblem =
+      Error{ Step::Settings,
+             ErrorCode::InvalidInput,
+             "",
+             std::string("--") + aName + ": '" + aText +
+               "' is not allowed; allowed: " + DescriptionOf(aName).mAllowed };
+  }
+
+  const RawSettings& mRaw;
+  std::optional<Error> mProblem;
+};
+
+} // namespace
+
+Result<Settings>
+Settings::Create(const RawSettings& aRaw)
+{
+  Reader reader(aRaw);
+  Settings settings;
+  settings.mName = NodeName(reader.Name("name"));
+  settings.mRegion = Region(reader.Name("region"));
+  settings.mDomain = FailureDomain(reader.Name("failure_domain"));
+  settings.mCallerAddress = reader.Address("caller_address");
+  settings.mPeerAddress = reader.Address("peer_address");
+  settings.mOperatorAddress = reader.Address("operator_address");
+  settings.mPlatformAddress = reader.Address("platform");
+  settings.mSeeds = reader.Addresses("seeds");
+  settings.mAddressValidity =
+    milliseconds(reader.Number("address_validity_ms", 100, 60'000));
+  settings.mTicketValidity =
+    milliseconds(reader.Number("ticket_validity_ms", 1000, 3'600'000));
+  settings.mDrainLimit =
+    milliseconds(reader.Number("drain_limit_ms", 100, 600'000));
+  settings.mQueryLimit = reader.Number("query_limit", 1, 100'000);
+  settings.mHedgePolicy =
+    reader.OneOf("hedge_policy", { "adaptive", "fixed", "none" });
+  settings.mExtraLoadPerMille = reader.Number("extra_load_per_mille", 0, 1000);
+  reader.RefuseUnknown();
+  if (reader.Problem().has_value()) {
+    return *reader.Problem();
+  }
+  return settings;
+}
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibSettings/Settings.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibCore/Identifiers.h>
+#include <LibCore/Time.h>
+#include <LibSettings/RawSettings.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace verbenachute {
+
+/// The settings of one daemon, checked.
+class Settings
+{
+public:
+  /// Checks every setting; the error names the flag, the value and what is
+  /// allowed.
+  [[nodiscard]] static Result<Settings> Create(const RawSettings& aRaw);
+
+  [[nodiscard]] const NodeName& Name() const { return mName; }
+  [[nodiscard]] const Region& HomeRegion() const { return mRegion; }
+  [[nodiscard]] const FailureDomain& HomeDomain() const { return mDomain; }
+  [[nodiscard]] const SocketAddress& CallerAddress() const
+  {
+    return mCallerAddress;
+  }
+  [[nodiscard]] const SocketAddress& PeerAddress() const
+  {
+    return mPeerAddress;
+  }
+  [[nodiscard]] const SocketAddress& OperatorAddress() const
+  {
+    return mOperatorAddress;
+  }
+  [[nodiscard]] const SocketAddress& PlatformAddress() const
+  {
+    return mPlatformAddress;
+  }
+  /// Peer addresses to try when the platform's list of VMs is not available.
+  [[nodiscard]] const std::vector<SocketAddress>& Seeds() const
+  {
+    return mSeeds;
+  }
+  /// How long callers may keep an address answer.
+  [[nodiscard]] Duration AddressValidity() const { return mAddressValidity; }
+  /// How long a ticket for non-idempotent requests holds.
+  [[nodiscard]] Duration TicketValidity() const { return mTicketValidity; }
+  /// Longest time that a graceful shutdown waits for work in hand.
+  [[nodiscard]] Duration DrainLimit() const { return mDrainLimit; }
+  /// Queries of one node that may run at one time.
+  [[nodiscard]] std::uint32_t QueryLimit() const { return mQueryLimit; }
+  /// "adaptive", "fixed" or "none".
+  [[nodiscard]] const std::string& HedgePolicyName() const
+  {
+    return mHedgePolicy;
+  }
+  /// Share of first attempts that hedges and retries may add, in 1/1000.
+  [[nodiscard]] std::uint32_t ExtraLoadPerMille() const
+  {
+    return mExtraLoadPerMille;
+  }
+
+private:
+  Settings() = default;
+
+  NodeName mName;
+  Region mRegion;
+  FailureDomain mDomain;
+  SocketAddress mCallerAddress;
+  SocketAddress mPeerAddress;
+  SocketAddress mOperatorAddress;
+  SocketAddress mPlatformAddress;
+  std::vector<SocketAddress> mSeeds;
+  Duration mAddressValidity{ 0 };
+  Duration mTicketValidity{ 0 };
+  Duration mDrainLimit{ 0 };
+  std::uint32_t mQueryLimit = 0;
+  std::string mHedgePolicy;
+  std::uint32_t mExtraLoadPerMille = 0;
+};
+
+} // namespace verbenachute
