--- a/Libraries/LibTransport/PeerLink.cpp
+++ b/Libraries/LibTransport/PeerLink.cpp
@@ -17,10 +17,8 @@
 
 PeerLink::PeerLink(EventLoop& aLoop,
                    const SocketAddress& aAddress,
-                   const NodeIdentity& aSelf,
-                   const NodeIdentity& aPeer)
-  : mPeer(aPeer)
-  , mLink(FrameLink::Dial(aLoop, aAddress))
+                   const NodeIdentity& aSelf)
+  : mLink(FrameLink::Dial(aLoop, aAddress))
   , mSender(aLoop, *mLink)
   , mGreetingTimeout(aLoop, [this]() { Fail(); })
 {
@@ -36,17 +34,16 @@
 }
 
 void
-PeerLink::Queue(PeerMessage aMessage)
+PeerLink::Queue(const NodeIdentity& aMeantFor, PeerMessage aMessage)
 {
   if (mState == State::Connecting) {
-    mWaiting.push_back(std::move(aMessage));
+    mWaiting.push_back(WaitingMessage{ aMeantFor, std::move(aMessage) });
     return;
   }
-  if (mLink->Backlog() > kMaximumBacklogBytes) {
+  if (mState == State::Ready && mLink->Backlog() > kMaximumBacklogBytes) {
     Fail();
-    return;
   }
-  mSender.Queue(std::move(aMessage));
+  SendOrRefuse(aMeantFor, std::move(aMessage));
 }
 
 void
@@ -59,18 +56,12 @@
   mLink->Send(FrameKind::ControlRequest, aRequest);
 }
 
-const NodeIdentity&
+const std::optional<NodeIdentity>&
 PeerLink::Peer() const
 {
   return mPeer;
 }
 
-bool
-PeerLink::IsReady() const
-{
-  return mState == State::Ready;
-}
-
 PeerLink::MessageArrivedSignal&
 PeerLink::MessageArrived()
 {
@@ -83,7 +74,13 @@
   return mControlReplyArrived;
 }
 
-PeerLink::FailedSignal&
+PeerLink::MessageRefusedSignal&
+PeerLink::MessageRefused()
+{
+  return mMessageRefused;
+}
+
+sigc::signal<void()>&
 PeerLink::Failed()
 {
   return mFailed;
@@ -111,18 +108,19 @@
 void
 PeerLink::OnHello(const std::string& aPayload)
 {
-  // Another life of the peer at the same address must not get messages that
-  // were meant for the life before it.
-  if (aPayload != NodeIdentityText(mPeer)) {
+  const Result<NodeIdentity> peer = ParseNodeIdentity(aPayload);
+  if (IsError(peer) || mState != State::Connecting) {
     Fail();
     return;
   }
+  mPeer = ValueOf(peer);
   mState = State::Ready;
   mGreetingTimeout.Stop();
-  for (PeerMessage& message : mWaiting) {
-    mSender.Queue(std::move(message));
+  std::vector<WaitingMessage> waiting;
+  waiting.swap(mWaiting);
+  for (WaitingMessage& message : waiting) {
+    SendOrRefuse(message.mMeantFor, std::move(message.mMessage));
   }
-  mWaiting.clear();
   for (const std::string& request : mWaitingControl) {
     mLink->Send(FrameKind::ControlRequest, request);
   }
@@ -148,11 +146,26 @@
   if (mState == State::Failed) {
     return;
   }
-  const Execution execution =
-    mState == State::Connecting ? Execution::NotRun : Execution::OutcomeUnknown;
   mState = State::Failed;
   mGreetingTimeout.Stop();
-  mFailed.emit(execution);
+  std::vector<WaitingMessage> waiting;
+  waiting.swap(mWaiting);
+  for (const WaitingMessage& message : waiting) {
+    mMessageRefused.emit(message.mMessage);
+  }
+  mFailed.emit();
+}
+
+void
+PeerLink::SendOrRefuse(const NodeIdentity& aMeantFor, PeerMessage aMessage)
+{
+  // Another life at the same address must not get a message that was meant
+  // for the life before it.
+  if (mState != State::Ready || mPeer != aMeantFor) {
+    mMessageRefused.emit(aMessage);
+    return;
+  }
+  mSender.Queue(std::move(aMessage));
 }
 
 } // namespace verbenachute
--- a/Libraries/LibTransport/PeerLink.h
+++ b/Libraries/LibTransport/PeerLink.h
@@ -8,39 +8,41 @@
 #include <LibWire/PeerMessage.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace verbenachute {
 
-/// The link that this node dials to one life of a peer. Requests go out on
-/// it and their answers come back on it.
+/// The link that this node dials to the address of a peer. Requests go out
+/// on it and their answers come back on it. The peer's life is learnt from its
+/// greeting, and a message goes only to the life that it is meant for.
 class PeerLink
 {
 public:
   using MessageArrivedSignal = sigc::signal<void(const PeerMessage&)>;
   using ControlReplySignal = sigc::signal<void(const std::string&)>;
-  /// Carries what is known of the messages that have no answer yet: NotRun
-  /// if none of them was sent to the life that was meant.
-  using FailedSignal = sigc::signal<void(Execution)>;
+  using MessageRefusedSignal = sigc::signal<void(const PeerMessage&)>;
 
   PeerLink(EventLoop& aLoop,
            const SocketAddress& aAddress,
-           const NodeIdentity& aSelf,
-           const NodeIdentity& aPeer);
+           const NodeIdentity& aSelf);
 
   /// Sends a message as soon as the peer has greeted.
-  void Queue(PeerMessage aMessage);
+  void Queue(const NodeIdentity& aMeantFor, PeerMessage aMessage);
   /// Sends a JSON-RPC request as soon as the peer has greeted.
   void SendControl(std::string aRequest);
 
-  [[nodiscard]] const NodeIdentity& Peer() const;
-  [[nodiscard]] bool IsReady() const;
+  /// The life at the address, once it has greeted.
+  [[nodiscard]] const std::optional<NodeIdentity>& Peer() const;
 
   [[nodiscard]] MessageArrivedSignal& MessageArrived();
   [[nodiscard]] ControlReplySignal& ControlReplyArrived();
-  /// Emitted once; destroy the link from a deferred task.
-  [[nodiscard]] FailedSignal& Failed();
+  /// Emitted for each message that was not sent and never will be.
+  [[nodiscard]] MessageRefusedSignal& MessageRefused();
+  /// Emitted once, after the refusal of all messages that were not sent;
+  /// destroy the link from a deferred task.
+  [[nodiscard]] sigc::signal<void()>& Failed();
 
 private:
   enum class State
@@ -55,16 +57,25 @@
   void OnBatch(const std::string& aPayload);
   void Fail();
 
-  NodeIdentity mPeer;
+  struct WaitingMessage
+  {
+    NodeIdentity mMeantFor;
+    PeerMessage mMessage;
+  };
+
+  void SendOrRefuse(const NodeIdentity& aMeantFor, PeerMessage aMessage);
+
+  std::optional<NodeIdentity> mPeer;
   State mState = State::Connecting;
   std::unique_ptr<FrameLink> mLink;
   BatchSender mSender;
   Timer mGreetingTimeout;
-  std::vector<PeerMessage> mWaiting;
+  std::vector<WaitingMessage> mWaiting;
   std::vector<std::string> mWaitingControl;
   MessageArrivedSignal mMessageArrived;
   ControlReplySignal mControlReplyArrived;
-  FailedSignal mFailed;
+  MessageRefusedSignal mMessageRefused;
+  sigc::signal<void()> mFailed;
 };
 
 } // namespace verbenachute
