LibObservation: Add numbered events, their logger and metrics

The daemon needs one way to report events and figures before its parts are wired. Events are a catalogue of numbers, so that operators can match on a number that never changes its meaning, and the page docs/EVENTS.md is compared with it by a test.

--- /dev/null
+++ b/Libraries/LibObservation/EventNumber.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+
+namespace verbenachute {
+
+/// Number of a kind of log event. A number keeps its meaning for ever: a
+/// retired one is not used again. The hundreds tell the part of the system.
+enum class EventNumber : std::uint16_t
+{
+  DaemonStarted = 100,
+  SettingsRefused = 101,
+  ListenFailed = 102,
+  EventsSuppressed = 103,
+  ProcessPaused = 104,
+
+  MemberJoined = 200,
+  MemberSuspected = 201,
+  MemberRefuted = 202,
+  MemberDied = 203,
+  MemberLeaving = 204,
+  MemberReplaced = 205,
+  VmListUnavailable = 206,
+  VmListRestored = 207,
+
+  LeaseAcquired = 300,
+  LeaseLost = 301,
+  LeaseReleased = 302,
+  RosterChanged = 303,
+
+  ConfigurationApplied = 400,
+  ConfigurationStale = 401,
+  StoreUnavailable = 402,
+  StoreRestored = 403,
+  ChangeAccepted = 404,
+  ChangeRefused = 405,
+  ChangeProposed = 406,
+
+  QueryRefused = 500,
+  QueryPartial = 501,
+  OutcomeUnknown = 502,
+  CallerHungUp = 503,
+  CallerInputRefused = 504,
+
+  TargetWarming = 600,
+  TargetReady = 601,
+  TargetDraining = 602,
+  TargetDown = 603,
+  RequestPoisoned = 604,
+  LoadShed = 605,
+
+  RequestReplayed = 700,
+  RequestConflict = 701,
+  OnceTableFull = 702,
+  TicketUnknown = 703,
+
+  PeerConnected = 800,
+  PeerLost = 801,
+  PeerMessageRefused = 802,
+
+  ShutdownStarted = 900,
+  ShutdownPhase = 901,
+  ShutdownGaveUp = 902,
+  ShutdownFinished = 903,
+};
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibObservation/MetricCatalogue.cpp
@@ -0,0 +1,67 @@
+#include <LibObservation/MetricCatalogue.h>
+
+#include <array>
+
+namespace verbenachute {
+
+namespace {
+
+constexpr std::array<MetricDescription,
+                     static_cast<std::size_t>(Counter::Last) + 1>
+  kCounters = { {
+    { "verbenachute_queries_received_total", "Queries that arrived." },
+    { "verbenachute_queries_complete_total", "Queries answered whole." },
+    { "verbenachute_queries_partial_total",
+      "Queries answered without some of their shards." },
+    { "verbenachute_queries_outcome_unknown_total",
+      "Requests of which it is unknown whether they ran." },
+    { "verbenachute_sub_queries_sent_total", "Attempts sent to holders." },
+    { "verbenachute_hedges_total", "Attempts sent as hedges." },
+    { "verbenachute_retries_total", "Attempts sent as retries." },
+    { "verbenachute_late_answers_dropped_total",
+      "Answers that matched no attempt in hand." },
+    { "verbenachute_requests_replayed_total",
+      "Repeats that got the outcome of their first sending." },
+    { "verbenachute_requests_relayed_total",
+      "Non-idempotent requests passed to the node of their ticket." },
+    { "verbenachute_address_answers_total", "Address answers to callers." },
+    { "verbenachute_heartbeats_sent_total", "Heartbeats sent to peers." },
+    { "verbenachute_heartbeats_received_total",
+      "Heartbeats received from peers." },
+    { "verbenachute_store_calls_total", "Calls to the platform's store." },
+    { "verbenachute_store_failures_total",
+      "Calls to the platform's store that failed." },
+  } };
+
+constexpr std::array<MetricDescription,
+                     static_cast<std::size_t>(Gauge::Last) + 1>
+  kGauges = { {
+    { "verbenachute_queries_in_hand_requests", "Queries that run now." },
+    { "verbenachute_sub_queries_in_hand_requests",
+      "Sub-queries that run now at targets held by this node." },
+    { "verbenachute_once_entries_requests",
+      "Non-idempotent requests remembered." },
+    { "verbenachute_once_memory_bytes",
+      "Memory of remembered non-idempotent requests." },
+    { "verbenachute_members_alive_nodes", "Nodes that are alive." },
+    { "verbenachute_members_suspect_nodes", "Nodes that are silent." },
+    { "verbenachute_held_buckets", "Buckets that this node holds." },
+    { "verbenachute_configuration_revision",
+      "Revision of the configuration in force on this node." },
+  } };
+
+} // namespace
+
+const MetricDescription&
+DescriptionOf(Counter aCounter)
+{
+  return kCounters[static_cast<std::size_t>(aCounter)];
+}
+
+const MetricDescription&
+DescriptionOf(Gauge aGauge)
+{
+  return kGauges[static_cast<std::size_t>(aGauge)];
+}
+
+} // namespace verbenachute
