--- /dev/null
+++ b/Services/verbenachuted/main.cpp
@@ -0,0 +1,50 @@
+#include "Daemon.h"
+#include "Flags.h"
+
+#include <LibSettings/Settings.h>
+
+#include <cstdio>
+#include <unistd.h>
+
+namespace {
+
+constexpr int kExitBadSettings = 2;
+constexpr int kExitNotStarted = 3;
+
+int
+Fail(const verbenachute::Error& aError, int aStatus)
+{
+  std::fprintf(stderr,
+               "verbenachuted: %s%s%s\n",
+               aError.mPeer.c_str(),
+               aError.mPeer.empty() ? "" : ": ",
+               aError.mMessage.c_str());
+  return aStatus;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aWords)
+{
+  using namespace verbenachute;
+  const Result<CommandLine> commandLine =
+    ReadCommandLine(aCount, aWords, environ);
+  if (IsError(commandLine)) {
+    return Fail(ErrorOf(commandLine), kExitBadSettings);
+  }
+  const Result<Settings> settings =
+    Settings::Create(ValueOf(commandLine).mSettings);
+  if (IsError(settings)) {
+    return Fail(ErrorOf(settings), kExitBadSettings);
+  }
+  if (ValueOf(commandLine).mMode == StartMode::CheckOnly) {
+    std::printf("the settings are valid\n");
+    return 0;
+  }
+  Result<std::unique_ptr<Daemon>> daemon = Daemon::Create(ValueOf(settings));
+  if (IsError(daemon)) {
+    return Fail(ErrorOf(daemon), kExitNotStarted);
+  }
+  return ValueOf(daemon)->Run();
+}
