--- a/Libraries/LibPlatform/PlatformStore.h
+++ b/Libraries/LibPlatform/Platform.h
@@ -56,7 +56,7 @@
 /// The platform's key-value service and VM list. Each call ends with one
 /// call of its function; an error of the step Store with the code
 /// OutcomeUnknown tells that a write may have taken effect.
-class PlatformStore
+class Platform
 {
 public:
   using ReadDone =
@@ -64,7 +64,7 @@
   using SwapDone = std::function<void(const Result<SwapOutcome>&)>;
   using ListDone = std::function<void(const Result<std::vector<VmEntry>>&)>;
 
-  virtual ~PlatformStore() = default;
+  virtual ~Platform() = default;
 
   /// Gives no value for a key that does not exist.
   virtual void Read(const std::string& aKey, ReadDone aDone) = 0;
--- a/Libraries/LibPlatform/PlatformClient.h
+++ b/Libraries/LibPlatform/PlatformClient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibPlatform/PlatformStore.h>
+#include <LibPlatform/Platform.h>
 #include <LibTransport/EventLoop.h>
 #include <LibTransport/HttpClientConnection.h>
 
@@ -11,7 +11,7 @@
 
 /// Speaks to the platform over HTTP, each waiting call on a connection of
 /// its own.
-class PlatformClient final : public PlatformStore
+class PlatformClient final : public Platform
 {
 public:
   PlatformClient(EventLoop& aLoop, const SocketAddress& aAddress);
--- a/Libraries/LibPlatform/PlatformReplyParser.h
+++ b/Libraries/LibPlatform/PlatformReplyParser.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibPlatform/PlatformStore.h>
+#include <LibPlatform/Platform.h>
 #include <LibTransport/HttpMessage.h>
 
 namespace verbenachute {
--- a/Libraries/LibTransport/HttpClientConnection.cpp
+++ b/Libraries/LibTransport/HttpClientConnection.cpp
@@ -68,6 +68,7 @@
 HttpClientConnection::~HttpClientConnection()
 {
   mDone = nullptr;
+  evhttp_connection_set_closecb(mConnection, nullptr, nullptr);
   bufferevent* stream = evhttp_connection_get_bufferevent(mConnection);
   evbuffer_remove_cb(
     bufferevent_get_output(stream), &HttpClientConnection::OnOutput, this);
@@ -113,6 +114,12 @@
   }
 }
 
+sigc::signal<void()>&
+HttpClientConnection::IdleClosed()
+{
+  return mIdleClosed;
+}
+
 bool
 HttpClientConnection::IsIdle() const
 {
@@ -156,6 +163,16 @@
   Finish(std::move(reply));
 }
 
+void
+HttpClientConnection::OnClosed(evhttp_connection*, void* aConnection)
+{
+  HttpClientConnection* self = static_cast<HttpClientConnection*>(aConnection);
+  if (self->IsIdle() && self->mUsable) {
+    self->mUsable = false;
+    self->mIdleClosed.emit();
+  }
+}
+
 void
 HttpClientConnection::OnOutput(evbuffer*,
                                const evbuffer_cb_info* aInfo,
--- a/Libraries/LibTransport/HttpClientConnection.h
+++ b/Libraries/LibTransport/HttpClientConnection.h
@@ -52,6 +52,10 @@
   /// aDone may destroy the connection.
   void Send(const HttpRequest& aRequest, Duration aTimeout, Done aDone);
 
+  /// Emitted when the server closes the connection between two exchanges;
+  /// destroy the connection from a deferred task.
+  [[nodiscard]] sigc::signal<void()>& IdleClosed();
+
   [[nodiscard]] bool IsIdle() const;
   /// After a failure the connection is of no more use.
   [[nodiscard]] bool IsUsable() const;
@@ -65,6 +69,7 @@
   };
 
   static void OnFinished(evhttp_request* aRaw, void* aConnection);
+  static void OnClosed(evhttp_connection* aRaw, void* aConnection);
   static void OnOutput(evbuffer* aBuffer,
                        const evbuffer_cb_info* aInfo,
                        void* aConnection);
@@ -78,6 +83,7 @@
   Timer mTimeout;
   Done mDone;
   std::size_t mBytesSent = 0;
+  sigc::signal<void()> mIdleClosed;
   CallbackState* mInCallback = nullptr;
   bool mUsable = true;
 };
--- a/Libraries/LibWire/MessageCodec.cpp
+++ b/Libraries/LibWire/MessageCodec.cpp
@@ -160,7 +160,7 @@
 }
 
 void
-Write(FieldWriter& aWriter, const RelayRequest& aMessage)
+Write(FieldWriter& aWriter, const RelayedRequest& aMessage)
 {
   const QueryRequest& request = aMessage.mRequest;
   aWriter.Id(aMessage.mRelay);
@@ -178,9 +178,9 @@
 }
 
 PeerMessage
-ReadRelayRequest(FieldReader& aReader)
+ReadRelayedRequest(FieldReader& aReader)
 {
-  RelayRequest message;
+  RelayedRequest message;
   message.mRelay = aReader.Id<RelayId>();
   QueryRequest& request = message.mRequest;
   request.mCaller = aReader.Id<CallerId>();
@@ -236,7 +236,7 @@
 }
 
 void
-Write(FieldWriter& aWriter, const RelayAnswer& aMessage)
+Write(FieldWriter& aWriter, const RelayedOutcome& aMessage)
 {
   aWriter.Id(aMessage.mRelay);
   aWriter.Number(aMessage.mOutcome.index());
@@ -252,9 +252,9 @@
 }
 
 PeerMessage
-ReadRelayAnswer(FieldReader& aReader)
+ReadRelayedOutcome(FieldReader& aReader)
 {
-  RelayAnswer message;
+  RelayedOutcome message;
   message.mRelay = aReader.Id<RelayId>();
   if (aReader.Number<std::uint32_t>() == 0) {
     message.mOutcome = ReadQueryAnswer(aReader);
@@ -273,8 +273,8 @@
 constexpr MessageReader kReaders[] = { ReadSubQuery,
                                        ReadSubAnswer,
                                        ReadSubCancel,
-                                       ReadRelayRequest,
-                                       ReadRelayAnswer };
+                                       ReadRelayedRequest,
+                                       ReadRelayedOutcome };
 static_assert(std::size(kReaders) == std::variant_size_v<PeerMessage>);
 
 PeerMessage
--- a/Libraries/LibWire/PeerMessage.h
+++ b/Libraries/LibWire/PeerMessage.h
@@ -19,14 +19,14 @@
 };
 
 /// Passes a non-idempotent request to the life of a node that its ticket names.
-struct RelayRequest
+struct RelayedRequest
 {
   RelayId mRelay;
   QueryRequest mRequest;
 };
 
 /// The outcome of a request that was passed on.
-struct RelayAnswer
+struct RelayedOutcome
 {
   RelayId mRelay;
   QueryOutcome mOutcome;
@@ -34,6 +34,6 @@
 
 /// A message of the data path between two nodes.
 using PeerMessage =
-  std::variant<SubQuery, SubAnswer, SubCancel, RelayRequest, RelayAnswer>;
+  std::variant<SubQuery, SubAnswer, SubCancel, RelayedRequest, RelayedOutcome>;
 
 } // namespace verbenachute
--- /dev/null
+++ b/Services/verbenachuted/CallerPort.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "OnceService.h"
+#include "QueryService.h"
+
+#include <LibTransport/HttpServer.h>
+
+#include <functional>
+
+namespace verbenachute {
+
+/// The HTTP interface for callers, as docs/INTERFACE.md describes it.
+class CallerPort
+{
+public:
+  struct Dependencies
+  {
+    EventLoop& mLoop;
+    QueryService& mQueries;
+    OnceService& mOnce;
+    MembershipService& mMembership;
+    AddressAnswerer& mAddresses;
+    MetricsRegistry& mMetrics;
+    Logger& mLogger;
+    /// Whether this node takes new requests.
+    std::function<bool()> mIsServing;
+  };
+
+  [[nodiscard]] static Result<std::unique_ptr<CallerPort>> Create(
+    const SocketAddress& aAddress,
+    Dependencies aDependencies);
+
+  /// Requests that have arrived and are not answered.
+  [[nodiscard]] std::size_t InHand() const;
+
+private:
+  using Exchange = std::shared_ptr<HttpExchange>;
+  using Handler = void (CallerPort::*)(const Exchange&);
+
+  struct Route
+  {
+    const char* mPath;
+    HttpMethod mMethod;
+    Handler mHandler;
+  };
+
+  static const Route kRoutes[];
+
+  explicit CallerPort(Dependencies aDependencies);
+  void Handle(const Exchange& aExchange);
+  void HandleAddresses(const Exchange& aExchange);
+  void HandleQuery(const Exchange& aExchange);
+  void HandleMetrics(const Exchange& aExchange);
+  void HandleHealth(const Exchange& aExchange);
+  void RunQuery(const Exchange& aExchange, const QueryRequest& aRequest);
+  void Finish(const Exchange& aExchange,
+              const QueryRequest& aRequest,
+              Instant aArrival,
+              const QueryOutcome& aOutcome);
+  void Refuse(const Exchange& aExchange,
+              const RequestId& aRequest,
+              const Error& aError);
+
+  Dependencies mDependencies;
+  std::unique_ptr<HttpServer> mServer;
+  std::size_t mInHand = 0;
+};
+
+} // namespace verbenachute
--- a/Tests/LibWire/TestMessageCodec.cpp
+++ b/Tests/LibWire/TestMessageCodec.cpp
@@ -42,8 +42,8 @@
            answer,
            failed,
            SubCancel{ AttemptId(5) },
-           RelayRequest{ RelayId(1), QueryRequest{} },
-           RelayAnswer{ RelayId(1), merged } };
+           RelayedRequest{ RelayId(1), QueryRequest{} },
+           RelayedOutcome{ RelayId(1), merged } };
 }
 
 } // namespace
@@ -63,7 +63,7 @@
     std::get<SubFailure>(std::get<SubAnswer>(messages[2]).mOutcome);
   CHECK(failure.mExecution == Execution::NotRun);
   CHECK(failure.mError.mPeer == "doca-1");
-  const RelayAnswer& relay = std::get<RelayAnswer>(messages[5]);
+  const RelayedOutcome& relay = std::get<RelayedOutcome>(messages[5]);
   CHECK(std::get<QueryAnswer>(relay.mOutcome).mCoverage.mMissing[0] ==
         ShardId(1));
 }
