--- /dev/null
+++ b/Libraries/LibDispatch/DispatchCheck.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <LibConfiguration/ConfigurationView.h>
+#include <LibCore/SubAnswer.h>
+#include <LibCore/Time.h>
+#include <LibDispatch/TargetLane.h>
+#include <LibDispatch/Work.h>
+#include <LibLease/LeaseAuthority.h>
+
+#include <memory>
+#include <optional>
+
+namespace verbenachute {
+
+/// Whether a probe may be sent to a target.
+enum class ProbePermission
+{
+  Allowed,
+  Denied,
+};
+
+/// The conditions under which a sub-query may be sent at this moment, apart
+/// from slots and poison. Nothing of a refused sub-query has been sent, so
+/// each refusal says "not run".
+class DispatchCheck
+{
+public:
+  explicit DispatchCheck(const LeaseAuthority& aAuthority);
+
+  void OnConfiguration(std::shared_ptr<const ConfigurationView> aView);
+  [[nodiscard]] const ConfigurationView* Configuration() const
+  {
+    return mConfiguration.get();
+  }
+
+  /// Why the work may not be sent now, if so.
+  [[nodiscard]] std::optional<SubFailure> Refusal(const Work& aWork,
+                                                  const TargetLane& aLane,
+                                                  Instant aNow) const;
+  [[nodiscard]] ProbePermission MayProbe(const TargetLane& aLane,
+                                         Instant aNow) const;
+
+private:
+  [[nodiscard]] std::optional<SubFailure> ConfigurationRefusal(
+    const Work& aWork) const;
+  [[nodiscard]] std::optional<SubFailure> AdmittanceRefusal(
+    const Work& aWork) const;
+  [[nodiscard]] std::optional<SubFailure> TargetRefusal(
+    const Work& aWork,
+    const TargetLane& aLane) const;
+
+  const LeaseAuthority& mAuthority;
+  std::shared_ptr<const ConfigurationView> mConfiguration;
+};
+
+/// A failure at the gate of work of which nothing has been sent.
+[[nodiscard]] SubFailure
+NotRunFailure(ErrorCode aCode,
+              const TargetName& aTarget,
+              const std::string& aMessage);
+
+} // namespace verbenachute
