--- a/Services/verbenachuted/CallerPort.cpp
+++ b/Services/verbenachuted/CallerPort.cpp
@@ -3,6 +3,7 @@
 #include <LibCaller/QueryOutcomeWriter.h>
 #include <LibCaller/QueryRequestParser.h>
 #include <LibCore/SocketAddressText.h>
+#include <LibCore/Verify.h>
 
 #include <json/json.h>
 #include <utility>
--- a/Services/verbenachuted/MembershipService.cpp
+++ b/Services/verbenachuted/MembershipService.cpp
@@ -3,6 +3,7 @@
 #include <LibControl/ControlMethods.h>
 #include <LibControl/MemberCodec.h>
 #include <LibCore/SocketAddressText.h>
+#include <LibCore/Verify.h>
 
 namespace verbenachute {
 
