LibCore: Silence a false alarm of the linter on defaulted comparisons

clang-tidy 14 takes the 0 of a rewritten comparison operator for a null pointer, once a strong type is part of a pair or tuple. Ruled out: dropping the check, which would then miss real ones.

--- a/Libraries/LibCore/Identifiers.h
+++ b/Libraries/LibCore/Identifiers.h
@@ -45,6 +45,7 @@
   Incarnation mIncarnation;
 
   friend bool operator==(const NodeIdentity&, const NodeIdentity&) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): the rewritten 0 is no pointer.
   friend auto operator<=>(const NodeIdentity&, const NodeIdentity&) = default;
 };
 
@@ -55,6 +56,7 @@
   std::uint16_t mPort = 0;
 
   friend bool operator==(const SocketAddress&, const SocketAddress&) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): the rewritten 0 is no pointer.
   friend auto operator<=>(const SocketAddress&, const SocketAddress&) = default;
 };
 
--- a/Libraries/LibCore/Strong.h
+++ b/Libraries/LibCore/Strong.h
@@ -25,6 +25,7 @@
   [[nodiscard]] constexpr const Representation& value() const { return mValue; }
 
   friend constexpr bool operator==(const Strong&, const Strong&) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): the rewritten 0 is no pointer.
   friend constexpr auto operator<=>(const Strong&, const Strong&) = default;
 
 private:
