LibDispatch: Split the work from the gate

The way of a sub-query from its arrival to the end of its work is now one class, the conditions for sending are another, and cancellations and what crashes tell have their own. A target that operators let back starts from cold. The interface of the gate is unchanged.

--- a/Libraries/LibDispatch/DispatchCheck.cpp
+++ b/Libraries/LibDispatch/DispatchCheck.cpp
@@ -4,8 +4,12 @@
 
 namespace verbenachute {
 
-DispatchCheck::DispatchCheck(const LeaseAuthority& aAuthority)
-  : mAuthority(aAuthority)
+DispatchCheck::DispatchCheck(const DispatchSettings& aSettings,
+                             const LeaseAuthority& aAuthority,
+                             const PoisonList& aPoison)
+  : mSettings(aSettings)
+  , mAuthority(aAuthority)
+  , mPoison(aPoison)
 {
 }
 
@@ -24,21 +28,35 @@
                        const TargetLane& aLane,
                        Instant aNow) const
 {
-  const TargetName& target = aWork.mSubQuery.mTarget;
-  if (!mAuthority.MayDispatch(aLane.OwnBucket(), aNow)) {
-    return NotRunFailure(
-      ErrorCode::NotHolder, target, "this node does not hold the target");
-  }
-  if (aNow >= aWork.mDeadline) {
-    return NotRunFailure(ErrorCode::DeadlinePassed,
-                         target,
-                         "the deadline passed before a slot was free");
+  std::optional<SubFailure> refusal = LeaseRefusal(aWork, aLane, aNow);
+  if (!refusal) {
+    refusal = ConfigurationRefusal(aWork);
   }
-  std::optional<SubFailure> refusal = ConfigurationRefusal(aWork);
   if (!refusal) {
     refusal = AdmittanceRefusal(aWork);
   }
-  return refusal ? refusal : TargetRefusal(aWork, aLane);
+  if (!refusal) {
+    refusal = TargetRefusal(aWork, aLane);
+  }
+  return refusal ? refusal : PoisonRefusal(aWork, aNow);
+}
+
+std::optional<SubFailure>
+DispatchCheck::WaitRefusal(const Work& aWork,
+                           const TargetLane& aLane,
+                           std::optional<Duration> aUsualService) const
+{
+  if (!aUsualService) {
+    return std::nullopt;
+  }
+  const Duration wait = aLane.ExpectedWait(
+    mSettings.WeightOf(aWork.mSubQuery.mClass), *aUsualService);
+  if (wait.count() == 0 || wait + *aUsualService <= aWork.mSubQuery.mTimeLeft) {
+    return std::nullopt;
+  }
+  return NotRunFailure(ErrorCode::Overloaded,
+                       aWork.mSubQuery.mTarget,
+                       "the wait for the target exceeds the time left");
 }
 
 ProbePermission
@@ -56,6 +74,37 @@
   return isDenied ? ProbePermission::Denied : ProbePermission::Allowed;
 }
 
+std::optional<SubFailure>
+DispatchCheck::LeaseRefusal(const Work& aWork,
+                            const TargetLane& aLane,
+                            Instant aNow) const
+{
+  const TargetName& target = aWork.mSubQuery.mTarget;
+  if (!mAuthority.MayDispatch(aLane.OwnBucket(), aNow)) {
+    return NotRunFailure(
+      ErrorCode::NotHolder, target, "this node does not hold the target");
+  }
+  if (aNow >= aWork.mDeadline) {
+    return NotRunFailure(ErrorCode::DeadlinePassed,
+                         target,
+                         "the deadline passed before a slot was free");
+  }
+  return std::nullopt;
+}
+
+std::optional<SubFailure>
+DispatchCheck::PoisonRefusal(const Work& aWork, Instant aNow) const
+{
+  const PoisonStanding standing =
+    mPoison.StandingOf(aWork.mSubQuery.mFingerprint, aNow);
+  if (standing != PoisonStanding::Refused) {
+    return std::nullopt;
+  }
+  return NotRunFailure(ErrorCode::Poisoned,
+                       aWork.mSubQuery.mTarget,
+                       "targets crashed under the same query lately");
+}
+
 std::optional<SubFailure>
 DispatchCheck::ConfigurationRefusal(const Work& aWork) const
 {
--- a/Libraries/LibDispatch/DispatchCheck.h
+++ b/Libraries/LibDispatch/DispatchCheck.h
@@ -3,6 +3,8 @@
 #include <LibConfiguration/ConfigurationView.h>
 #include <LibCore/SubAnswer.h>
 #include <LibCore/Time.h>
+#include <LibDispatch/DispatchSettings.h>
+#include <LibDispatch/PoisonList.h>
 #include <LibDispatch/TargetLane.h>
 #include <LibDispatch/Work.h>
 #include <LibLease/LeaseAuthority.h>
@@ -20,12 +22,15 @@
 };
 
 /// The conditions under which a sub-query may be sent at this moment, apart
-/// from slots and poison. Nothing of a refused sub-query has been sent, so
+/// from free slots. Nothing of a refused sub-query has been sent, so
 /// each refusal says "not run".
 class DispatchCheck
 {
 public:
-  explicit DispatchCheck(const LeaseAuthority& aAuthority);
+  /// The authority and the list outlive the check.
+  DispatchCheck(const DispatchSettings& aSettings,
+                const LeaseAuthority& aAuthority,
+                const PoisonList& aPoison);
 
   void OnConfiguration(std::shared_ptr<const ConfigurationView> aView);
   [[nodiscard]] const ConfigurationView* Configuration() const
@@ -37,10 +42,21 @@
   [[nodiscard]] std::optional<SubFailure> Refusal(const Work& aWork,
                                                   const TargetLane& aLane,
                                                   Instant aNow) const;
+  /// Why it is of no use to let the work wait, if so. aUsualService is the
+  /// usual service time, as far as it is known.
+  [[nodiscard]] std::optional<SubFailure> WaitRefusal(
+    const Work& aWork,
+    const TargetLane& aLane,
+    std::optional<Duration> aUsualService) const;
   [[nodiscard]] ProbePermission MayProbe(const TargetLane& aLane,
                                          Instant aNow) const;
 
 private:
+  [[nodiscard]] std::optional<SubFailure> LeaseRefusal(const Work& aWork,
+                                                       const TargetLane& aLane,
+                                                       Instant aNow) const;
+  [[nodiscard]] std::optional<SubFailure> PoisonRefusal(const Work& aWork,
+                                                        Instant aNow) const;
   [[nodiscard]] std::optional<SubFailure> ConfigurationRefusal(
     const Work& aWork) const;
   [[nodiscard]] std::optional<SubFailure> AdmittanceRefusal(
@@ -49,7 +65,9 @@
     const Work& aWork,
     const TargetLane& aLane) const;
 
+  DispatchSettings mSettings;
   const LeaseAuthority& mAuthority;
+  const PoisonList& mPoison;
   std::shared_ptr<const ConfigurationView> mConfiguration;
 };
 
--- a/Libraries/LibDispatch/DispatchGate.h
+++ b/Libraries/LibDispatch/DispatchGate.h
@@ -4,12 +4,11 @@
 #include <LibDispatch/DispatchCheck.h>
 #include <LibDispatch/DispatchSettings.h>
 #include <LibDispatch/LaneTable.h>
-#include <LibDispatch/PoisonList.h>
+#include <LibDispatch/PoisonWatch.h>
 #include <LibDispatch/TargetReply.h>
-#include <LibDispatch/WorkTable.h>
+#include <LibDispatch/WorkRunner.h>
 #include <LibLease/LeaseAuthority.h>
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -82,68 +81,14 @@
   [[nodiscard]] std::size_t InHand(const Bucket& aBucket) const;
 
 private:
-  // Ways into a lane and out of it.
-  void AnswerAtOnce(const SubQuery& aSubQuery,
-                    const NodeIdentity& aOrigin,
-                    const SubFailure& aFailure,
-                    Instant aNow,
-                    DispatchActions* aActions);
-  void Enqueue(TargetLane& aLane,
-               Work& aWork,
-               Instant aNow,
-               DispatchActions* aActions);
-  void Pump(TargetLane& aLane, Instant aNow, DispatchActions* aActions);
-  void RefuseWhatMayNotRun(TargetLane& aLane,
-                           Instant aNow,
-                           DispatchActions* aActions);
-  void Recheck(const std::vector<TargetLane*>& aLanes,
-               Instant aNow,
-               DispatchActions* aActions);
-  [[nodiscard]] std::optional<SubFailure> Refusal(const Work& aWork,
-                                                  const TargetLane& aLane,
-                                                  Instant aNow);
-  [[nodiscard]] std::optional<SubFailure> WaitRefusal(
-    const Work& aWork,
-    const TargetLane& aLane) const;
-  void Send(TargetLane& aLane,
-            Work& aWork,
-            Instant aNow,
-            DispatchActions* aActions);
-
-  // Ends of work.
-  void RefuseQueued(TargetLane& aLane,
-                    const Work& aWork,
-                    const SubFailure& aFailure,
-                    Instant aNow,
-                    DispatchActions* aActions);
-  void Answer(Work& aWork,
-              std::variant<ShardResult, SubFailure> aOutcome,
-              Instant aNow,
-              DispatchActions* aActions) const;
-  void EndExchange(TargetLane& aLane, Work& aWork, Instant aNow);
-  void Cancel(DispatchId aId, Instant aNow, DispatchActions* aActions);
-  void CancelSent(TargetLane& aLane, Work& aWork, DispatchActions* aActions);
-  void OnWorkTimer(DispatchId aId, Instant aNow, DispatchActions* aActions);
-  void NoteTrial(Work& aWork,
-                 const TargetReply& aReply,
-                 Instant aNow,
-                 DispatchActions* aActions);
-  void NoteCrash(const TargetLane& aLane,
-                 Work& aWork,
-                 Instant aNow,
-                 DispatchActions* aActions);
-
-  // After each event.
   void ReportDrained(DispatchActions* aActions);
   DispatchActions Finish(Instant aNow, DispatchActions aActions);
 
-  DispatchSettings mSettings;
+  PoisonWatch mPoison;
   DispatchCheck mCheck;
-  PoisonList mPoison;
-  WorkTable mWork;
   LaneTable mLanes;
-  /// Cancellations under way, by the work that they are to stop.
-  std::map<DispatchId, TargetName> mCancellations;
+  WorkRunner mRunner;
+  /// Buckets that are being handed over and still have work.
   std::set<Bucket> mStopping;
   std::optional<Instant> mWakeAt;
 };
--- a/Libraries/LibDispatch/LaneTable.cpp
+++ b/Libraries/LibDispatch/LaneTable.cpp
@@ -64,10 +64,10 @@
 }
 
 void
-LaneTable::OnBucketLost(const Bucket& aBucket, Instant aNow)
+LaneTable::OnBucketLost(const Bucket& aBucket)
 {
   mHeld.erase(aBucket);
-  Refresh(aNow);
+  DropUnused();
 }
 
 bool
@@ -88,6 +88,8 @@
     TargetLane* lane = Find(target);
     if (lane != nullptr) {
       lane->OnEntry(*entry, aNow);
+      lane->OnAdmittance(
+        configuration->MayTakeNewWork(target, CallerId()).mAdmittance, aNow);
     } else if (Holds(BucketOf(entry->mDomain, entry->mName))) {
       lane =
         &mLanes.emplace(target, TargetLane(*entry, mSettings)).first->second;
@@ -95,6 +97,12 @@
       mNextProbe = aNow;
     }
   }
+}
+
+void
+LaneTable::DropUnused()
+{
+  const ConfigurationView* configuration = mCheck.Configuration();
   std::erase_if(mLanes, [this, configuration](const auto& aLane) {
     const bool isUsed = Holds(aLane.second.OwnBucket()) &&
                         configuration->FindTarget(aLane.first) != nullptr;
--- a/Libraries/LibDispatch/LaneTable.h
+++ b/Libraries/LibDispatch/LaneTable.h
@@ -29,10 +29,12 @@
   [[nodiscard]] std::size_t InHand(const Bucket& aBucket) const;
 
   void OnBucketGained(const Bucket& aBucket, Instant aNow);
-  void OnBucketLost(const Bucket& aBucket, Instant aNow);
+  void OnBucketLost(const Bucket& aBucket);
   [[nodiscard]] bool Holds(const Bucket& aBucket) const;
-  /// Follows the configuration and drops what is neither held nor in use.
+  /// Follows the configuration.
   void Refresh(Instant aNow);
+  /// Drops the targets that are neither held nor in use.
+  void DropUnused();
 
   void JudgeReply(TargetLane& aLane,
                   const Work& aWork,
--- a/Libraries/LibDispatch/PoisonList.cpp
+++ b/Libraries/LibDispatch/PoisonList.cpp
@@ -125,13 +125,13 @@
 }
 
 PoisonStanding
-PoisonList::StandingOf(Fingerprint aFingerprint, Instant aNow)
+PoisonList::StandingOf(Fingerprint aFingerprint, Instant aNow) const
 {
   const auto found = mEntries.find(aFingerprint);
   if (found == mEntries.end()) {
     return PoisonStanding::Clear;
   }
-  Entry& entry = found->second;
+  Entry entry = found->second;
   Refresh(entry, aNow);
   if (entry.mVerdict == PoisonVerdict::Cleared || entry.mExpiry <= aNow) {
     return PoisonStanding::Clear;
--- a/Libraries/LibDispatch/PoisonList.h
+++ b/Libraries/LibDispatch/PoisonList.h
@@ -44,7 +44,7 @@
   void OnReport(const PoisonReport& aReport, Instant aNow);
 
   [[nodiscard]] PoisonStanding StandingOf(Fingerprint aFingerprint,
-                                          Instant aNow);
+                                          Instant aNow) const;
   /// Everything that is known, for a node that has just joined.
   [[nodiscard]] std::vector<PoisonReport> Reports(Instant aNow);
   [[nodiscard]] std::size_t size() const { return mEntries.size(); }
--- a/Libraries/LibDispatch/TargetLane.cpp
+++ b/Libraries/LibDispatch/TargetLane.cpp
@@ -31,6 +31,17 @@
   }
 }
 
+void
+TargetLane::OnAdmittance(Admittance aAdmittance, Instant aNow)
+{
+  const bool wasOut = mAdmittance == Admittance::NoNewWork ||
+                      mAdmittance == Admittance::LeftAlone;
+  mAdmittance = aAdmittance;
+  if (wasOut && aAdmittance == Admittance::Admitted) {
+    Forget(aNow);
+  }
+}
+
 void
 TargetLane::Forget(Instant aNow)
 {
--- a/Libraries/LibDispatch/TargetLane.h
+++ b/Libraries/LibDispatch/TargetLane.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibConfiguration/TargetEntry.h>
+#include <LibConfiguration/ConfigurationView.h>
 #include <LibCore/TargetState.h>
 #include <LibDispatch/ColdStartRamp.h>
 #include <LibDispatch/DispatchSettings.h>
@@ -33,6 +33,9 @@
   [[nodiscard]] Bucket OwnBucket() const;
   /// Takes a changed entry; a target at another address may be cold.
   void OnEntry(const TargetEntry& aEntry, Instant aNow);
+  /// Follows whether the operators let the target take new work. One that is
+  /// let back starts from cold.
+  void OnAdmittance(Admittance aAdmittance, Instant aNow);
   /// Nothing is known about the target under a new lease.
   void Forget(Instant aNow);
 
@@ -80,6 +83,7 @@
 
 private:
   TargetEntry mEntry;
+  Admittance mAdmittance = Admittance::Admitted;
   DispatchSettings mSettings;
   SubQueryQueue mQueue;
   ColdStartRamp mRamp;
