--- a/Libraries/LibDispatch/WorkRunner.cpp
+++ b/Libraries/LibDispatch/WorkRunner.cpp
@@ -380,7 +380,12 @@
 void
 WorkRunner::OnWorkTimer(DispatchId aId, Instant aNow, DispatchActions* aActions)
 {
-  Work& work = *mWork.Find(aId);
+  Work* found = mWork.Find(aId);
+  if (found == nullptr) {
+    // It was refused together with another one.
+    return;
+  }
+  Work& work = *found;
   TargetLane& lane = *mLanes.Find(work.mSubQuery.mTarget);
   switch (work.mPhase) {
     case WorkPhase::Queued:
--- a/Libraries/LibLease/LeaseSettings.h
+++ b/Libraries/LibLease/LeaseSettings.h
@@ -17,6 +17,11 @@
   std::uint32_t mDriftPercent = 5;
   /// Longest time that a target works on one sub-query.
   Duration mLongestRun = seconds(1);
+  /// A voter without an event for this long has been paused.
+  Duration mPause = milliseconds(500);
+  /// How long a voter that was paused grants nothing, so that it learns of
+  /// configurations that were accepted meanwhile.
+  Duration mSettling = milliseconds(1500);
 
   /// How long a voter keeps a grant for a lease of the usual duration.
   [[nodiscard]] Duration VoterDuration() const;
--- a/Libraries/LibLease/LeaseSettingsBuilder.cpp
+++ b/Libraries/LibLease/LeaseSettingsBuilder.cpp
@@ -44,10 +44,25 @@
   return *this;
 }
 
+LeaseSettingsBuilder&
+LeaseSettingsBuilder::Pause(verbenachute::Duration aPause)
+{
+  mSettings.mPause = aPause;
+  return *this;
+}
+
+LeaseSettingsBuilder&
+LeaseSettingsBuilder::Settling(verbenachute::Duration aSettling)
+{
+  mSettings.mSettling = aSettling;
+  return *this;
+}
+
 Result<LeaseSettings>
 LeaseSettingsBuilder::Build() const
 {
-  if (mSettings.mRenewal.count() <= 0 || mSettings.mLongestRun.count() <= 0) {
+  if (mSettings.mRenewal.count() <= 0 || mSettings.mLongestRun.count() <= 0 ||
+      mSettings.mPause.count() <= 0 || mSettings.mSettling.count() < 0) {
     return InvalidSetting("the times of a lease must be positive");
   }
   if (mSettings.mDuration < mSettings.mRenewal * kRoundsPerLease) {
--- a/Libraries/LibLease/LeaseSettingsBuilder.h
+++ b/Libraries/LibLease/LeaseSettingsBuilder.h
@@ -13,6 +13,8 @@
   LeaseSettingsBuilder& Renewal(verbenachute::Duration aRenewal);
   LeaseSettingsBuilder& DriftPercent(std::uint32_t aDriftPercent);
   LeaseSettingsBuilder& LongestRun(verbenachute::Duration aLongestRun);
+  LeaseSettingsBuilder& Pause(verbenachute::Duration aPause);
+  LeaseSettingsBuilder& Settling(verbenachute::Duration aSettling);
 
   /// InvalidInput at the step Settings if a time is not positive or a lease
   /// leaves no room for two renewals.
--- a/Libraries/LibLease/LeaseVoter.cpp
+++ b/Libraries/LibLease/LeaseVoter.cpp
@@ -12,7 +12,8 @@
                        Instant aNow)
   : mSelf(std::move(aSelf))
   , mSettings(aSettings)
-  , mStart(aNow)
+  , mSettled(aNow + aSettings.VoterDuration())
+  , mLastEvent(aNow)
 {
 }
 
@@ -85,6 +86,12 @@
 void
 LeaseVoter::OnTimer(Instant aNow)
 {
+  // A paused voter may have missed an accepted configuration. Its votes would
+  // let a holder dispatch that knows as little.
+  if (aNow > mLastEvent + mSettings.mPause) {
+    mSettled = std::max(mSettled, aNow + mSettings.mSettling);
+  }
+  mLastEvent = aNow;
   std::erase_if(mGrants, [aNow](const auto& aGrant) {
     return aGrant.second.mExpiry <= aNow;
   });
@@ -105,10 +112,9 @@
 {
   const bool isVoter = mRoster && mRoster->Contains(mSelf.mName) &&
                        mRoster->mEpoch == aRequest.mEpoch;
-  const bool remembersAll = aNow >= mStart + mSettings.VoterDuration();
   const bool isUsualLease =
     aRequest.mDuration.count() > 0 && aRequest.mDuration <= mSettings.mDuration;
-  return isVoter && remembersAll && isUsualLease &&
+  return isVoter && aNow >= mSettled && isUsualLease &&
          !IsStale(aRequest.mHolder, aRequest.mRound);
 }
 
--- a/Libraries/LibLease/LeaseVoter.h
+++ b/Libraries/LibLease/LeaseVoter.h
@@ -33,7 +33,8 @@
                                      Instant aNow);
   void OnRelease(const LeaseRelease& aRelease, Instant aNow);
 
-  /// Drops what has expired.
+  /// Drops what has expired. To be called several times within the time that
+  /// counts as a pause; a longer gap means that this node was paused.
   void OnTimer(Instant aNow);
 
   /// The roster under which it votes, if it has one.
@@ -85,7 +86,9 @@
 
   NodeIdentity mSelf;
   LeaseSettings mSettings;
-  Instant mStart;
+  /// No grant before this.
+  Instant mSettled;
+  Instant mLastEvent;
   Revision mRevision;
   std::optional<Roster> mRoster;
   std::map<NodeName, ToldRoster> mToldRosters;
