--- a/Libraries/LibConfiguration/ConfigurationFollower.cpp
+++ b/Libraries/LibConfiguration/ConfigurationFollower.cpp
@@ -121,7 +121,7 @@
 {
   Actions actions;
   const std::optional<Ask> ask = Forget(aAsk);
-  const bool fromStore = std::holds_alternative<PlatformStore>(aSource);
+  const bool fromStore = std::holds_alternative<StoreSource>(aSource);
   // A reply that was given up on may be any age, so it confirms nothing; its
   // revision counts all the same.
   std::optional<Instant> confirmed;
@@ -144,7 +144,7 @@
 ConfigurationFollower::OnNoHead(AskId aAsk, Instant aNow)
 {
   const std::optional<Ask> ask = Forget(aAsk);
-  if (ask && std::holds_alternative<PlatformStore>(ask->mSource)) {
+  if (ask && std::holds_alternative<StoreSource>(ask->mSource)) {
     mKeyRevision = 0;
     mStoreBackoff.OnSuccess();
     ScheduleStore(aNow);
@@ -211,7 +211,7 @@
   Actions actions;
   mKnown = std::max(mKnown, aWritten.mHead.mRevision);
   BeginFetch({ .mHead = aWritten.mHead,
-               .mSource = PlatformStore{},
+               .mSource = StoreSource{},
                .mConfirmed = aSent,
                .mParts = aWritten.mParts,
                .mAsked = {},
@@ -299,14 +299,14 @@
   const Duration wait = watches ? kWatchWait : Duration(0);
   const Instant givenUp = aNow + wait + kReadTimeout;
   const AskId ask = Remember({ watches ? AskKind::Watch : AskKind::Head,
-                               PlatformStore{},
+                               StoreSource{},
                                {},
                                aNow,
                                givenUp });
   if (watches) {
     aActions->push_back(WatchHead{ ask, *mKeyRevision, wait });
   } else {
-    aActions->push_back(ReadHead{ ask, PlatformStore{} });
+    aActions->push_back(ReadHead{ ask, StoreSource{} });
   }
   // The answer, or giving up on it, sets the next time.
   mStoreDue = givenUp + kReadTimeout;
@@ -351,7 +351,7 @@
     }
     return;
   }
-  if (std::holds_alternative<PlatformStore>(aAsk.mSource)) {
+  if (std::holds_alternative<StoreSource>(aAsk.mSource)) {
     // A read goes before the next watch, since a watch may miss a change that
     // came while no watch stood.
     mKeyRevision.reset();
@@ -510,8 +510,8 @@
       sources.emplace_back(peer);
     }
   }
-  if (!std::holds_alternative<PlatformStore>(mFetch->mSource)) {
-    sources.emplace_back(PlatformStore{});
+  if (!std::holds_alternative<StoreSource>(mFetch->mSource)) {
+    sources.emplace_back(StoreSource{});
   }
   return sources[mFetch->mFailures % sources.size()];
 }
--- /dev/null
+++ b/Libraries/LibConfiguration/CoverageGuard.cpp
@@ -0,0 +1,76 @@
+#include <LibConfiguration/CoverageGuard.h>
+
+#include <algorithm>
+
+namespace verbenachute {
+
+namespace {
+
+using Openness = Configuration::Openness;
+
+Openness
+BestOpenness(const Configuration& aConfiguration,
+             const std::vector<TargetName>& aTargets)
+{
+  Openness best = Openness::Closed;
+  for (const TargetName& target : aTargets) {
+    if (best == Openness::AllCallers) {
+      break;
+    }
+    if (aConfiguration.FindTarget(target)) {
+      best = std::max(best, aConfiguration.OpennessOf(target));
+    }
+  }
+  return best;
+}
+
+Result<Success>
+CheckGroup(const std::string& aName,
+           const Configuration& aBefore,
+           const std::vector<TargetName>& aTargetsBefore,
+           const Configuration& aAfter,
+           const std::vector<TargetName>& aTargetsAfter)
+{
+  const Openness after = BestOpenness(aAfter, aTargetsAfter);
+  if (after >= BestOpenness(aBefore, aTargetsBefore)) {
+    return Success{};
+  }
+  return Error{ Step::Configuration,
+                ErrorCode::Conflict,
+                "",
+                aName + " would be left with no target for " +
+                  (after == Openness::Closed ? "any caller"
+                                             : "callers that no selector "
+                                               "names") +
+                  "; override to do so all the same" };
+}
+
+} // namespace
+
+Result<Success>
+CheckCoverageKept(const Configuration& aBefore,
+                  const Configuration& aAfter,
+                  const std::vector<CoverageGroup>& aGroups)
+{
+  for (const auto& [service, targets] :
+       aBefore.Content().mTargets->Services()) {
+    Result<Success> kept = CheckGroup("service " + service.value(),
+                                      aBefore,
+                                      targets,
+                                      aAfter,
+                                      aAfter.TargetsOf(service));
+    if (IsError(kept)) {
+      return kept;
+    }
+  }
+  for (const CoverageGroup& group : aGroups) {
+    Result<Success> kept =
+      CheckGroup(group.mName, aBefore, group.mTargets, aAfter, group.mTargets);
+    if (IsError(kept)) {
+      return kept;
+    }
+  }
+  return Success{};
+}
+
+} // namespace verbenachute
--- a/Libraries/LibConfiguration/FollowerAction.h
+++ b/Libraries/LibConfiguration/FollowerAction.h
@@ -11,14 +11,14 @@
 namespace verbenachute {
 
 /// The platform's store as a source of configuration.
-struct PlatformStore
+struct StoreSource
 {
-  friend bool operator==(const PlatformStore&, const PlatformStore&) = default;
+  friend bool operator==(const StoreSource&, const StoreSource&) = default;
 };
 
 /// Where a head or part can be read: the store, or a peer that serves what it
 /// has in force.
-using ConfigurationSource = std::variant<PlatformStore, NodeName>;
+using ConfigurationSource = std::variant<StoreSource, NodeName>;
 
 /// Names one request of a follower; its reply carries the same number.
 using AskId = Strong<struct AskIdTag, std::uint64_t>;
