--- /dev/null
+++ b/Libraries/LibConfiguration/ConfigurationWriter.cpp
@@ -0,0 +1,498 @@
+#include <LibConfiguration/ConfigurationWriter.h>
+
+#include <LibConfiguration/ConfigurationCodec.h>
+#include <LibConfiguration/ContentDigest.h>
+#include <LibCore/Overloaded.h>
+#include <LibCore/SocketAddressText.h>
+#include <LibCore/Verify.h>
+
+#include <algorithm>
+
+namespace verbenachute {
+
+namespace {
+
+constexpr Duration kCallTimeout = seconds(2);
+/// Parts that are read or written at one time.
+constexpr std::size_t kCallsAtOnce = 8;
+constexpr Duration kFirstBackoff = milliseconds(50);
+constexpr Duration kLongestBackoff = seconds(1);
+
+Error
+Fault(ErrorCode aCode, std::string aMessage)
+{
+  return Error{ Step::Store, aCode, "platform", std::move(aMessage) };
+}
+
+} // namespace
+
+ConfigurationWriter::ConfigurationWriter(const NodeIdentity& aSelf,
+                                         std::uint64_t aSequence,
+                                         WriteTask aTask,
+                                         WriterBase aBase)
+  : mTask(std::move(aTask))
+  , mTag(PartTag(NodeIdentityText(aSelf) + "/" + std::to_string(aSequence)))
+  , mBackoff(NodeName(mTag), kFirstBackoff, kLongestBackoff)
+  , mLastFault(Fault(ErrorCode::Unavailable, "the store did not answer"))
+  , mBase(std::move(aBase))
+  , mOldest(mBase.mHead.mRevision)
+{
+}
+
+ConfigurationWriter::Actions
+ConfigurationWriter::Start(Instant aNow)
+{
+  Actions actions;
+  mDeadline = aNow + kDeadline;
+  AskHead(aNow, &actions);
+  return actions;
+}
+
+ConfigurationWriter::Actions
+ConfigurationWriter::OnTick(Instant aNow)
+{
+  Actions actions;
+  if (mState != State::Finished && mDeadline <= aNow) {
+    FinishFailed(mLastFault, &actions);
+  }
+  if (mState == State::Finished) {
+    return actions;
+  }
+  std::vector<Ask> late;
+  std::erase_if(mAsks, [aNow, &late](const auto& aEntry) {
+    if (aEntry.second.mGivenUp > aNow) {
+      return false;
+    }
+    late.push_back(aEntry.second);
+    return true;
+  });
+  for (const Ask& ask : late) {
+    HandleFailure(ask, Execution::OutcomeUnknown, aNow, &actions);
+  }
+  if (mState == State::Waiting && mDue <= aNow) {
+    AskHead(aNow, &actions);
+  }
+  return actions;
+}
+
+Instant
+ConfigurationWriter::NextWake() const
+{
+  Instant wake = mDeadline;
+  if (mState == State::Waiting) {
+    wake = std::min(wake, mDue);
+  }
+  for (const auto& [id, ask] : mAsks) {
+    wake = std::min(wake, ask.mGivenUp);
+  }
+  return wake;
+}
+
+ConfigurationWriter::Actions
+ConfigurationWriter::OnHead(AskId aAsk,
+                            const std::string& aText,
+                            std::uint64_t aKeyRevision,
+                            Instant aNow)
+{
+  Actions actions;
+  const std::optional<Ask> ask = Forget(aAsk, AskKind::Head);
+  if (!ask || mState != State::ReadingHead) {
+    return actions;
+  }
+  const Result<ConfigurationHead> head = ConfigurationHead::Create(aText);
+  if (IsError(head)) {
+    mLastFault = Fault(ErrorCode::Unavailable,
+                       "the store's configuration can't be read: " +
+                         ErrorOf(head).mMessage);
+    Retry(aNow);
+    return actions;
+  }
+  if (ValueOf(head).mRevision < mOldest) {
+    mLastFault = Fault(ErrorCode::Unavailable,
+                       "the store has an older revision than the one in force");
+    Retry(aNow);
+    return actions;
+  }
+  mReadHead = ValueOf(head);
+  mKeyRevision = aKeyRevision;
+  mState = State::ReadingParts;
+  mToRead.clear();
+  for (const PartName& part : mReadHead.mParts) {
+    if (!mBase.mParts.contains(part)) {
+      mToRead.push_back(part);
+    }
+  }
+  ContinueReading(aNow, &actions);
+  return actions;
+}
+
+ConfigurationWriter::Actions
+ConfigurationWriter::OnNoHead(AskId aAsk, Instant aNow)
+{
+  Actions actions;
+  const std::optional<Ask> ask = Forget(aAsk, AskKind::Head);
+  if (!ask || mState != State::ReadingHead) {
+    return actions;
+  }
+  if (mOldest > Revision(0)) {
+    mLastFault =
+      Fault(ErrorCode::Unavailable, "the store has lost the configuration");
+    Retry(aNow);
+    return actions;
+  }
+  mReadHead = {};
+  mKeyRevision = 0;
+  mBase = {};
+  ApplyTask(aNow, &actions);
+  return actions;
+}
+
+ConfigurationWriter::Actions
+ConfigurationWriter::OnPart(AskId aAsk,
+                            std::shared_ptr<const std::string> aText,
+                            Instant aNow)
+{
+  Actions actions;
+  const std::optional<Ask> ask = Forget(aAsk, AskKind::ReadPart);
+  if (!ask || mState != State::ReadingParts) {
+    return actions;
+  }
+  if (ContentDigest(*aText) != ask->mPart.mDigest) {
+    HandleFailure(*ask, Execution::NotRun, aNow, &actions);
+    return actions;
+  }
+  mBase.mParts[ask->mPart] = std::move(aText);
+  ContinueReading(aNow, &actions);
+  return actions;
+}
+
+ConfigurationWriter::Actions
+ConfigurationWriter::OnPartWritten(AskId aAsk, Instant aNow)
+{
+  Actions actions;
+  const std::optional<Ask> ask = Forget(aAsk, AskKind::WritePart);
+  if (ask) {
+    mStored.insert(ask->mPart);
+    ContinueParts(aNow, &actions);
+  }
+  return actions;
+}
+
+ConfigurationWriter::Actions
+ConfigurationWriter::OnPartDeleted(AskId aAsk, Instant aNow)
+{
+  Actions actions;
+  const std::optional<Ask> ask = Forget(aAsk, AskKind::DeletePart);
+  if (ask) {
+    std::erase_if(mEncoded.mHead.mRetired, [&ask](const RetiredPart& aRetired) {
+      return aRetired.mName == ask->mPart;
+    });
+    ContinueParts(aNow, &actions);
+  }
+  return actions;
+}
+
+ConfigurationWriter::Actions
+ConfigurationWriter::OnSwapped(AskId aAsk, Instant)
+{
+  Actions actions;
+  const std::optional<Ask> ask = Forget(aAsk, AskKind::Swap);
+  if (ask && mState == State::SwappingHead) {
+    Finish(WriteOutcome{ mNext, mEncoded, mSwapSent }, &actions);
+    DeleteUnused(mEncoded.mHead, &actions);
+  }
+  return actions;
+}
+
+ConfigurationWriter::Actions
+ConfigurationWriter::OnSwapConflict(AskId aAsk, Instant aNow)
+{
+  Actions actions;
+  const std::optional<Ask> ask = Forget(aAsk, AskKind::Swap);
+  if (ask && mState == State::SwappingHead) {
+    // The conflict may be with this swap itself, sent twice on the way or
+    // again after a lost reply; only reading the head tells.
+    mOpenSwap = mKeyRevision;
+    ++mRacesLost;
+    Retry(aNow);
+  }
+  return actions;
+}
+
+ConfigurationWriter::Actions
+ConfigurationWriter::OnFailure(AskId aAsk, Execution aExecution, Instant aNow)
+{
+  Actions actions;
+  const auto found = mAsks.find(aAsk);
+  if (found != mAsks.end()) {
+    const Ask ask = found->second;
+    mAsks.erase(found);
+    HandleFailure(ask, aExecution, aNow, &actions);
+  }
+  return actions;
+}
+
+AskId
+ConfigurationWriter::Remember(AskKind aKind,
+                              const PartName& aPart,
+                              Instant aNow)
+{
+  const AskId id(++mLastAsk);
+  mAsks.emplace(id, Ask{ aKind, aPart, aNow + kCallTimeout });
+  return id;
+}
+
+std::optional<ConfigurationWriter::Ask>
+ConfigurationWriter::Forget(AskId aAsk, AskKind aKind)
+{
+  const auto found = mAsks.find(aAsk);
+  if (found == mAsks.end() || found->second.mKind != aKind) {
+    return std::nullopt;
+  }
+  const Ask ask = found->second;
+  mAsks.erase(found);
+  return ask;
+}
+
+void
+ConfigurationWriter::AskHead(Instant aNow, Actions* aActions)
+{
+  mAsks.clear();
+  mState = State::ReadingHead;
+  aActions->push_back(
+    ReadHead{ Remember(AskKind::Head, {}, aNow), StoreSource{} });
+}
+
+void
+ConfigurationWriter::HandleFailure(const Ask& aAsk,
+                                   Execution aExecution,
+                                   Instant aNow,
+                                   Actions* aActions)
+{
+  if (aAsk.mKind == AskKind::DeletePart) {
+    // The part stays listed as retired, for a later writer to delete.
+    ContinueParts(aNow, aActions);
+    return;
+  }
+  if (aAsk.mKind == AskKind::Swap && aExecution != Execution::NotRun) {
+    mOpenSwap = mKeyRevision;
+  }
+  Retry(aNow);
+}
+
+void
+ConfigurationWriter::Retry(Instant aNow)
+{
+  mAsks.clear();
+  mState = State::Waiting;
+  mDue = aNow + mBackoff.OnFailure();
+}
+
+void
+ConfigurationWriter::ContinueReading(Instant aNow, Actions* aActions)
+{
+  while (!mToRead.empty() && mAsks.size() < kCallsAtOnce) {
+    const PartName part = mToRead.front();
+    mToRead.pop_front();
+    const AskId ask = Remember(AskKind::ReadPart, part, aNow);
+    aActions->push_back(ReadPart{ ask, StoreSource{}, part });
+  }
+  if (mAsks.empty()) {
+    BaseRead(aNow, aActions);
+  }
+}
+
+void
+ConfigurationWriter::BaseRead(Instant aNow, Actions* aActions)
+{
+  if (!mBase.mConfiguration || mBase.mHead != mReadHead) {
+    const Result<std::shared_ptr<const Configuration>> decoded =
+      ConfigurationCodec::Decode(mReadHead, mBase.mParts);
+    if (IsError(decoded)) {
+      mLastFault = Fault(ErrorCode::Unavailable,
+                         "the store's configuration can't be read: " +
+                           ErrorOf(decoded).mMessage);
+      Retry(aNow);
+      return;
+    }
+    mBase.mConfiguration = ValueOf(decoded);
+    mBase.mHead = mReadHead;
+  }
+  mOldest = mBase.mHead.mRevision;
+  ApplyTask(aNow, aActions);
+}
+
+Result<ChangeOutcome>
+ConfigurationWriter::NextConfiguration() const
+{
+  if (const ChangeRequest* change = std::get_if<ChangeRequest>(&mTask)) {
+    if (!mBase.mConfiguration) {
+      return Error{ Step::Configuration,
+                    ErrorCode::NotFound,
+                    "",
+                    "there is no configuration yet; bootstrap one first" };
+    }
+    return ConfigurationEditor::Apply(mBase.mConfiguration, *change);
+  }
+  const Result<std::shared_ptr<const Configuration>> first =
+    BootstrapConfiguration(std::get<Bootstrap>(mTask));
+  if (IsError(first)) {
+    return ErrorOf(first);
+  }
+  if (!mBase.mConfiguration) {
+    return ChangeOutcome{ ValueOf(first), Revision(1), {} };
+  }
+  const HistoryEntry* entry = ConfigurationEditor::FindOperation(
+    mBase.mConfiguration->Content(), OperationId(Bootstrap::kOperation));
+  const HistoryEntry& own = ValueOf(first)->Content().mHistory.front();
+  if (!entry || entry->mDigest != own.mDigest) {
+    return Error{ Step::Configuration,
+                  ErrorCode::Conflict,
+                  "",
+                  "the store has another configuration already" };
+  }
+  return ChangeOutcome{ mBase.mConfiguration, entry->mRevision, {} };
+}
+
+bool
+ConfigurationWriter::IsApplied(const ChangeOutcome& aOutcome) const
+{
+  return aOutcome.mConfiguration == mBase.mConfiguration;
+}
+
+void
+ConfigurationWriter::ApplyTask(Instant aNow, Actions* aActions)
+{
+  // A swap that expects an earlier revision of the key can't take effect any
+  // more, so the head that was read settles it one way or the other.
+  if (mOpenSwap && *mOpenSwap < mKeyRevision) {
+    mOpenSwap.reset();
+  }
+  Result<ChangeOutcome> next = NextConfiguration();
+  if (IsError(next)) {
+    FinishFailed(ErrorOf(next), aActions);
+    return;
+  }
+  if (IsApplied(ValueOf(next))) {
+    ChangeOutcome outcome = TakeValue(std::move(next));
+    if (mNext.mRevision == outcome.mRevision) {
+      outcome.mDifferences = mNext.mDifferences;
+    }
+    Finish(WriteOutcome{ std::move(outcome), std::nullopt, {} }, aActions);
+    DeleteUnused(mReadHead, aActions);
+    return;
+  }
+  if (mRacesLost >= kRaces) {
+    FinishFailed(Fault(ErrorCode::Conflict,
+                       "other changes kept coming first; nothing was changed"),
+                 aActions);
+    return;
+  }
+  mNext = TakeValue(std::move(next));
+  Result<EncodedConfiguration> encoded =
+    ConfigurationCodec::Encode(*mNext.mConfiguration, mReadHead, mTag);
+  if (IsError(encoded)) {
+    FinishFailed(ErrorOf(encoded), aActions);
+    return;
+  }
+  mEncoded = TakeValue(std::move(encoded));
+  PlanParts(aNow, aActions);
+}
+
+void
+ConfigurationWriter::PlanParts(Instant aNow, Actions* aActions)
+{
+  mState = State::WritingParts;
+  mToWrite.clear();
+  mToDelete.clear();
+  const std::set<PartName> known(mReadHead.mParts.begin(),
+                                 mReadHead.mParts.end());
+  for (const auto& [name, text] : mEncoded.mParts) {
+    if (!known.contains(name) && !mStored.contains(name)) {
+      mToWrite.push_back(name);
+    }
+  }
+  for (const RetiredPart& retired : mEncoded.mHead.mRetired) {
+    if (retired.mSince.value() + kRetiredRevisions <=
+        mEncoded.mHead.mRevision.value()) {
+      mToDelete.push_back(retired.mName);
+    }
+  }
+  ContinueParts(aNow, aActions);
+}
+
+void
+ConfigurationWriter::ContinueParts(Instant aNow, Actions* aActions)
+{
+  if (mState != State::WritingParts) {
+    return;
+  }
+  while (!mToWrite.empty() && mAsks.size() < kCallsAtOnce) {
+    const PartName name = mToWrite.front();
+    mToWrite.pop_front();
+    mWritten.insert(name);
+    const AskId ask = Remember(AskKind::WritePart, name, aNow);
+    aActions->push_back(WritePart{ ask, name, mEncoded.mParts.at(name) });
+  }
+  while (!mToDelete.empty() && mAsks.size() < kCallsAtOnce) {
+    const PartName name = mToDelete.front();
+    mToDelete.pop_front();
+    const AskId ask = Remember(AskKind::DeletePart, name, aNow);
+    aActions->push_back(DeletePart{ ask, name });
+  }
+  if (mAsks.empty()) {
+    Swap(aNow, aActions);
+  }
+}
+
+void
+ConfigurationWriter::Swap(Instant aNow, Actions* aActions)
+{
+  VERIFY(mEncoded.mHead.mRevision > mReadHead.mRevision);
+  mState = State::SwappingHead;
+  mSwapSent = aNow;
+  const AskId ask = Remember(AskKind::Swap, {}, aNow);
+  aActions->push_back(SwapHead{ ask, mEncoded.mHead.Text(), mKeyRevision });
+}
+
+void
+ConfigurationWriter::Finish(Result<WriteOutcome> aOutcome, Actions* aActions)
+{
+  VERIFY(mState != State::Finished);
+  mState = State::Finished;
+  mAsks.clear();
+  aActions->push_back(WriteFinished{ std::move(aOutcome) });
+}
+
+void
+ConfigurationWriter::FinishFailed(Error aError, Actions* aActions)
+{
+  // With a swap still open nothing may be said to be unchanged.
+  if (mOpenSwap || mState == State::SwappingHead) {
+    Finish(Fault(ErrorCode::OutcomeUnknown,
+                 "the store did not tell whether the change took effect; "
+                 "repeat it with the same operation id"),
+           aActions);
+    return;
+  }
+  Finish(std::move(aError), aActions);
+  DeleteUnused({}, aActions);
+}
+
+void
+ConfigurationWriter::DeleteUnused(const ConfigurationHead& aHead,
+                                  Actions* aActions)
+{
+  const std::set<PartName> used(aHead.mParts.begin(), aHead.mParts.end());
+  std::set<PartName> retired;
+  for (const RetiredPart& part : aHead.mRetired) {
+    retired.insert(part.mName);
+  }
+  for (const PartName& name : mWritten) {
+    if (!used.contains(name) && !retired.contains(name)) {
+      aActions->push_back(DeletePart{ AskId(++mLastAsk), name });
+    }
+  }
+}
+
+} // namespace verbenachute
