--- a/StandIns/Common/IndexData.cpp
+++ b/StandIns/Common/IndexData.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr std::uint64_t kMostHitsOfShard = 4;
-/// Scores are multiples of 1 / 2^20, which JSON text carries without loss.
-constexpr std::uint64_t kScoreSteps = 1U << 20U;
+/// Scores have six decimals, so short JSON text carries them without loss.
+constexpr std::uint64_t kScoreSteps = 1000000;
 
 Hit
 HitOf(const std::string& aSource, std::uint64_t aNumber)
--- a/StandIns/Common/JsonText.cpp
+++ b/StandIns/Common/JsonText.cpp
@@ -7,11 +7,19 @@
 
 namespace verbenachute::standins {
 
+namespace {
+
+/// Digits that a decimal number keeps through a double and back.
+constexpr int kSignificantDigits = 15;
+
+} // namespace
+
 std::string
 JsonText(const Json::Value& aValue)
 {
   Json::StreamWriterBuilder builder;
   builder["indentation"] = "";
+  builder["precision"] = kSignificantDigits;
   return Json::writeString(builder, aValue);
 }
 
