--- a/StandIns/Searcher/SearcherFleet.cpp
+++ b/StandIns/Searcher/SearcherFleet.cpp
@@ -30,23 +30,27 @@
   { "returned", &Searcher::Returned },
 };
 
+bool
+HasName(const TargetSettings& aTarget, const Json::Value& aNames)
+{
+  return std::any_of(
+    aNames.begin(), aNames.end(), [&aTarget](const Json::Value& aName) {
+      return aName.asString() == aTarget.mName.value();
+    });
+}
+
 bool
 IsChosen(const TargetSettings& aTarget, const Json::Value& aCommand)
 {
-  if (aCommand.isMember("targets")) {
-    const Json::Value& names = aCommand["targets"];
-    return std::any_of(
-      names.begin(), names.end(), [&aTarget](const Json::Value& aName) {
-        return aName.asString() == aTarget.mName.value();
-      });
-  }
-  if (aCommand.isMember("domain")) {
-    return aCommand["domain"].asString() == aTarget.mDomain.value();
-  }
-  if (aCommand.isMember("service")) {
-    return aCommand["service"].asString() == aTarget.mService.value();
-  }
-  return true;
+  const bool named =
+    !aCommand.isMember("targets") || HasName(aTarget, aCommand["targets"]);
+  const bool inDomain =
+    aCommand.get("domain", aTarget.mDomain.value()).asString() ==
+    aTarget.mDomain.value();
+  const bool ofService =
+    aCommand.get("service", aTarget.mService.value()).asString() ==
+    aTarget.mService.value();
+  return named && inDomain && ofService;
 }
 
 } // namespace
--- a/StandIns/Searcher/SearcherFleet.h
+++ b/StandIns/Searcher/SearcherFleet.h
@@ -9,8 +9,8 @@
 
 /// All searchers of a process, and the control port for them.
 ///
-/// POST /control takes {"command":C,...} for the targets chosen by one of
-/// "targets":[NAME,...], "domain":D, "service":S or, without them, for all,
+/// POST /control takes {"command":C,...} for the targets that "targets":
+/// [NAME,...], "domain":D and "service":S leave, each of which may be left out,
 /// and replies {"applied":N}. GET /control/record gives a summary by target,
 /// GET /control/executions one line an execution.
 class SearcherFleet final : public HttpHandler
