--- a/Libraries/LibTransport/HttpClientConnection.cpp
+++ b/Libraries/LibTransport/HttpClientConnection.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t kMaximumReplyBytes = 8 * 1024 * 1024;
+constexpr std::size_t kMaximumReplyBytes = 8UL * 1024 * 1024;
 
 evhttp_cmd_type
 CommandOf(HttpMethod aMethod)
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -14,8 +14,8 @@
 /// Bounds of what a server reads; evhttp answers larger requests itself.
 struct HttpLimits
 {
-  std::size_t mHeaderBytes = 8 * 1024;
-  std::size_t mBodyBytes = 256 * 1024;
+  std::size_t mHeaderBytes = 8UL * 1024;
+  std::size_t mBodyBytes = 256UL * 1024;
   /// A connection that is silent for this long is closed.
   seconds mIdle{ 60 };
 };
--- a/Services/verbenachuted/Daemon.cpp
+++ b/Services/verbenachuted/Daemon.cpp
@@ -97,6 +97,7 @@
     masks[bucket.mDomain] |= static_cast<std::uint16_t>(1U << bucket.mIndex);
   }
   std::vector<MemberBuckets> result;
+  result.reserve(masks.size());
   for (const std::pair<const FailureDomain, std::uint16_t>& mask : masks) {
     result.push_back(MemberBuckets{ mask.first, mask.second });
   }
