--- a/Libraries/LibCore/Strong.h
+++ b/Libraries/LibCore/Strong.h
@@ -25,6 +25,8 @@
   [[nodiscard]] constexpr const Representation& value() const { return mValue; }
 
   friend constexpr bool operator==(const Strong&, const Strong&) = default;
+  // The linter takes the 0 that a rewritten comparison compares with for a
+  // null pointer. NOLINTNEXTLINE(modernize-use-nullptr)
   friend constexpr auto operator<=>(const Strong&, const Strong&) = default;
 
 private:
--- a/Libraries/LibQuery/CrashGuard.cpp
+++ b/Libraries/LibQuery/CrashGuard.cpp
@@ -42,8 +42,13 @@
 CrashGuard::OnAnswered(Watch aWatch)
 {
   Release(aWatch);
-  if (aWatch == Watch::Watched) {
-    mAllowance = std::min(mAllowance + 1, kMaximumAllowance);
+  if (aWatch == Watch::Unwatched) {
+    return;
+  }
+  mAllowance = std::min(mAllowance + 1, kMaximumAllowance);
+  const bool isCleared = mAllowance == kMaximumAllowance && mCrashed.empty();
+  if (isCleared && mState == SendingState::Cautious) {
+    mState = SendingState::Free;
   }
 }
 
--- a/Libraries/LibQuery/CrashGuard.h
+++ b/Libraries/LibQuery/CrashGuard.h
@@ -29,8 +29,10 @@
 /// failure makes sending cautious: one attempt at a time, and one more at a
 /// time for each target that has answered a cautious attempt. Once an attempt
 /// that was sent under caution ends in a crash too, or a gate knows the query
-/// as poison, sending ends. So beyond what was sent before the first crash
-/// was known, a query that crashes every target costs one more target.
+/// as poison, sending ends. A query that is suspected from an earlier run and
+/// crashes nothing while the allowance grows to its most is free again. So
+/// beyond what was sent before the first crash was known, a query that crashes
+/// every target costs one more target.
 class CrashGuard
 {
 public:
--- a/Libraries/LibQuery/QueryCoordinatorFailures.cpp
+++ b/Libraries/LibQuery/QueryCoordinatorFailures.cpp
@@ -102,9 +102,13 @@
   const Duration wait =
     repeat == 0 ? Duration(0)
                 : mResources.mTimings.mRetryBackoff * (1U << (repeat - 1));
+  if (aNow + wait >= mSendUntil) {
+    GiveUp(aShard);
+    return;
+  }
   aShard.WaitUntil(aNow + wait);
   if (repeat > 0) {
-    Arm(std::min(aShard.RetryInstant(), mCompleteAt));
+    Arm(aShard.RetryInstant());
   } else {
     SendIfAllowed(aShard, aNow);
   }
--- a/Libraries/LibQuery/QueryEngine.cpp
+++ b/Libraries/LibQuery/QueryEngine.cpp
@@ -14,6 +14,8 @@
 /// What is known of a target that was not used for so long is forgotten.
 constexpr Duration kObservationAge = seconds(600);
 constexpr Duration kTidyInterval = seconds(60);
+/// No query waits longer, whatever its caller says; keeps instants in range.
+constexpr Duration kMaximumTimeLeft = seconds(3600);
 
 } // namespace
 
@@ -39,7 +41,7 @@
 {
   const QueryId query(mNextQuery);
   mNextQuery += 1;
-  const Instant deadline = aNow + aRequest.mTimeLeft;
+  const Instant deadline = aNow + std::min(aRequest.mTimeLeft, kMaximumTimeLeft);
   const Instant startBy = deadline - mSettings.mTimings.mCompletionMargin -
                           mSettings.mTimings.mAnswerMargin;
   const CallerClass callerClass = aRequest.mClass;
--- a/Libraries/LibQuery/QueryPlanner.cpp
+++ b/Libraries/LibQuery/QueryPlanner.cpp
@@ -40,7 +40,11 @@
   QueryPlan plan = TakeValue(std::move(result));
   for (std::vector<ShardReplica>& candidates : plan.mCandidates) {
     mSelector.Order(candidates, aNow, mRandom);
+    if (!candidates.empty()) {
+      mSelector.Reserve(candidates.front().mTarget);
+    }
   }
+  mSelector.ReleaseReserved();
   return plan;
 }
 
--- a/Libraries/LibQuery/ReplicaSelector.cpp
+++ b/Libraries/LibQuery/ReplicaSelector.cpp
@@ -17,15 +17,17 @@
 constexpr double kFailurePenalty = 8;
 constexpr double kOverloadPenalty = 2;
 constexpr double kMaximumPenalty = 64;
-constexpr seconds kPenaltyHalfLife{ 2 };
+constexpr Duration kPenaltyHalfLife = seconds(2);
+/// The latency of a target that is not used is forgotten, else one bad answer
+/// would keep it unused for good.
+constexpr Duration kLatencyHalfLife = seconds(5);
 
 double
-Decayed(double aPenalty, Duration aAge)
+Decayed(double aValue, Duration aAge, Duration aHalfLife)
 {
   const double halfLives =
-    static_cast<double>(aAge.count()) /
-    static_cast<double>(Duration(kPenaltyHalfLife).count());
-  return aPenalty * std::exp2(-halfLives);
+    static_cast<double>(aAge.count()) / static_cast<double>(aHalfLife.count());
+  return aValue * std::exp2(-halfLives);
 }
 
 } // namespace
@@ -71,6 +73,22 @@
                  [](Ranked& aRanked) { return std::move(aRanked.mReplica); });
 }
 
+void
+ReplicaSelector::Reserve(const TargetName& aTarget)
+{
+  mRecords[aTarget].mReserved += 1;
+  mReserved.push_back(aTarget);
+}
+
+void
+ReplicaSelector::ReleaseReserved()
+{
+  for (const TargetName& target : mReserved) {
+    mRecords[target].mReserved = 0;
+  }
+  mReserved.clear();
+}
+
 void
 ReplicaSelector::OnSent(const TargetName& aTarget)
 {
@@ -125,15 +143,19 @@
     return kBaseLatencyMicroseconds;
   }
   const Record& record = found->second;
-  const double penalty = Decayed(record.mPenalty, aNow - record.mPenaltyAt);
-  return (kBaseLatencyMicroseconds + record.mLatency) * (1 + record.mInHand) *
-         (1 + penalty);
+  const double latency =
+    Decayed(record.mLatency, aNow - record.mUsedAt, kLatencyHalfLife);
+  const double penalty =
+    Decayed(record.mPenalty, aNow - record.mPenaltyAt, kPenaltyHalfLife);
+  return (kBaseLatencyMicroseconds + latency) *
+         (1 + record.mInHand + record.mReserved) * (1 + penalty);
 }
 
 void
 ReplicaSelector::Penalise(Record& aRecord, double aAmount, Instant aNow)
 {
-  const double left = Decayed(aRecord.mPenalty, aNow - aRecord.mPenaltyAt);
+  const double left =
+    Decayed(aRecord.mPenalty, aNow - aRecord.mPenaltyAt, kPenaltyHalfLife);
   aRecord.mPenalty = std::min(left + aAmount, kMaximumPenalty);
   aRecord.mPenaltyAt = aNow;
 }
--- a/Libraries/LibQuery/ReplicaSelector.h
+++ b/Libraries/LibQuery/ReplicaSelector.h
@@ -37,6 +37,11 @@
              Instant aNow,
              pcg32& aRandom);
 
+  /// Counts an attempt that is planned but not sent, so that the shards of one
+  /// plan spread over their targets; until ReleaseReserved.
+  void Reserve(const TargetName& aTarget);
+  void ReleaseReserved();
+
   void OnSent(const TargetName& aTarget);
 
   /// Notes the end of an attempt that OnSent has noted. aElapsed is the time
@@ -52,17 +57,20 @@
 private:
   struct Record
   {
+    /// Moving average in microseconds.
     double mLatency = 0;
     double mPenalty = 0;
     Instant mPenaltyAt;
     Instant mUsedAt;
     std::uint32_t mInHand = 0;
+    std::uint32_t mReserved = 0;
   };
 
   [[nodiscard]] double Cost(const TargetName& aTarget, Instant aNow) const;
   static void Penalise(Record& aRecord, double aAmount, Instant aNow);
 
   std::unordered_map<TargetName, Record> mRecords;
+  std::vector<TargetName> mReserved;
 };
 
 } // namespace verbenachute
--- a/Libraries/LibQuery/TargetCatalogue.cpp
+++ b/Libraries/LibQuery/TargetCatalogue.cpp
@@ -20,8 +20,11 @@
   if (!Supersedes(aState, known->second)) {
     return ReportVerdict::Outdated;
   }
+  const TargetState& before = known->second.mState;
+  const bool isChanged = before.mCondition != aState.mCondition ||
+                         before.mVersions != aState.mVersions;
   known->second = Entry{ aHolder, aState };
-  mGeneration += 1;
+  mGeneration += isChanged ? 1 : 0;
   return ReportVerdict::Taken;
 }
 
--- a/Libraries/LibQuery/TargetCatalogue.h
+++ b/Libraries/LibQuery/TargetCatalogue.h
@@ -45,7 +45,8 @@
   /// reports win over those of its predecessor.
   [[nodiscard]] std::uint64_t NextSequence(const TargetName& aTarget) const;
 
-  /// Number of changes so far; equal numbers mean equal content.
+  /// Number of changes so far; equal numbers mean equal conditions and
+  /// versions of all targets.
   [[nodiscard]] std::uint64_t Generation() const { return mGeneration; }
 
   /// The versions of a service, newest first. A version on whose shard count
--- a/Tests/LibQuery/QueryRig.h
+++ b/Tests/LibQuery/QueryRig.h
@@ -6,7 +6,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -140,6 +142,7 @@
       } else {
         CompleteQuery* complete = std::get_if<CompleteQuery>(&action);
         REQUIRE(complete != nullptr);
+        mCompletedAt[complete->mQuery] = mNow;
         mOutcomes.emplace_back(complete->mQuery, std::move(complete->mOutcome));
       }
     }
@@ -168,6 +171,7 @@
   std::vector<SubQuery> mSent;
   std::vector<AttemptId> mCancelled;
   std::vector<std::pair<QueryId, QueryOutcome>> mOutcomes;
+  std::map<QueryId, Instant> mCompletedAt;
 };
 
 } // namespace verbenachute
