--- a/Libraries/LibQuery/LatencyEstimator.cpp
+++ b/Libraries/LibQuery/LatencyEstimator.cpp
@@ -43,6 +43,15 @@
   mCurrent(static_cast<double>(aLatency.count()));
 }
 
+void
+LatencyEstimator::ObserveAtLeast(Duration aBound, Instant aNow)
+{
+  const std::optional<Duration> quantile = Quantile();
+  if (quantile.has_value() && aBound > *quantile) {
+    Observe(aBound, aNow);
+  }
+}
+
 std::optional<Duration>
 LatencyEstimator::Quantile() const
 {
--- a/Libraries/LibQuery/LatencyEstimator.h
+++ b/Libraries/LibQuery/LatencyEstimator.h
@@ -21,6 +21,11 @@
 
   void Observe(Duration aLatency, Instant aNow);
 
+  /// Notes a latency that is only known to be longer than aBound. A bound
+  /// below the estimate tells nothing; leaving out those above it would make
+  /// the estimate fall with each hedge that wins.
+  void ObserveAtLeast(Duration aBound, Instant aNow);
+
   /// The quantile, or nothing while too few latencies are known.
   [[nodiscard]] std::optional<Duration> Quantile() const;
 
--- a/Libraries/LibQuery/QueryCoordinatorAttempts.cpp
+++ b/Libraries/LibQuery/QueryCoordinatorAttempts.cpp
@@ -195,8 +195,7 @@
   const Duration elapsed = aNow - attempt->mSentAt;
   mResources.mSelector.OnEnded(
     attempt->mTarget, ReplicaObservation::Cancelled, elapsed, aNow);
-  // Leaving out the slow ones would make the estimate fall with each hedge.
-  mResources.mLatency.Observe(elapsed, aNow);
+  mResources.mLatency.ObserveAtLeast(elapsed, aNow);
   mResources.mCounters.mCancels += 1;
   mActions.emplace_back(CancelSubQuery{ mId, aAttempt, attempt->mTarget });
 }
--- a/Libraries/LibQuery/QueryEngine.cpp
+++ b/Libraries/LibQuery/QueryEngine.cpp
@@ -41,7 +41,8 @@
 {
   const QueryId query(mNextQuery);
   mNextQuery += 1;
-  const Instant deadline = aNow + std::min(aRequest.mTimeLeft, kMaximumTimeLeft);
+  const Instant deadline =
+    aNow + std::min(aRequest.mTimeLeft, kMaximumTimeLeft);
   const Instant startBy = deadline - mSettings.mTimings.mCompletionMargin -
                           mSettings.mTimings.mAnswerMargin;
   const CallerClass callerClass = aRequest.mClass;
@@ -225,9 +226,13 @@
 {
   const Running& running = mRunning.at(aQuery);
   const CrashGuard& guard = running.mCoordinator->Guard();
-  if (guard.HasCrashed() || guard.State() == SendingState::Ended) {
+  const bool hasAnswers = running.mCoordinator->MergedCount() > 0;
+  // A query of death crashes each target that runs it, so an answer clears a
+  // query unless its sending had to be ended.
+  if (guard.State() == SendingState::Ended ||
+      (guard.HasCrashed() && !hasAnswers)) {
     mSuspects.Suspect(running.mFingerprint, aNow);
-  } else if (running.mCoordinator->MergedCount() > 0) {
+  } else if (hasAnswers) {
     mSuspects.Clear(running.mFingerprint);
   }
   ArmQuery(aQuery, std::nullopt);
--- a/Libraries/LibQuery/ReplicaSelector.h
+++ b/Libraries/LibQuery/ReplicaSelector.h
@@ -20,7 +20,7 @@
   Cancelled,
   Overloaded,
   Failed,
-  /// Says nothing about the target, such as a stale route to its holder.
+  /// Says nothing about the target, such as a version that is gone.
   Neutral,
 };
 
--- a/Tests/LibQuery/QueryRig.h
+++ b/Tests/LibQuery/QueryRig.h
@@ -101,9 +101,16 @@
     mNow = until;
   }
 
+  /// Identifier of the one hit of a shard of a version.
+  static std::string HitOf(IndexVersion aVersion, ShardId aShard)
+  {
+    return "d-" + std::to_string(aVersion.value()) + "-" +
+           std::to_string(aShard.value());
+  }
+
   static SubAnswer Answer(const SubQuery& aQuery, double aScore = 1)
   {
-    const std::string identifier = "d-" + std::to_string(aQuery.mShard.value());
+    const std::string identifier = HitOf(aQuery.mVersion, aQuery.mShard);
     return { aQuery.mQuery,
              aQuery.mAttempt,
              ShardResult{ aQuery.mVersion,
--- a/Tests/LibQuery/TestFaultMatrix.cpp
+++ b/Tests/LibQuery/TestFaultMatrix.cpp
@@ -124,8 +124,19 @@
   char OutcomeOf(const QueryAnswer& aAnswer) const
   {
     const Coverage& coverage = aAnswer.mCoverage;
-    if (aAnswer.mSnapshot != mSnapshot ||
-        aAnswer.mHits.size() != coverage.mShardsAnswered) {
+    std::set<std::string> expected;
+    for (std::uint32_t shard = 0; shard < coverage.mShardsAsked; ++shard) {
+      expected.insert(QueryRig::HitOf(mSnapshot, ShardId(shard)));
+    }
+    for (const ShardId missing : coverage.mMissing) {
+      expected.erase(QueryRig::HitOf(mSnapshot, missing));
+    }
+    std::set<std::string> seen;
+    for (const Hit& hit : aAnswer.mHits) {
+      seen.insert(hit.mIdentifier);
+    }
+    if (aAnswer.mSnapshot != mSnapshot || seen != expected ||
+        coverage.mShardsAnswered != expected.size()) {
       return 'X';
     }
     if (coverage.mMissing.empty()) {
--- a/Tests/LibQuery/TestPolicies.cpp
+++ b/Tests/LibQuery/TestPolicies.cpp
@@ -86,6 +86,13 @@
   feed(5000, 1000, kStart + seconds(20));
   feed(1, 1000, kStart + seconds(40));
   CHECK(estimator.Quantile()->count() == doctest::Approx(950).epsilon(0.05));
+  // Lower bounds count only where they tell something.
+  LatencyEstimator bounded(0.5);
+  for (int sample = 0; sample < 2000; ++sample) {
+    bounded.Observe(Duration(100), kStart);
+    bounded.ObserveAtLeast(Duration(sample % 2 == 0 ? 1 : 900), kStart);
+  }
+  CHECK(bounded.Quantile()->count() >= 99);
 }
 
 TEST_CASE("Each hedge mode waits as long as it says")
