--- a/Tests/LibQuery/QueryRig.h
+++ b/Tests/LibQuery/QueryRig.h
@@ -6,7 +6,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -99,9 +101,16 @@
     mNow = until;
   }
 
+  /// Identifier of the one hit of a shard of a version.
+  static std::string HitOf(IndexVersion aVersion, ShardId aShard)
+  {
+    return "d-" + std::to_string(aVersion.value()) + "-" +
+           std::to_string(aShard.value());
+  }
+
   static SubAnswer Answer(const SubQuery& aQuery, double aScore = 1)
   {
-    const std::string identifier = "d-" + std::to_string(aQuery.mShard.value());
+    const std::string identifier = HitOf(aQuery.mVersion, aQuery.mShard);
     return { aQuery.mQuery,
              aQuery.mAttempt,
              ShardResult{ aQuery.mVersion,
@@ -140,6 +149,7 @@
       } else {
         CompleteQuery* complete = std::get_if<CompleteQuery>(&action);
         REQUIRE(complete != nullptr);
+        mCompletedAt[complete->mQuery] = mNow;
         mOutcomes.emplace_back(complete->mQuery, std::move(complete->mOutcome));
       }
     }
@@ -168,6 +178,7 @@
   std::vector<SubQuery> mSent;
   std::vector<AttemptId> mCancelled;
   std::vector<std::pair<QueryId, QueryOutcome>> mOutcomes;
+  std::map<QueryId, Instant> mCompletedAt;
 };
 
 } // namespace verbenachute
