--- /dev/null
+++ b/Tests/LibDispatch/TestCell.cpp
@@ -0,0 +1,40 @@
+#include "FakeCell.h"
+
+#include <doctest/doctest.h>
+
+namespace verbenachute {
+
+TEST_CASE("A cell in calm holds every bucket and answers")
+{
+  FakeCell cell(1, {});
+  cell.Run(seconds(20));
+  CHECK(cell.Violations() == std::vector<std::string>{});
+  CHECK(cell.HeldBuckets() == cell.Buckets());
+  CHECK(cell.Answered() > 1000);
+}
+
+TEST_CASE("Randomised runs keep every promise and recover")
+{
+  CellFaults faults;
+  faults.mCuts = 1.5;
+  faults.mFreezes = 0.4;
+  faults.mKills = 0.2;
+  faults.mTargetCrashes = 0.3;
+  faults.mMoves = 0.2;
+  faults.mLate = 0.02;
+  faults.mDuplicates = 0.05;
+  faults.mSlowRuns = 0.02;
+  faults.mPoison = 0.002;
+  const std::uint64_t seeds = 20;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    CAPTURE(seed);
+    FakeCell cell(seed, faults);
+    cell.Run(seconds(60));
+    cell.Calm();
+    cell.Run(seconds(40));
+    CHECK(cell.Violations() == std::vector<std::string>{});
+    CHECK(cell.HeldBuckets() == cell.Buckets());
+  }
+}
+
+} // namespace verbenachute
