--- a/Meta/cluster.sh
+++ b/Meta/cluster.sh
@@ -7,6 +7,7 @@
 
 build=build
 nodes=3
+service_ms=4
 node_flags=(--address_validity_ms=2000)
 declare -A pid_of=()
 declare -a domains=()
@@ -115,7 +116,7 @@
 start_targets() {
   pick_ports
   Meta/write-site.sh "$1" "$2" $((first_port + first_target_port)) \
-    >"$folder/site.json"
+    "$service_ms" >"$folder/site.json"
   region=$(jq -r .region "$folder/site.json")
   mapfile -t domains < <(jq -r '.domains[]' "$folder/site.json")
   start_process platform "$build/StandIns/Platform/platform-standin" \
--- a/Meta/install-packages.sh
+++ b/Meta/install-packages.sh
@@ -9,7 +9,7 @@
   libabsl-dev libboost-log-dev libboost-dev
   libxxhash-dev libmsgpack-cxx-dev libpcg-cpp-dev
   doctest-dev libtrompeloeil-cpp-dev librapidcheck-dev
-  curl jq
+  curl jq gnuplot-nox
 )
 
 missing=()
--- a/Meta/write-site.sh
+++ b/Meta/write-site.sh
@@ -2,14 +2,16 @@
 # Writes the shape of a site as JSON: its services, and one target a searcher.
 # A service of N searchers has N/2 positions, each held by two or three
 # replicas in different failure domains, and one shard a position.
+# The median of the service time is SERVICE_MS, 4 ms if it is left out.
 # Versions 8 and 9 are not published at first; 9 is repartitioned.
 set -euo pipefail
 
 usage() {
-  echo "usage: Meta/write-site.sh gelo-volta|vialtec-andino SCALE FIRST_PORT" >&2
+  echo "usage: Meta/write-site.sh gelo-volta|vialtec-andino SCALE FIRST_PORT" \
+    "[SERVICE_MS]" >&2
   exit 2
 }
-[ $# -eq 3 ] || usage
+[ $# -eq 3 ] || [ $# -eq 4 ] || usage
 
 case "$1" in
   gelo-volta)
@@ -41,7 +43,7 @@
 esac
 
 jq -n --arg site "$1" --argjson scale "$2" --argjson first_port "$3" \
-  --argjson shape "$shape" '
+  --argjson service_ms "${4:-4}" --argjson shape "$shape" '
   def scaled: ([(. * $scale | floor), 4] | max);
   def pad: tostring | if length < 2 then "0" + . else . end;
   ($shape.domains | length) as $domains
@@ -62,6 +64,7 @@
           domain: $shape.domains[($position + $replica) % $domains],
           slots: $service.slots, connections: $service.connections,
           connect_cost_ms: $service.connect_cost_ms,
+          service_ms: $service_ms,
           position: $position, positions: $service.positions,
           versions: [{version: 7, shard_count: $service.positions}]}]
        | to_entries
