--- /dev/null
+++ b/Libraries/LibOperator/WriteRunner.cpp
@@ -0,0 +1,182 @@
+#include <LibOperator/WriteRunner.h>
+
+#include <algorithm>
+
+namespace verbenachute {
+
+namespace {
+
+using StoredResult = Result<std::optional<StoredValue>>;
+
+Execution
+ExecutionOf(const Error& aError)
+{
+  return aError.mCode == ErrorCode::Unreachable ? Execution::NotRun
+                                                : Execution::OutcomeUnknown;
+}
+
+} // namespace
+
+void
+WriteRunner::Run(EventLoop& aLoop,
+                 Platform& aPlatform,
+                 ConfigurationWriter aWriter,
+                 Done aDone)
+{
+  const std::shared_ptr<WriteRunner> runner(
+    new WriteRunner(aLoop, aPlatform, std::move(aWriter), std::move(aDone)));
+  runner->mSelf = runner;
+  runner->CarryOut(runner->mWriter.Start(aLoop.Now()));
+}
+
+WriteRunner::WriteRunner(EventLoop& aLoop,
+                         Platform& aPlatform,
+                         ConfigurationWriter aWriter,
+                         Done aDone)
+  : mLoop(aLoop)
+  , mPlatform(aPlatform)
+  , mWriter(std::move(aWriter))
+  , mDone(std::move(aDone))
+  , mTimer(aLoop, [this] { CarryOut(mWriter.OnTick(mLoop.Now())); })
+{
+}
+
+void
+WriteRunner::CarryOut(const ConfigurationWriter::Actions& aActions)
+{
+  const std::shared_ptr<WriteRunner> self = shared_from_this();
+  for (const WriterAction& action : aActions) {
+    std::visit([this](const auto& aAction) { Perform(aAction); }, action);
+  }
+  ArmTimer();
+}
+
+void
+WriteRunner::Perform(const ReadHead& aAction)
+{
+  mPlatform.Read(
+    std::string(kHeadKey),
+    [self = shared_from_this(), ask = aAction.mAsk](const StoredResult& aRead) {
+      if (IsError(aRead)) {
+        self->Fail(ask, ErrorOf(aRead));
+        return;
+      }
+      const Instant now = self->mLoop.Now();
+      const std::optional<StoredValue>& value = ValueOf(aRead);
+      self->CarryOut(value
+                       ? self->mWriter.OnHead(
+                           ask, value->mValue, value->mRevision.value(), now)
+                       : self->mWriter.OnNoHead(ask, now));
+    });
+}
+
+void
+WriteRunner::Perform(const ReadPart& aAction)
+{
+  mPlatform.Read(
+    aAction.mPart.Key(),
+    [self = shared_from_this(), ask = aAction.mAsk](const StoredResult& aRead) {
+      const Instant now = self->mLoop.Now();
+      if (IsError(aRead) || !ValueOf(aRead)) {
+        self->CarryOut(self->mWriter.OnFailure(ask, Execution::NotRun, now));
+        return;
+      }
+      self->CarryOut(self->mWriter.OnPart(
+        ask, std::make_shared<const std::string>(ValueOf(aRead)->mValue), now));
+    });
+}
+
+void
+WriteRunner::Perform(const WritePart& aAction)
+{
+  mPlatform.CompareAndSwap(
+    aAction.mPart.Key(),
+    *aAction.mText,
+    KeyRevision(0),
+    [self = shared_from_this(),
+     ask = aAction.mAsk](const Result<SwapOutcome>& aSwap) {
+      if (IsError(aSwap)) {
+        self->Fail(ask, ErrorOf(aSwap));
+        return;
+      }
+      // No other writer uses the key, so a conflict is with an earlier write
+      // of the same part.
+      self->CarryOut(self->mWriter.OnPartWritten(ask, self->mLoop.Now()));
+    });
+}
+
+void
+WriteRunner::Perform(const DeletePart& aAction)
+{
+  const std::string key = aAction.mPart.Key();
+  mPlatform.Read(
+    key,
+    [self = shared_from_this(), ask = aAction.mAsk, key](
+      const StoredResult& aRead) {
+      if (IsError(aRead)) {
+        self->Fail(ask, ErrorOf(aRead));
+        return;
+      }
+      if (!ValueOf(aRead)) {
+        self->CarryOut(self->mWriter.OnPartDeleted(ask, self->mLoop.Now()));
+        return;
+      }
+      self->mPlatform.Remove(
+        key,
+        ValueOf(aRead)->mRevision,
+        [self, ask](const Result<SwapOutcome>& aRemoved) {
+          if (IsError(aRemoved)) {
+            self->Fail(ask, ErrorOf(aRemoved));
+            return;
+          }
+          self->CarryOut(self->mWriter.OnPartDeleted(ask, self->mLoop.Now()));
+        });
+    });
+}
+
+void
+WriteRunner::Perform(const SwapHead& aAction)
+{
+  mPlatform.CompareAndSwap(
+    std::string(kHeadKey),
+    aAction.mText,
+    KeyRevision(aAction.mExpected),
+    [self = shared_from_this(),
+     ask = aAction.mAsk](const Result<SwapOutcome>& aSwap) {
+      if (IsError(aSwap)) {
+        self->Fail(ask, ErrorOf(aSwap));
+        return;
+      }
+      const Instant now = self->mLoop.Now();
+      self->CarryOut(ValueOf(aSwap).mResult == SwapResult::Swapped
+                       ? self->mWriter.OnSwapped(ask, now)
+                       : self->mWriter.OnSwapConflict(ask, now));
+    });
+}
+
+void
+WriteRunner::Perform(const WriteFinished& aAction)
+{
+  // The end may come within a callback of the timer, which must not go away
+  // under its own feet; replies that are still to come hold the object too.
+  mLoop.Defer([self = std::move(mSelf)] {});
+  mDone(aAction.mOutcome);
+}
+
+void
+WriteRunner::Fail(AskId aAsk, const Error& aError)
+{
+  CarryOut(mWriter.OnFailure(aAsk, ExecutionOf(aError), mLoop.Now()));
+}
+
+void
+WriteRunner::ArmTimer()
+{
+  if (mWriter.IsFinished()) {
+    mTimer.Stop();
+    return;
+  }
+  mTimer.Start(std::max(Duration(0), mWriter.NextWake() - mLoop.Now()));
+}
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibOperator/WriteRunner.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <LibConfiguration/ConfigurationWriter.h>
+#include <LibPlatform/Platform.h>
+#include <LibTransport/EventLoop.h>
+#include <LibTransport/Timer.h>
+
+#include <functional>
+#include <memory>
+
+namespace verbenachute {
+
+/// Carries out the decisions of one configuration writer against the
+/// platform's store. It keeps itself alive until the write has ended.
+class WriteRunner : public std::enable_shared_from_this<WriteRunner>
+{
+public:
+  using Done = std::function<void(const Result<WriteOutcome>&)>;
+
+  /// Begins the write and calls aDone once. The loop and the platform must
+  /// outlive the write.
+  static void Run(EventLoop& aLoop,
+                  Platform& aPlatform,
+                  ConfigurationWriter aWriter,
+                  Done aDone);
+
+private:
+  WriteRunner(EventLoop& aLoop,
+              Platform& aPlatform,
+              ConfigurationWriter aWriter,
+              Done aDone);
+
+  void CarryOut(const ConfigurationWriter::Actions& aActions);
+  void Perform(const ReadHead& aAction);
+  void Perform(const ReadPart& aAction);
+  void Perform(const WritePart& aAction);
+  void Perform(const DeletePart& aAction);
+  void Perform(const SwapHead& aAction);
+  void Perform(const WriteFinished& aAction);
+  void Fail(AskId aAsk, const Error& aError);
+  void ArmTimer();
+
+  EventLoop& mLoop;
+  Platform& mPlatform;
+  ConfigurationWriter mWriter;
+  Done mDone;
+  Timer mTimer;
+  /// Held until the end, as replies and the timer refer to this object.
+  std::shared_ptr<WriteRunner> mSelf;
+};
+
+} // namespace verbenachute
--- a/Libraries/LibPlatform/Platform.h
+++ b/Libraries/LibPlatform/Platform.h
@@ -72,6 +72,10 @@
                               const std::string& aValue,
                               KeyRevision aExpected,
                               SwapDone aDone) = 0;
+  /// Deletes a key that is at the expected revision.
+  virtual void Remove(const std::string& aKey,
+                      KeyRevision aExpected,
+                      SwapDone aDone) = 0;
   /// Gives the value once its revision exceeds aAfter, and no value when
   /// aWait has passed without a change.
   virtual void Watch(const std::string& aKey,
--- a/Libraries/LibPlatform/PlatformClient.cpp
+++ b/Libraries/LibPlatform/PlatformClient.cpp
@@ -68,6 +68,22 @@
        });
 }
 
+void
+PlatformClient::Remove(const std::string& aKey,
+                       KeyRevision aExpected,
+                       SwapDone aDone)
+{
+  HttpRequest request;
+  request.mMethod = HttpMethod::Delete;
+  request.mPath = "/v1/keys/" + aKey;
+  request.mParameters["expected_revision"] = std::to_string(aExpected.value());
+  Call(request,
+       kCallTimeout,
+       [done = std::move(aDone)](const Result<HttpReply>& aReply) {
+         done(ParseSwapOutcome(aReply));
+       });
+}
+
 void
 PlatformClient::Watch(const std::string& aKey,
                       KeyRevision aAfter,
--- a/Libraries/LibPlatform/PlatformClient.h
+++ b/Libraries/LibPlatform/PlatformClient.h
@@ -21,6 +21,9 @@
                       const std::string& aValue,
                       KeyRevision aExpected,
                       SwapDone aDone) override;
+  void Remove(const std::string& aKey,
+              KeyRevision aExpected,
+              SwapDone aDone) override;
   void Watch(const std::string& aKey,
              KeyRevision aAfter,
              Duration aWait,
