--- a/Libraries/LibOperator/ToolCommandTable.cpp
+++ b/Libraries/LibOperator/ToolCommandTable.cpp
@@ -149,7 +149,7 @@
   { "document", "", "shows the whole configuration", kOperator, 0, 0, BuildQuestion<"document">, DocumentText },
   { "watch", "[--updates N]", "shows the status at each change", CommandKind::Watch, 0, 0, BuildQuestion<"watch">, StatusText },
   { "query", "SERVICE TEXT --caller ID --class C", "runs a query", CommandKind::Query, 2, 2, BuildQuery, QueryText },
-  { "histogram", "--class C --caller_address IP:PORT", "draws the latencies of a class at one node", CommandKind::Caller, 0, 0, BuildHistogram, DocumentText },
+  { "histogram", "--class C --caller_address IP:PORT", "draws the latencies of a class over the nodes", CommandKind::Caller, 0, 0, BuildHistogram, DocumentText },
   { "bootstrap", "--platform IP:PORT --file FILE", "writes the first configuration to an empty store", CommandKind::Bootstrap, 0, 0, BuildBootstrap, ChangeText },
 };
 // clang-format on
--- a/Libraries/LibOperator/ToolFlagTable.cpp
+++ b/Libraries/LibOperator/ToolFlagTable.cpp
@@ -28,7 +28,7 @@
   { "callers", "", "selector set: the callers to serve, joined by commas" },
   { "caller_address",
     "",
-    "query, histogram: caller port of a node, as IP:PORT" },
+    "query, histogram: caller port of any node, as IP:PORT" },
   { "request_id", "", "query: identity of the request; drawn if not given" },
   { "deadline_ms", "1000", "query: the deadline" },
   { "limit", "20", "query, history: largest number of results" },
--- a/Libraries/LibOperator/ToolInput.cpp
+++ b/Libraries/LibOperator/ToolInput.cpp
@@ -140,6 +140,12 @@
   return ValueOf(address);
 }
 
+void
+ToolInput::Set(const char* aFlag, std::string aText)
+{
+  mFlags[aFlag] = std::move(aText);
+}
+
 void
 ToolInput::Fail(const std::string& aMessage)
 {
--- a/Libraries/LibOperator/ToolInput.h
+++ b/Libraries/LibOperator/ToolInput.h
@@ -37,6 +37,7 @@
                                      std::uint64_t aMost);
   [[nodiscard]] bool Flag(const char* aFlag);
   [[nodiscard]] SocketAddress Address(const char* aFlag);
+  void Set(const char* aFlag, std::string aText);
   void Fail(const std::string& aMessage);
   /// The first fault, at the step Settings with the code InvalidInput.
   [[nodiscard]] Result<Success> Check() const;
--- a/Utilities/verbenachute/Tool.cpp
+++ b/Utilities/verbenachute/Tool.cpp
@@ -63,8 +63,9 @@
 {
   const bool lags = aAnswer["lagging"].isArray() && !aAnswer["lagging"].empty();
   const Json::Value& missing = aAnswer["coverage"]["missing"];
-  return lags || (missing.isArray() && !missing.empty()) ? ExitStatus::Incomplete
-                                                         : ExitStatus::Done;
+  return lags || (missing.isArray() && !missing.empty())
+           ? ExitStatus::Incomplete
+           : ExitStatus::Done;
 }
 
 /// A name that no other operation has: who, when, and which process.
@@ -214,8 +215,7 @@
     if (IsError(address)) {
       continue;
     }
-    const Result<Json::Value> answer =
-      Ask(ValueOf(address), aRequest, timeout);
+    const Result<Json::Value> answer = Ask(ValueOf(address), aRequest, timeout);
     if (!IsError(answer)) {
       Print(aCommand, ValueOf(answer), *aInput);
       return StatusOfAnswer(ValueOf(answer));
@@ -232,18 +232,38 @@
 ExitStatus
 Tool::RunHistogram(const HttpRequest& aRequest, ToolInput* aInput)
 {
-  const SocketAddress node = aInput->Address("caller_address");
+  const SocketAddress asked = aInput->Address("caller_address");
+  const Duration timeout = TimeoutOf(aInput);
   const Result<Success> checked = aInput->Check();
   if (IsError(checked)) {
     return Fail(ErrorOf(checked), *aInput);
   }
-  const Result<HttpReply> reply =
-    mClient.Call(node, aRequest, TimeoutOf(aInput));
-  if (IsError(reply)) {
-    return Fail(ErrorOf(reply), *aInput);
+  HttpRequest question;
+  question.mPath = "/v1/addresses";
+  question.mParameters["caller"] = "verbenachute-tool";
+  const Result<Json::Value> addresses = Ask(asked, question, timeout);
+  if (IsError(addresses)) {
+    return Fail(ErrorOf(addresses), *aInput);
+  }
+  std::vector<std::string> metrics;
+  for (const Json::Value& text : ValueOf(addresses)["addresses"]) {
+    const Result<SocketAddress> address = ParseSocketAddress(text.asString());
+    if (IsError(address)) {
+      continue;
+    }
+    const Result<HttpReply> reply =
+      mClient.Call(ValueOf(address), aRequest, timeout);
+    if (IsError(reply)) {
+      std::fprintf(stderr,
+                   "verbenachute: left out: %s: %s\n",
+                   text.asString().c_str(),
+                   ErrorOf(reply).mMessage.c_str());
+      continue;
+    }
+    metrics.push_back(ValueOf(reply).mBody);
   }
   const Result<std::string> drawing =
-    HistogramText(ValueOf(reply).mBody, aInput->Text("class"));
+    HistogramText(metrics, aInput->Text("class"));
   if (IsError(drawing)) {
     return Fail(ErrorOf(drawing), *aInput);
   }
@@ -270,20 +290,19 @@
   };
   PlatformClient platform(mLoop, aInput->Address("platform"));
   std::optional<Result<WriteOutcome>> outcome;
-  WriteRunner::Run(
-    mLoop,
-    platform,
-    ConfigurationWriter(
-      self,
-      static_cast<std::uint64_t>(getpid()),
-      Bootstrap{ ValueOf(read),
-                 OperatorName(name.empty() ? "bootstrap" : name),
-                 wallTime },
-      {}),
-    [&](const Result<WriteOutcome>& aOutcome) {
-      outcome = aOutcome;
-      mLoop.Stop();
-    });
+  WriteRunner::Run(mLoop,
+                   platform,
+                   ConfigurationWriter(
+                     self,
+                     static_cast<std::uint64_t>(getpid()),
+                     Bootstrap{ ValueOf(read),
+                                OperatorName(name.empty() ? "bootstrap" : name),
+                                wallTime },
+                     {}),
+                   [&](const Result<WriteOutcome>& aOutcome) {
+                     outcome = aOutcome;
+                     mLoop.Stop();
+                   });
   if (!outcome) {
     mLoop.Run();
   }
