--- a/Services/verbenachuted/Daemon.cpp
+++ b/Services/verbenachuted/Daemon.cpp
@@ -6,6 +6,7 @@
 #include "LeaseService.h"
 #include "MembershipService.h"
 #include "OnceService.h"
+#include "OperatorPort.h"
 #include "QueryService.h"
 #include "StateService.h"
 
@@ -115,6 +116,7 @@
         const NodeIdentity& aSelf);
 
   [[nodiscard]] Result<Success> OpenCallerPort();
+  [[nodiscard]] Result<Success> OpenOperatorPort();
   [[nodiscard]] int Run();
 
 private:
@@ -154,6 +156,7 @@
   OnceService mOnce;
   AddressAnswerer mAddresses;
   std::unique_ptr<CallerPort> mCallerPort;
+  std::unique_ptr<OperatorPort> mOperatorPort;
   std::unique_ptr<ControlServer> mControl;
   Phase mPhase = Phase::Serving;
   Instant mPhaseEnd;
@@ -214,6 +217,22 @@
   return Success();
 }
 
+Result<Success>
+Daemon::Parts::OpenOperatorPort()
+{
+  Result<std::unique_ptr<OperatorPort>> port = OperatorPort::Create(
+    mSelf,
+    mSettings.OperatorAddress(),
+    { *mLoop, mPlatform, mConfiguration, mMembership, mLeases, []() {
+       return std::vector<CoverageGroup>();
+     } });
+  if (IsError(port)) {
+    return ErrorOf(port);
+  }
+  mOperatorPort = TakeValue(std::move(port));
+  return Success();
+}
+
 int
 Daemon::Parts::Run()
 {
@@ -324,6 +343,7 @@
   }
   mConfiguration.OnPeers(peers);
   mStates.OnTick();
+  mOperatorPort->OnTick();
   mMetrics.Set(Gauge::MembersAlive, peers.size() + 1);
   mMetrics.Set(Gauge::QueriesInHand, mQueries.QueryCount());
   mMetrics.Set(Gauge::OnceEntries, mOnce.Table().Entries());
@@ -447,9 +467,11 @@
   }
   std::unique_ptr<Parts> parts = std::make_unique<Parts>(
     aSettings, TakeValue(std::move(loop)), TakeValue(std::move(peers)), self);
-  const Result<Success> opened = parts->OpenCallerPort();
-  if (IsError(opened)) {
-    return ErrorOf(opened);
+  for (const Result<Success>& opened :
+       { parts->OpenCallerPort(), parts->OpenOperatorPort() }) {
+    if (IsError(opened)) {
+      return ErrorOf(opened);
+    }
   }
   return std::unique_ptr<Daemon>(new Daemon(std::move(parts)));
 }
