--- a/Libraries/LibConfiguration/ConfigurationFollower.cpp
+++ b/Libraries/LibConfiguration/ConfigurationFollower.cpp
@@ -100,7 +100,7 @@
   Actions actions;
   mKnown = std::max(mKnown, aRevision);
   mPeerRevisions[aPeer] = aRevision;
-  if (aRevision <= RevisionInForce()) {
+  if (mInForce && aRevision <= RevisionInForce()) {
     // What this node has in force is at least as new as what was the latest.
     Confirm(aConfirmed);
     return actions;
@@ -109,6 +109,8 @@
   if (!fetched && aRevision > mRefused) {
     AskPeer(aPeer, aNow, &actions);
   }
+  // The first configuration may have waited for this peer's word.
+  ContinueFetch(aNow, &actions);
   return actions;
 }
 
@@ -448,11 +450,28 @@
       aActions->push_back(ReadPart{ ask, source, name });
     }
   }
-  if (whole) {
+  if (whole && MayAdopt(*mFetch)) {
     FinishFetch(aActions);
   }
 }
 
+bool
+ConfigurationFollower::MayAdopt(const PartFetch& aFetch) const
+{
+  if (mInForce || aFetch.mConfirmed) {
+    return true;
+  }
+  // A node that has just started may have had a larger revision in force in
+  // its life before, which a single peer may not know yet. The store's word
+  // settles it, or that of a majority of the peers.
+  const auto told =
+    std::count_if(mPeers.begin(), mPeers.end(), [this](const NodeName& aPeer) {
+      return mPeerRevisions.contains(aPeer);
+    });
+  return aFetch.mHead.mRevision >= mKnown &&
+         2 * static_cast<std::size_t>(told) > mPeers.size();
+}
+
 void
 ConfigurationFollower::FinishFetch(Actions* aActions)
 {
--- a/Libraries/LibConfiguration/ConfigurationFollower.h
+++ b/Libraries/LibConfiguration/ConfigurationFollower.h
@@ -13,7 +13,8 @@
 
 /// Decides which revision of the configuration a node has in force. It takes
 /// only larger revisions, whether from the store's watch, a read or a peer,
-/// and only whole: all parts of a head come into force together.
+/// and only whole: all parts of a head come into force together. Its first
+/// one it takes from the store, or from the newest of a majority of peers.
 class ConfigurationFollower
 {
 public:
@@ -128,6 +129,7 @@
                                  Actions* aActions);
   void BeginFetch(PartFetch aFetch, Instant aNow, Actions* aActions);
   void ContinueFetch(Instant aNow, Actions* aActions);
+  [[nodiscard]] bool MayAdopt(const PartFetch& aFetch) const;
   void FinishFetch(Actions* aActions);
   void Adopt(std::shared_ptr<const Configuration> aConfiguration,
              const ConfigurationHead& aHead,
--- a/Utilities/verbenachute/Flags.cpp
+++ b/Utilities/verbenachute/Flags.cpp
@@ -1,5 +1,6 @@
 #include "Flags.h"
 
+#include <LibCore/Verify.h>
 #include <LibOperator/ToolFlagTable.h>
 
 #include <absl/flags/flag.h>
@@ -11,6 +12,8 @@
 // The table of flags has defaults and meanings; an empty text or false was
 // not given.
 ABSL_FLAG(std::string, node, "", "see below");
+ABSL_FLAG(std::string, operator, "", "see below");
+ABSL_FLAG(std::string, class, "", "see below");
 ABSL_FLAG(std::string, operation_id, "", "see below");
 ABSL_FLAG(std::string, output, "", "see below");
 ABSL_FLAG(std::string, timeout_ms, "", "see below");
@@ -43,7 +46,8 @@
   ToolInput::Flags given;
   for (const ToolFlag& flag : ToolFlagTable()) {
     const absl::CommandLineFlag* found = absl::FindCommandLineFlag(flag.mName);
-    if (found != nullptr && found->CurrentValue() != found->DefaultValue()) {
+    VERIFY(found != nullptr);
+    if (found->CurrentValue() != found->DefaultValue()) {
       given[flag.mName] = found->CurrentValue();
     }
   }
