verbenachuted: Shut down through the leaving process

SIGTERM announces the leave, serves until the address answers that name the node have run out, hands its buckets over and finishes the work in hand.

--- a/Services/verbenachuted/CallerPort.cpp
+++ b/Services/verbenachuted/CallerPort.cpp
@@ -64,10 +64,10 @@
 {
 }
 
-std::size_t
+std::vector<RequestId>
 CallerPort::InHand() const
 {
-  return mInHand;
+  return std::vector<RequestId>(mInHand.begin(), mInHand.end());
 }
 
 void
@@ -155,7 +155,7 @@
 void
 CallerPort::HandleHealth(const Exchange& aExchange)
 {
-  const bool isServing = mDependencies.mIsServing();
+  const bool isServing = mDependencies.mMode() == ServingMode::Serving;
   aExchange->Reply(
     HttpReply{ isServing ? 200 : kUnavailable,
                "application/json",
@@ -165,7 +165,7 @@
 void
 CallerPort::RunQuery(const Exchange& aExchange, const QueryRequest& aRequest)
 {
-  ++mInHand;
+  mInHand.insert(aRequest.mRequest);
   const Instant arrival = mDependencies.mLoop.Now();
   const QueryService::Done done =
     [this, aExchange, aRequest, arrival](const QueryOutcome& aOutcome) {
@@ -175,6 +175,15 @@
     mDependencies.mOnce.Submit(aRequest, done);
     return;
   }
+  if (mDependencies.mMode() == ServingMode::Refusing) {
+    done(QueryRefusal{ aRequest.mRequest,
+                       Error{ Step::Shutdown,
+                              ErrorCode::Draining,
+                              "",
+                              "the node leaves; ask for addresses again" },
+                       Execution::NotRun });
+    return;
+  }
   const QueryId query = mDependencies.mQueries.Submit(aRequest, done);
   aExchange->CallerGone().connect([this, query]() {
     mDependencies.mLogger.Log(LogEvent(EventNumber::CallerHungUp));
@@ -189,7 +198,7 @@
                    Instant aArrival,
                    const QueryOutcome& aOutcome)
 {
-  --mInHand;
+  mInHand.erase(mInHand.find(aRequest.mRequest));
   QueryOutcome outcome = aOutcome;
   if (QueryRefusal* refusal = std::get_if<QueryRefusal>(&outcome)) {
     refusal->mRequest = aRequest.mRequest;
--- a/Services/verbenachuted/CallerPort.h
+++ b/Services/verbenachuted/CallerPort.h
@@ -2,10 +2,13 @@
 
 #include "OnceService.h"
 #include "QueryService.h"
+#include "ServingMode.h"
 
 #include <LibTransport/HttpServer.h>
 
 #include <functional>
+#include <set>
+#include <vector>
 
 namespace verbenachute {
 
@@ -22,8 +25,7 @@
     AddressAnswerer& mAddresses;
     MetricsRegistry& mMetrics;
     Logger& mLogger;
-    /// Whether this node takes new requests.
-    std::function<bool()> mIsServing;
+    std::function<ServingMode()> mMode;
   };
 
   [[nodiscard]] static Result<std::unique_ptr<CallerPort>> Create(
@@ -31,7 +33,7 @@
     Dependencies aDependencies);
 
   /// Requests that have arrived and are not answered.
-  [[nodiscard]] std::size_t InHand() const;
+  [[nodiscard]] std::vector<RequestId> InHand() const;
 
 private:
   using Exchange = std::shared_ptr<HttpExchange>;
@@ -63,7 +65,7 @@
 
   Dependencies mDependencies;
   std::unique_ptr<HttpServer> mServer;
-  std::size_t mInHand = 0;
+  std::multiset<RequestId> mInHand;
 };
 
 } // namespace verbenachute
--- a/Services/verbenachuted/Daemon.cpp
+++ b/Services/verbenachuted/Daemon.cpp
@@ -8,6 +8,7 @@
 #include "OnceService.h"
 #include "OperatorPort.h"
 #include "QueryService.h"
+#include "ShutdownService.h"
 #include "StateService.h"
 
 #include <LibControl/ControlServer.h>
@@ -90,6 +91,16 @@
   return settings;
 }
 
+LeavingProcess::Settings
+ShutdownSettings(const Settings& aSettings, const MemberTable& aMembers)
+{
+  LeavingProcess::Settings settings;
+  settings.mLongestOffer = aMembers.LongestOffer();
+  settings.mAddressValidity = aSettings.AddressValidity();
+  settings.mDrainLimit = aSettings.DrainLimit();
+  return settings;
+}
+
 std::vector<MemberBuckets>
 MasksOf(const std::vector<Bucket>& aBuckets)
 {
@@ -131,15 +142,6 @@
   void OnHeartbeatReply(const NodeName& aPeer,
                         const Json::Value& aReply,
                         Instant aAsked);
-  void OnSignal();
-  void ContinueShutdown();
-
-  enum class Phase
-  {
-    Serving,
-    Leaving,
-    Draining,
-  };
 
   Settings mSettings;
   NodeIdentity mSelf;
@@ -156,12 +158,10 @@
   StateService mStates;
   OnceService mOnce;
   AddressAnswerer mAddresses;
+  ShutdownService mShutdown;
   std::unique_ptr<CallerPort> mCallerPort;
   std::unique_ptr<OperatorPort> mOperatorPort;
   std::unique_ptr<ControlServer> mControl;
-  Phase mPhase = Phase::Serving;
-  Instant mPhaseEnd;
-  int mStatus = 0;
 };
 
 Daemon::Parts::Parts(const Settings& aSettings,
@@ -191,11 +191,13 @@
           OnceSettings(aSettings),
           { *mLoop, *mPeers, mMembership, mQueries, mMetrics, mLogger })
   , mAddresses(AddressSettings(aSettings))
+  , mShutdown(ShutdownSettings(aSettings, mMembership.Table()),
+              { *mLoop, mMembership, mLeases, mDispatch, mOnce, mLogger })
 {
   ConnectConfiguration();
   ConnectMembership();
   ConnectControl();
-  mLoop->SignalArrived().connect([this](int) { OnSignal(); });
+  mLoop->SignalArrived().connect([this](int) { mShutdown.OnSignal(); });
 }
 
 Result<Success>
@@ -210,11 +212,12 @@
                          mAddresses,
                          mMetrics,
                          mLogger,
-                         [this]() { return mPhase == Phase::Serving; } });
+                         [this]() { return mShutdown.Mode(); } });
   if (IsError(port)) {
     return ErrorOf(port);
   }
   mCallerPort = TakeValue(std::move(port));
+  mShutdown.SetCallerPort(*mCallerPort);
   return Success();
 }
 
@@ -245,7 +248,7 @@
   mOnce.Start();
   mLoop->Run();
   mLogger.Log(LogEvent(EventNumber::ShutdownFinished).At(Step::Shutdown));
-  return mStatus;
+  return mShutdown.ExitStatus();
 }
 
 void
@@ -284,8 +287,7 @@
     [this](const NodeIdentity& aMember) { mQueries.OnHolderLost(aMember); });
   mMembership.SelfReplaced().connect([this]() {
     // Two lives under one name would both answer for its tickets.
-    mStatus = 1;
-    mLoop->Stop();
+    mShutdown.EndNow();
   });
 }
 
@@ -350,14 +352,14 @@
   mMetrics.Set(Gauge::OnceEntries, mOnce.Table().Entries());
   mMetrics.Set(Gauge::OnceBytes, mOnce.Table().Bytes());
   mLogger.ReportSuppressed();
-  ContinueShutdown();
+  mShutdown.OnTick();
 }
 
 void
 Daemon::Parts::TellLeases()
 {
   std::vector<LeaseMember> members;
-  if (mPhase == Phase::Serving) {
+  if (mShutdown.MayHoldBuckets()) {
     members.push_back(LeaseMember{ mSettings.Name(), mSettings.HomeDomain() });
   }
   for (const Member& member : mMembership.LivePeers()) {
@@ -380,8 +382,6 @@
   self.mBuckets = MasksOf(held);
   self.mRevision = mConfiguration.Follower().RevisionInForce();
   self.mTicket = mOnce.Table().CurrentTicket(now).mIncarnation;
-  self.mPhase =
-    mPhase == Phase::Serving ? MemberPhase::Live : MemberPhase::Leaving;
   mMetrics.Set(Gauge::BucketsHeld, held.size());
 }
 
@@ -420,39 +420,6 @@
   }
 }
 
-void
-Daemon::Parts::OnSignal()
-{
-  if (mPhase != Phase::Serving) {
-    mLogger.Log(LogEvent(EventNumber::ShutdownGaveUp)
-                  .At(Step::Shutdown)
-                  .With("requests", mCallerPort->InHand()));
-    mStatus = 1;
-    mLoop->Stop();
-    return;
-  }
-  mLogger.Log(LogEvent(EventNumber::ShutdownStarted).At(Step::Shutdown));
-  mPhase = Phase::Leaving;
-  mPhaseEnd =
-    mLoop->Now() + mMembership.Table().LongestOffer() + mAddresses.Validity();
-}
-
-void
-Daemon::Parts::ContinueShutdown()
-{
-  const Instant now = mLoop->Now();
-  if (mPhase == Phase::Leaving && now >= mPhaseEnd) {
-    mPhase = Phase::Draining;
-    mPhaseEnd = now + mSettings.DrainLimit();
-  }
-  const bool isDone =
-    mCallerPort->InHand() == 0 && mLeases.Holder().HeldBuckets(now).empty();
-  if (mPhase == Phase::Draining && (isDone || now >= mPhaseEnd)) {
-    mStatus = isDone ? 0 : 1;
-    mLoop->Stop();
-  }
-}
-
 Result<std::unique_ptr<Daemon>>
 Daemon::Create(const Settings& aSettings)
 {
--- a/Services/verbenachuted/DispatchService.cpp
+++ b/Services/verbenachuted/DispatchService.cpp
@@ -74,6 +74,16 @@
   return mGate.PoisonReports(mLoop.Now());
 }
 
+std::size_t
+DispatchService::InHand() const
+{
+  std::size_t count = 0;
+  for (const Bucket& bucket : mLeases.Holder().HeldBuckets(mLoop.Now())) {
+    count += mGate.InHand(bucket);
+  }
+  return count;
+}
+
 DispatchService::AnswerSignal&
 DispatchService::LocalAnswer()
 {
--- a/Services/verbenachuted/DispatchService.h
+++ b/Services/verbenachuted/DispatchService.h
@@ -37,6 +37,8 @@
   void OnTargetState(const TargetState& aState);
   void OnPoisonReport(const PoisonReport& aReport);
   [[nodiscard]] std::vector<PoisonReport> PoisonReports();
+  /// Sub-queries that wait or may still run at targets held by this node.
+  [[nodiscard]] std::size_t InHand() const;
 
   /// Answers to sub-queries of this node.
   [[nodiscard]] AnswerSignal& LocalAnswer();
