verbenachuted: End a shutdown that has no successor without waiting for one

Cause: when every node leaves, no other node asks for the buckets, so the hand over waited for its limit of 20 s; node logs stood at the phase handing_over. Ruled out: unconfirmed peers and work in hand, both were empty. The leases lapse with the process when no live node of the region is left.

--- a/Services/verbenachuted/ShutdownService.cpp
+++ b/Services/verbenachuted/ShutdownService.cpp
@@ -2,6 +2,8 @@
 
 #include <LibCore/Verify.h>
 
+#include <algorithm>
+
 namespace verbenachute {
 
 namespace {
@@ -75,13 +77,27 @@
   const Instant now = mDependencies.mLoop.Now();
   LeavingFacts facts;
   facts.mUnconfirmed = mDependencies.mMembership.Table().Unconfirmed(now);
-  facts.mBucketsHeld = mDependencies.mLeases.Holder().HeldBuckets(now).size();
+  // Without a node that could take them, the leases lapse with this process.
+  if (HasSuccessor()) {
+    facts.mBucketsHeld = mDependencies.mLeases.Holder().HeldBuckets(now).size();
+  }
   VERIFY(mCallerPort != nullptr);
   facts.mQueries = mCallerPort->InHand();
   facts.mSubQueries = mDependencies.mDispatch.InHand();
   return facts;
 }
 
+bool
+ShutdownService::HasSuccessor() const
+{
+  const Region& region = mDependencies.mMembership.Table().Self().mRegion;
+  const std::vector<Member> peers = mDependencies.mMembership.LivePeers();
+  return std::any_of(peers.begin(), peers.end(), [&](const Member& aMember) {
+    return aMember.mState == MemberState::Alive &&
+           aMember.mDescription.mRegion == region;
+  });
+}
+
 void
 ShutdownService::CarryOut(const std::vector<LeavingAction>& aActions)
 {
--- a/Services/verbenachuted/ShutdownService.h
+++ b/Services/verbenachuted/ShutdownService.h
@@ -46,6 +46,7 @@
 
 private:
   [[nodiscard]] LeavingFacts Facts() const;
+  [[nodiscard]] bool HasSuccessor() const;
   void CarryOut(const std::vector<LeavingAction>& aActions);
   void LogPhase();
   void Exit();
