--- a/Libraries/LibQuery/QueryCoordinator.h
+++ b/Libraries/LibQuery/QueryCoordinator.h
@@ -84,7 +84,7 @@
   [[nodiscard]] SubQuery MakeSubQuery(const Attempt& aAttempt,
                                       Instant aNow) const;
   void Hedge(ShardRun& aShard, Instant aNow);
-  [[nodiscard]] Payment Pay(std::size_t aAttempts);
+  [[nodiscard]] Payment Pay(std::size_t aAttempts, Urgency aUrgency);
 
   void Merge(Attempt& aAttempt, const ShardResult& aResult, Instant aNow);
   void Fail(Attempt& aAttempt, const SubFailure& aFailure, Instant aNow);
--- a/Libraries/LibQuery/QueryCoordinatorAttempts.cpp
+++ b/Libraries/LibQuery/QueryCoordinatorAttempts.cpp
@@ -48,7 +48,7 @@
          aNow);
     return;
   }
-  if (Pay(1) == Payment::Refused) {
+  if (Pay(1, Urgency::Urgent) == Payment::Refused) {
     GiveUp(aShard);
     return;
   }
@@ -129,25 +129,30 @@
   const ShardReplica* candidate = aShard.HedgeCandidate(mGuard.Crashed());
   if (candidate == nullptr || mGuard.State() != SendingState::Free ||
       aNow >= mSendUntil) {
-    aShard.HedgeAt(std::nullopt);
+    aShard.DropHedge();
     return;
   }
-  if (Pay(1) == Payment::Refused) {
-    // The budget may be fuller after another delay.
+  // The longer a shard has waited already, the more its hedge will gain.
+  const Urgency urgency =
+    aShard.HedgeDeferrals() == 0 ? Urgency::Deferrable : Urgency::Urgent;
+  if (Pay(1, urgency) == Payment::Refused) {
     const std::optional<Duration> delay =
       mResources.mHedgePolicy.Delay(mResources.mLatency);
-    aShard.HedgeAt(delay.has_value() ? std::optional(aNow + *delay)
-                                     : std::nullopt);
+    if (delay.has_value()) {
+      aShard.DeferHedge(aNow + *delay);
+    } else {
+      aShard.DropHedge();
+    }
     return;
   }
   Send(aShard, candidate->mTarget, AttemptKind::Hedge, aNow);
 }
 
 Payment
-QueryCoordinator::Pay(std::size_t aAttempts)
+QueryCoordinator::Pay(std::size_t aAttempts, Urgency aUrgency)
 {
   const Payment payment =
-    mResources.mBudget.Spend(mResources.mBudgetClass, aAttempts);
+    mResources.mBudget.Spend(mResources.mBudgetClass, aAttempts, aUrgency);
   if (payment == Payment::Refused) {
     mResources.mCounters.mUnpaid += aAttempts;
   } else {
--- a/Libraries/LibQuery/QueryCoordinatorFailures.cpp
+++ b/Libraries/LibQuery/QueryCoordinatorFailures.cpp
@@ -141,7 +141,7 @@
     plan.mCandidates.begin(),
     plan.mCandidates.end(),
     [](const auto& aCandidates) { return !aCandidates.empty(); }));
-  if (Pay(sends) == Payment::Refused) {
+  if (Pay(sends, Urgency::Urgent) == Payment::Refused) {
     return false;
   }
   for (const AttemptId attempt : mAttempts.OpenAttempts()) {
--- a/Libraries/LibQuery/QueryEngineBuilder.cpp
+++ b/Libraries/LibQuery/QueryEngineBuilder.cpp
@@ -28,9 +28,9 @@
     return "the budget's refill must lie between 0 and 1000 thousandths";
   }
   if (budget.mInitial < 0 || budget.mInitial > budget.mMaximum ||
-      budget.mOverloadDrain < 0) {
+      budget.mReserve < 0 || budget.mOverloadDrain < 0) {
     return "the budget's initial value must lie between 0 and its maximum, and "
-           "its drain must not be negative";
+           "its reserve and drain must not be negative";
   }
   const QueryTimings& timings = aSettings.mTimings;
   if (timings.mCompletionMargin < Duration(0) ||
--- a/Libraries/LibQuery/QueryEngineSettings.h
+++ b/Libraries/LibQuery/QueryEngineSettings.h
@@ -15,8 +15,9 @@
 {
   AdmissionSettings mAdmission;
   HedgeSettings mHedge;
-  /// Quantile of the latency after which the adaptive policy hedges.
-  double mHedgeQuantile = 0.95;
+  /// Quantile of the latency after which the adaptive policy hedges. The share
+  /// above it stays below the budget's refill, which pays for retries as well.
+  double mHedgeQuantile = 0.96;
   RetryBudgetSettings mBudget;
   QueryTimings mTimings;
   /// Seed of the random choice among replicas.
--- a/Libraries/LibQuery/RetryBudget.cpp
+++ b/Libraries/LibQuery/RetryBudget.cpp
@@ -17,7 +17,7 @@
 {
   VERIFY(mSettings.mRefill >= 0 && mSettings.mRefill <= kAttemptCost);
   VERIFY(mSettings.mInitial >= 0 && mSettings.mInitial <= mSettings.mMaximum);
-  VERIFY(mSettings.mOverloadDrain >= 0);
+  VERIFY(mSettings.mReserve >= 0 && mSettings.mOverloadDrain >= 0);
 }
 
 void
@@ -35,11 +35,15 @@
 }
 
 Payment
-RetryBudget::Spend(const CallerClass& aClass, std::size_t aAttempts)
+RetryBudget::Spend(const CallerClass& aClass,
+                   std::size_t aAttempts,
+                   Urgency aUrgency)
 {
   std::int64_t& account = Account(aClass);
   const std::int64_t cost = static_cast<std::int64_t>(aAttempts) * kAttemptCost;
-  if (account < cost) {
+  const std::int64_t reserve =
+    aUrgency == Urgency::Deferrable ? mSettings.mReserve : 0;
+  if (account < cost + reserve) {
     return Payment::Refused;
   }
   account -= cost;
--- a/Libraries/LibQuery/RetryBudget.h
+++ b/Libraries/LibQuery/RetryBudget.h
@@ -14,6 +14,14 @@
   Refused,
 };
 
+/// How much of the budget an attempt may use.
+enum class Urgency
+{
+  /// It leaves the reserve to others.
+  Deferrable,
+  Urgent,
+};
+
 /// Settings of a RetryBudget, in thousandths of an attempt.
 struct RetryBudgetSettings
 {
@@ -23,6 +31,8 @@
   std::int64_t mInitial = 10'000;
   /// The most that a class can save up.
   std::int64_t mMaximum = 500'000;
+  /// What deferrable attempts leave over.
+  std::int64_t mReserve = 5'000;
   /// What each overloaded answer takes away.
   std::int64_t mOverloadDrain = 1000;
 };
@@ -40,7 +50,9 @@
   void OnOverloaded(const CallerClass& aClass);
 
   /// Pays for all of aAttempts or for none.
-  [[nodiscard]] Payment Spend(const CallerClass& aClass, std::size_t aAttempts);
+  [[nodiscard]] Payment Spend(const CallerClass& aClass,
+                              std::size_t aAttempts,
+                              Urgency aUrgency);
 
   /// What a class has left, in thousandths of an attempt.
   [[nodiscard]] std::int64_t Balance(const CallerClass& aClass) const;
--- a/Libraries/LibQuery/ShardRun.cpp
+++ b/Libraries/LibQuery/ShardRun.cpp
@@ -72,6 +72,14 @@
   return mNext < mFresh ? 0 : static_cast<std::uint32_t>(mNext - mFresh + 1);
 }
 
+void
+ShardRun::DeferHedge(Instant aInstant)
+{
+  VERIFY(mPhase == ShardPhase::Running);
+  mHedgeAt = aInstant;
+  mDeferrals += 1;
+}
+
 void
 ShardRun::RecordSent(Instant aNow, std::optional<Duration> aHedgeDelay)
 {
@@ -84,6 +92,7 @@
   mOpen += 1;
   mPhase = ShardPhase::Running;
   mHedgeAt.reset();
+  mDeferrals = 0;
   if (aHedgeDelay.has_value() && mOpen < kMaximumOpen) {
     mHedgeAt = aNow + *aHedgeDelay;
   }
--- a/Libraries/LibQuery/ShardRun.h
+++ b/Libraries/LibQuery/ShardRun.h
@@ -72,10 +72,13 @@
   void RecordMerged();
   void RecordMissing();
   void WaitUntil(Instant aInstant);
-  /// Moves the hedge to a later time, or drops it.
-  void HedgeAt(std::optional<Instant> aInstant) { mHedgeAt = aInstant; }
+  /// Moves the hedge to a later time since it was not paid.
+  void DeferHedge(Instant aInstant);
+  void DropHedge() { mHedgeAt.reset(); }
 
   [[nodiscard]] std::optional<Instant> HedgeInstant() const { return mHedgeAt; }
+  /// How often the hedge of the open attempt was moved.
+  [[nodiscard]] std::uint32_t HedgeDeferrals() const { return mDeferrals; }
   [[nodiscard]] Instant RetryInstant() const { return mRetryAt; }
   /// Whether the pinned version is gone at each replica that was asked.
   [[nodiscard]] bool IsVersionGone() const;
@@ -92,6 +95,7 @@
   std::uint32_t mVersionGone = 0;
   bool mMayHaveRun = false;
   std::optional<Instant> mHedgeAt;
+  std::uint32_t mDeferrals = 0;
   Instant mRetryAt;
 };
 
--- a/Tests/LibQuery/TestPolicies.cpp
+++ b/Tests/LibQuery/TestPolicies.cpp
@@ -51,16 +51,17 @@
 {
   const CallerClass field("field");
   const CallerClass audit("audit");
-  RetryBudget budget({ 50, 1000, 3000, 1000 });
-  CHECK(budget.Spend(field, 1) == Payment::Paid);
-  CHECK(budget.Spend(field, 1) == Payment::Refused);
-  CHECK(budget.Spend(audit, 1) == Payment::Paid);
+  RetryBudget budget({ 50, 1000, 3000, 1000, 1000 });
+  CHECK(budget.Spend(field, 1, Urgency::Deferrable) == Payment::Refused);
+  CHECK(budget.Spend(field, 1, Urgency::Urgent) == Payment::Paid);
+  CHECK(budget.Spend(field, 1, Urgency::Urgent) == Payment::Refused);
+  CHECK(budget.Spend(audit, 1, Urgency::Urgent) == Payment::Paid);
   for (int attempt = 0; attempt < 20; ++attempt) {
-    CHECK(budget.Spend(field, 1) == Payment::Refused);
+    CHECK(budget.Spend(field, 1, Urgency::Urgent) == Payment::Refused);
     budget.OnFirstAttempt(field);
   }
   CHECK(budget.Balance(field) == 1000);
-  CHECK(budget.Spend(field, 2) == Payment::Refused);
+  CHECK(budget.Spend(field, 2, Urgency::Urgent) == Payment::Refused);
   budget.OnOverloaded(field);
   budget.OnOverloaded(field);
   CHECK(budget.Balance(field) == 0);
@@ -68,6 +69,7 @@
     budget.OnFirstAttempt(field);
   }
   CHECK(budget.Balance(field) == 3000);
+  CHECK(budget.Spend(field, 2, Urgency::Deferrable) == Payment::Paid);
 }
 
 TEST_CASE("A latency estimate follows the recent tail")
@@ -221,8 +223,8 @@
   HedgeSettings hedge;
   hedge.mMinimumDelay = Duration(0);
   CHECK(IsError(QueryEngineBuilder().Hedge(hedge, 0.9).Build()));
-  CHECK(IsError(QueryEngineBuilder().Budget({ 1001, 0, 0, 0 }).Build()));
-  CHECK(IsError(QueryEngineBuilder().Budget({ 50, 2, 1, 0 }).Build()));
+  CHECK(IsError(QueryEngineBuilder().Budget({ 1001, 0, 0, 0, 0 }).Build()));
+  CHECK(IsError(QueryEngineBuilder().Budget({ 50, 2, 1, 0, 0 }).Build()));
   CHECK(IsError(
     QueryEngineBuilder().Timings({ Duration(-1), {}, seconds(1) }).Build()));
 }
