Utilities: Ask another node for addresses before the answer runs out

A frozen node held the load tool's question for a second, longer than the deadline of a request, so callers that had good addresses failed. A caller now asks the node that it was told as the best, for 250 ms, and then the others; with answers valid for 2 s there is time for several attempts.

Nodes take up to 12 s to stop when all are told to leave at once, so the scripts wait 20 s before they kill one.

--- a/Meta/cluster.sh
+++ b/Meta/cluster.sh
@@ -270,11 +270,11 @@
 # end_process NAME: waits for its end, and kills it when it takes too long
 end_process() {
   local tries
-  for tries in $(seq 100); do
+  for tries in $(seq 200); do
     kill -0 "${pid_of[$1]}" 2>/dev/null || break
     sleep 0.1
   done
-  [ "$tries" -lt 100 ] || echo "$1 did not stop within 10 s, killed" >&2
+  [ "$tries" -lt 200 ] || echo "$1 did not stop within 20 s, killed" >&2
   stop_process "$1" KILL
   forget_process "$1"
 }
--- a/Utilities/verbenachute-load/CallerAddresses.cpp
+++ b/Utilities/verbenachute-load/CallerAddresses.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-constexpr Duration kFetchTimeout = seconds(1);
-constexpr Duration kPauseAfterFailure = milliseconds(100);
+/// Short enough to ask a second node before the answer in hand runs out.
+constexpr Duration kFetchTimeout = milliseconds(250);
+constexpr Duration kPauseAfterFailure = milliseconds(50);
 
 } // namespace
 
@@ -45,7 +46,11 @@
 CallerAddresses::Fetch()
 {
   mFetching = true;
-  const SocketAddress& node = mNodes[mNextNode++ % mNodes.size()];
+  // The first attempt goes to the node that was told as the best; the caller's
+  // own list of nodes may name one that has gone.
+  const bool first = mFailures == 0 && !mAnswer.mAddresses.empty();
+  const SocketAddress& node =
+    first ? mAnswer.mAddresses.front() : mNodes[mNextNode++ % mNodes.size()];
   mClient.Send(
     HttpExchange{
       node, "/v1/addresses?caller=" + mCaller.value(), "", kFetchTimeout },
@@ -58,10 +63,12 @@
   const std::optional<Json::Value> body =
     standins::ParseJsonObject(aReply.mBody);
   if (aReply.mStatus != 200 || !body || (*body)["addresses"].empty()) {
+    ++mFailures;
     mLoop.After(kPauseAfterFailure, [this]() { Fetch(); });
     return;
   }
   mFetching = false;
+  mFailures = 0;
   mAnswer = Answer{};
   for (const Json::Value& text : (*body)["addresses"]) {
     const Result<SocketAddress> address = ParseSocketAddress(text.asString());
--- a/Utilities/verbenachute-load/CallerAddresses.h
+++ b/Utilities/verbenachute-load/CallerAddresses.h
@@ -41,6 +41,8 @@
   CallerId mCaller;
   const std::vector<SocketAddress>& mNodes;
   std::size_t mNextNode = 0;
+  /// Attempts in a row that gave no answer.
+  std::uint32_t mFailures = 0;
   Answer mAnswer;
   Instant mRefreshAt;
   Instant mValidUntil;
