--- a/Services/verbenachuted/Daemon.cpp
+++ b/Services/verbenachuted/Daemon.cpp
@@ -6,6 +6,7 @@
 #include "LeaseService.h"
 #include "MembershipService.h"
 #include "OnceService.h"
+#include "OperatorPort.h"
 #include "QueryService.h"
 #include "StateService.h"
 
@@ -97,6 +98,7 @@
     masks[bucket.mDomain] |= static_cast<std::uint16_t>(1U << bucket.mIndex);
   }
   std::vector<MemberBuckets> result;
+  result.reserve(masks.size());
   for (const std::pair<const FailureDomain, std::uint16_t>& mask : masks) {
     result.push_back(MemberBuckets{ mask.first, mask.second });
   }
@@ -115,6 +117,7 @@
         const NodeIdentity& aSelf);
 
   [[nodiscard]] Result<Success> OpenCallerPort();
+  [[nodiscard]] Result<Success> OpenOperatorPort();
   [[nodiscard]] int Run();
 
 private:
@@ -154,6 +157,7 @@
   OnceService mOnce;
   AddressAnswerer mAddresses;
   std::unique_ptr<CallerPort> mCallerPort;
+  std::unique_ptr<OperatorPort> mOperatorPort;
   std::unique_ptr<ControlServer> mControl;
   Phase mPhase = Phase::Serving;
   Instant mPhaseEnd;
@@ -214,6 +218,22 @@
   return Success();
 }
 
+Result<Success>
+Daemon::Parts::OpenOperatorPort()
+{
+  Result<std::unique_ptr<OperatorPort>> port = OperatorPort::Create(
+    mSelf,
+    mSettings.OperatorAddress(),
+    { *mLoop, mPlatform, mConfiguration, mMembership, mLeases, []() {
+       return std::vector<CoverageGroup>();
+     } });
+  if (IsError(port)) {
+    return ErrorOf(port);
+  }
+  mOperatorPort = TakeValue(std::move(port));
+  return Success();
+}
+
 int
 Daemon::Parts::Run()
 {
@@ -324,6 +344,7 @@
   }
   mConfiguration.OnPeers(peers);
   mStates.OnTick();
+  mOperatorPort->OnTick();
   mMetrics.Set(Gauge::MembersAlive, peers.size() + 1);
   mMetrics.Set(Gauge::QueriesInHand, mQueries.QueryCount());
   mMetrics.Set(Gauge::OnceEntries, mOnce.Table().Entries());
@@ -447,9 +468,11 @@
   }
   std::unique_ptr<Parts> parts = std::make_unique<Parts>(
     aSettings, TakeValue(std::move(loop)), TakeValue(std::move(peers)), self);
-  const Result<Success> opened = parts->OpenCallerPort();
-  if (IsError(opened)) {
-    return ErrorOf(opened);
+  for (const Result<Success>& opened :
+       { parts->OpenCallerPort(), parts->OpenOperatorPort() }) {
+    if (IsError(opened)) {
+      return ErrorOf(opened);
+    }
   }
   return std::unique_ptr<Daemon>(new Daemon(std::move(parts)));
 }
