--- a/Libraries/LibMembership/ProbeSchedule.cpp
+++ b/Libraries/LibMembership/ProbeSchedule.cpp
@@ -3,27 +3,16 @@
 #include <LibCore/RendezvousHash.h>
 
 #include <algorithm>
+#include <bit>
 
 namespace verbenachute {
 
 namespace {
 
-// The cell with the highest weight for a node. A further cell takes over
-// only some nodes of each of the others.
 std::size_t
 CellNumber(const NodeName& aNode, std::size_t aCells)
 {
-  std::size_t best = 0;
-  std::uint64_t bestWeight = 0;
-  for (std::size_t cell = 0; cell < aCells; ++cell) {
-    const std::uint64_t weight =
-      RendezvousWeight(aNode.value(), std::to_string(cell));
-    if (weight >= bestWeight) {
-      best = cell;
-      bestWeight = weight;
-    }
-  }
-  return best;
+  return StableHash(aNode.value()) & (aCells - 1);
 }
 
 } // namespace
@@ -44,8 +33,10 @@
   if (aNear.size() < mCellSize) {
     return aNear;
   }
-  // Cells are half full on average, so that few exceed their size by chance.
-  const std::size_t cells = 2 * (aNear.size() + 1) / mCellSize;
+  // The number of cells is a power of two, so that it seldom changes and a
+  // change only splits or joins cells. They are at most half full on average,
+  // so that few exceed their size by chance.
+  const std::size_t cells = std::bit_ceil(2 * (aNear.size() + 1) / mCellSize);
   const std::size_t own = CellNumber(aSelf, cells);
   std::vector<NodeName> cell;
   for (const NodeName& node : aNear) {
--- a/Tests/LibMembership/TestMemberTable.cpp
+++ b/Tests/LibMembership/TestMemberTable.cpp
@@ -100,11 +100,21 @@
   table.OnHeartbeat(Beat(Node("b"), 1, 1), kStart);
   const Instant woken = kStart + seconds(60);
   table.OnWake(woken);
+  // Nor does the own pause make the others dead.
+  CHECK(StateOfB(table, woken) == MemberState::Suspect);
   table.OnHeartbeat(Beat(Node("b"), 2, 1), woken);
   CHECK(OfferedBy(table, woken) == Names{ "a" });
   CHECK(StateOfB(table, woken) == MemberState::Suspect);
 }
 
+TEST_CASE("An echo to an earlier life of this node proves nothing")
+{
+  MemberTable table(Node("a", 2), {}, 1, kStart);
+  static_cast<void>(table.Tick(kStart));
+  table.OnHeartbeat(Beat(Node("b"), 1, 1), kStart);
+  CHECK(OfferedBy(table, kStart) == Names{ "a" });
+}
+
 TEST_CASE("An earlier life or an overtaken heartbeat changes nothing")
 {
   MemberTable table(Node("a"), {}, 1, kStart);
@@ -122,6 +132,8 @@
   REQUIRE(!changes.empty());
   CHECK(changes[0].mKind == MemberChange::Kind::Replaced);
   CHECK(OfferedBy(table, kStart) == Names{ "a", "b" });
+  table.OnHeartbeat(Beat(leaving, 999, 1), kStart);
+  CHECK(OfferedBy(table, kStart) == Names{ "a", "b" });
 }
 
 TEST_CASE("The VM list adds nodes, and neither offers nor removes any")
