--- a/Libraries/LibConfiguration/ConfigurationFollower.cpp
+++ b/Libraries/LibConfiguration/ConfigurationFollower.cpp
@@ -100,7 +100,7 @@
   Actions actions;
   mKnown = std::max(mKnown, aRevision);
   mPeerRevisions[aPeer] = aRevision;
-  if (aRevision <= RevisionInForce()) {
+  if (mInForce && aRevision <= RevisionInForce()) {
     // What this node has in force is at least as new as what was the latest.
     Confirm(aConfirmed);
     return actions;
@@ -109,6 +109,8 @@
   if (!fetched && aRevision > mRefused) {
     AskPeer(aPeer, aNow, &actions);
   }
+  // The first configuration may have waited for this peer's word.
+  ContinueFetch(aNow, &actions);
   return actions;
 }
 
@@ -121,7 +123,7 @@
 {
   Actions actions;
   const std::optional<Ask> ask = Forget(aAsk);
-  const bool fromStore = std::holds_alternative<PlatformStore>(aSource);
+  const bool fromStore = std::holds_alternative<StoreSource>(aSource);
   // A reply that was given up on may be any age, so it confirms nothing; its
   // revision counts all the same.
   std::optional<Instant> confirmed;
@@ -144,7 +146,7 @@
 ConfigurationFollower::OnNoHead(AskId aAsk, Instant aNow)
 {
   const std::optional<Ask> ask = Forget(aAsk);
-  if (ask && std::holds_alternative<PlatformStore>(ask->mSource)) {
+  if (ask && std::holds_alternative<StoreSource>(ask->mSource)) {
     mKeyRevision = 0;
     mStoreBackoff.OnSuccess();
     ScheduleStore(aNow);
@@ -211,7 +213,7 @@
   Actions actions;
   mKnown = std::max(mKnown, aWritten.mHead.mRevision);
   BeginFetch({ .mHead = aWritten.mHead,
-               .mSource = PlatformStore{},
+               .mSource = StoreSource{},
                .mConfirmed = aSent,
                .mParts = aWritten.mParts,
                .mAsked = {},
@@ -299,14 +301,14 @@
   const Duration wait = watches ? kWatchWait : Duration(0);
   const Instant givenUp = aNow + wait + kReadTimeout;
   const AskId ask = Remember({ watches ? AskKind::Watch : AskKind::Head,
-                               PlatformStore{},
+                               StoreSource{},
                                {},
                                aNow,
                                givenUp });
   if (watches) {
     aActions->push_back(WatchHead{ ask, *mKeyRevision, wait });
   } else {
-    aActions->push_back(ReadHead{ ask, PlatformStore{} });
+    aActions->push_back(ReadHead{ ask, StoreSource{} });
   }
   // The answer, or giving up on it, sets the next time.
   mStoreDue = givenUp + kReadTimeout;
@@ -351,7 +353,7 @@
     }
     return;
   }
-  if (std::holds_alternative<PlatformStore>(aAsk.mSource)) {
+  if (std::holds_alternative<StoreSource>(aAsk.mSource)) {
     // A read goes before the next watch, since a watch may miss a change that
     // came while no watch stood.
     mKeyRevision.reset();
@@ -448,11 +450,28 @@
       aActions->push_back(ReadPart{ ask, source, name });
     }
   }
-  if (whole) {
+  if (whole && MayAdopt(*mFetch)) {
     FinishFetch(aActions);
   }
 }
 
+bool
+ConfigurationFollower::MayAdopt(const PartFetch& aFetch) const
+{
+  if (mInForce || aFetch.mConfirmed) {
+    return true;
+  }
+  // A node that has just started may have had a larger revision in force in
+  // its life before, which a single peer may not know yet. The store's word
+  // settles it, or that of a majority of the peers.
+  const auto told =
+    std::count_if(mPeers.begin(), mPeers.end(), [this](const NodeName& aPeer) {
+      return mPeerRevisions.contains(aPeer);
+    });
+  return aFetch.mHead.mRevision >= mKnown &&
+         2 * static_cast<std::size_t>(told) > mPeers.size();
+}
+
 void
 ConfigurationFollower::FinishFetch(Actions* aActions)
 {
@@ -510,8 +529,8 @@
       sources.emplace_back(peer);
     }
   }
-  if (!std::holds_alternative<PlatformStore>(mFetch->mSource)) {
-    sources.emplace_back(PlatformStore{});
+  if (!std::holds_alternative<StoreSource>(mFetch->mSource)) {
+    sources.emplace_back(StoreSource{});
   }
   return sources[mFetch->mFailures % sources.size()];
 }
