--- a/Libraries/LibConfiguration/ConfigurationDocument.cpp
+++ b/Libraries/LibConfiguration/ConfigurationDocument.cpp
@@ -306,9 +306,7 @@
   }
   mContent.mRevision = aRevision;
   mContent.mTargets = std::make_shared<TargetTable>(mTargets);
-  for (const auto& [target, labels] : mTargetLabels) {
-    mContent.mTargetLabels.Set(target, labels);
-  }
+  mContent.mTargetLabels = LabelTable(std::move(mTargetLabels));
   return Configuration::Create(std::move(mContent));
 }
 
--- a/Libraries/LibConfiguration/JsonText.cpp
+++ b/Libraries/LibConfiguration/JsonText.cpp
@@ -3,6 +3,7 @@
 #include <json/reader.h>
 #include <json/writer.h>
 #include <memory>
+#include <sstream>
 
 namespace verbenachute {
 
@@ -25,13 +26,21 @@
   return builder;
 }
 
-std::string
-Write(const Json::Value& aValue, const char* aIndentation)
+std::unique_ptr<Json::StreamWriter>
+NewWriter(const char* aIndentation)
 {
   Json::StreamWriterBuilder builder;
   builder["indentation"] = aIndentation;
   builder["emitUTF8"] = true;
-  return Json::writeString(builder, aValue);
+  return std::unique_ptr<Json::StreamWriter>(builder.newStreamWriter());
+}
+
+std::string
+Write(Json::StreamWriter* aWriter, const Json::Value& aValue)
+{
+  std::ostringstream stream;
+  aWriter->write(aValue, &stream);
+  return stream.str();
 }
 
 } // namespace
@@ -64,13 +73,15 @@
 std::string
 CompactJson(const Json::Value& aValue)
 {
-  return Write(aValue, "");
+  // A writer costs more to make than an entry of the configuration to write.
+  static const std::unique_ptr<Json::StreamWriter> kWriter = NewWriter("");
+  return Write(kWriter.get(), aValue);
 }
 
 std::string
 IndentedJson(const Json::Value& aValue)
 {
-  return Write(aValue, "  ");
+  return Write(NewWriter("  ").get(), aValue);
 }
 
 } // namespace verbenachute
--- a/Libraries/LibConfiguration/LabelTable.cpp
+++ b/Libraries/LibConfiguration/LabelTable.cpp
@@ -2,8 +2,26 @@
 
 #include <LibCore/RendezvousHash.h>
 
+#include <algorithm>
+
 namespace verbenachute {
 
+LabelTable::LabelTable(std::map<TargetName, LabelSet> aLabels)
+{
+  std::array<std::shared_ptr<Bucket>, kBucketCount> buckets;
+  for (auto& [target, labels] : aLabels) {
+    if (labels.empty()) {
+      continue;
+    }
+    std::shared_ptr<Bucket>& bucket = buckets[BucketOf(target)];
+    if (!bucket) {
+      bucket = std::make_shared<Bucket>();
+    }
+    bucket->emplace_hint(bucket->end(), target, std::move(labels));
+  }
+  std::copy(buckets.begin(), buckets.end(), mBuckets.begin());
+}
+
 const LabelSet&
 LabelTable::LabelsOf(const TargetName& aTarget) const
 {
--- a/Libraries/LibConfiguration/LabelTable.h
+++ b/Libraries/LibConfiguration/LabelTable.h
@@ -16,6 +16,10 @@
 public:
   using Bucket = std::map<TargetName, LabelSet>;
 
+  LabelTable() = default;
+  /// A table of many targets at once.
+  explicit LabelTable(std::map<TargetName, LabelSet> aLabels);
+
   /// The labels of a target; empty if it has none.
   [[nodiscard]] const LabelSet& LabelsOf(const TargetName& aTarget) const;
   /// Replaces the labels of a target; empty labels remove it.
--- a/Tests/LibConfiguration/ConfigurationWorld.h
+++ b/Tests/LibConfiguration/ConfigurationWorld.h
@@ -71,6 +71,8 @@
   [[nodiscard]] std::size_t Accepted() const { return mAccepted.size(); }
   [[nodiscard]] std::size_t Unknown() const { return mUnknown.size(); }
   [[nodiscard]] std::size_t Failed() const { return mFailed.size(); }
+  /// Checks that did not hold.
+  [[nodiscard]] std::size_t Broken() const { return mBroken; }
   [[nodiscard]] const ConfigurationFollower& FollowerOf(std::size_t aNode) const
   {
     return *mNodes[aNode].mFollower;
@@ -105,6 +107,7 @@
     std::function<void(const FakeStore::Value&)> mReply;
   };
 
+  void Expect(bool aHolds, std::string_view aWhat);
   void Begin(std::size_t aNode);
   void At(Instant aTime, std::function<void()> aRun);
   /// Carries out a call of a life of a node; aReply runs in that life only.
@@ -129,7 +132,7 @@
   void SwapHeadInStore(const std::string& aText,
                        std::uint64_t aExpected,
                        bool* aSwapped);
-  void CheckHeadIsComplete() const;
+  void CheckHeadIsComplete();
   void CheckInForce(std::size_t aNode);
   [[nodiscard]] ConfigurationPointer Stored() const;
 
@@ -147,6 +150,7 @@
   std::set<std::string> mUnknown;
   /// Largest revision that any node said to be in force everywhere.
   Revision mSaidInForce;
+  std::size_t mBroken = 0;
 };
 
 } // namespace verbenachute
