--- a/Libraries/LibConfiguration/ConfigurationDocument.cpp
+++ b/Libraries/LibConfiguration/ConfigurationDocument.cpp
@@ -306,7 +306,7 @@
   }
   mContent.mRevision = aRevision;
   mContent.mTargets = std::make_shared<TargetTable>(mTargets);
-  mContent.mTargetLabels = LabelTable(std::move(mTargetLabels));
+  mContent.mTargetLabels = LabelTable(mTargetLabels);
   return Configuration::Create(std::move(mContent));
 }
 
--- a/Libraries/LibConfiguration/ConfigurationFollower.cpp
+++ b/Libraries/LibConfiguration/ConfigurationFollower.cpp
@@ -26,8 +26,6 @@
 constexpr Duration kLongestBackoff = seconds(20);
 constexpr Duration kFirstPartBackoff = milliseconds(100);
 constexpr Duration kLongestPartBackoff = seconds(5);
-/// Parts that are asked for at one time.
-constexpr std::size_t kPartsAsked = 8;
 
 } // namespace
 
@@ -50,8 +48,8 @@
 ConfigurationFollower::OnTick(Instant aNow)
 {
   Actions actions;
-  for (const AskId ask : AsksToGiveUp(aNow)) {
-    HandleFailure(*Forget(ask), aNow, &actions);
+  for (const Ask& ask : mAsks.TakeLate(aNow)) {
+    HandleFailure(ask, aNow, &actions);
   }
   if (mStoreDue <= aNow) {
     AskStore(aNow, &actions);
@@ -63,17 +61,9 @@
 Instant
 ConfigurationFollower::NextWake() const
 {
-  Instant wake = mStoreDue;
-  for (const auto& [id, ask] : mAsks) {
-    wake = std::min(wake, ask.mGivenUp);
-  }
-  // Parts stand back only until mDue, or while as many as may be are asked.
-  if (mFetch && mFetch->mAsked.size() < kPartsAsked &&
-      mFetch->mAsked.size() + mFetch->mParts.size() <
-        mFetch->mHead.mParts.size()) {
-    wake = std::min(wake, mFetch->mDue);
-  }
-  return wake;
+  const Instant wake = mAsks.WakeBy(mStoreDue);
+  const std::optional<Instant> due = mFetch ? mFetch->Due() : std::nullopt;
+  return due ? std::min(wake, *due) : wake;
 }
 
 void
@@ -105,7 +95,7 @@
     Confirm(aConfirmed);
     return actions;
   }
-  const bool fetched = mFetch && mFetch->mHead.mRevision >= aRevision;
+  const bool fetched = mFetch && mFetch->Head().mRevision >= aRevision;
   if (!fetched && aRevision > mRefused) {
     AskPeer(aPeer, aNow, &actions);
   }
@@ -122,7 +112,7 @@
                               Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = Forget(aAsk);
+  const std::optional<Ask> ask = mAsks.Take(aAsk);
   const bool fromStore = std::holds_alternative<StoreSource>(aSource);
   // A reply that was given up on may be any age, so it confirms nothing; its
   // revision counts all the same.
@@ -145,7 +135,7 @@
 ConfigurationFollower::Actions
 ConfigurationFollower::OnNoHead(AskId aAsk, Instant aNow)
 {
-  const std::optional<Ask> ask = Forget(aAsk);
+  const std::optional<Ask> ask = mAsks.Take(aAsk);
   if (ask && std::holds_alternative<StoreSource>(ask->mSource)) {
     mKeyRevision = 0;
     mStoreBackoff.OnSuccess();
@@ -157,7 +147,7 @@
 ConfigurationFollower::Actions
 ConfigurationFollower::OnUnchanged(AskId aAsk, Instant aNow)
 {
-  const std::optional<Ask> ask = Forget(aAsk);
+  const std::optional<Ask> ask = mAsks.Take(aAsk);
   if (!ask || ask->mKind != AskKind::Watch) {
     return {};
   }
@@ -178,7 +168,7 @@
                               Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = Forget(aAsk);
+  const std::optional<Ask> ask = mAsks.Take(aAsk);
   if (ContentDigest(*aText) != aPart.mDigest) {
     if (ask) {
       HandleFailure(*ask, aNow, &actions);
@@ -186,8 +176,7 @@
     return actions;
   }
   if (mFetch) {
-    mFetch->mAsked.erase(aPart);
-    mFetch->mParts[aPart] = std::move(aText);
+    mFetch->Take(aPart, std::move(aText));
     mPartBackoff.OnSuccess();
     ContinueFetch(aNow, &actions);
   }
@@ -198,7 +187,7 @@
 ConfigurationFollower::OnFailure(AskId aAsk, Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = Forget(aAsk);
+  const std::optional<Ask> ask = mAsks.Take(aAsk);
   if (ask) {
     HandleFailure(*ask, aNow, &actions);
   }
@@ -212,15 +201,9 @@
 {
   Actions actions;
   mKnown = std::max(mKnown, aWritten.mHead.mRevision);
-  BeginFetch({ .mHead = aWritten.mHead,
-               .mSource = StoreSource{},
-               .mConfirmed = aSent,
-               .mParts = aWritten.mParts,
-               .mAsked = {},
-               .mFailures = 0,
-               .mDue = aNow },
-             aNow,
-             &actions);
+  PartFetch fetch(aWritten.mHead, StoreSource{}, aSent, aNow);
+  fetch.TakeKnown(aWritten.mParts);
+  BeginFetch(std::move(fetch), aNow, &actions);
   return actions;
 }
 
@@ -256,38 +239,6 @@
   return static_cast<std::size_t>(heavier) < kStoreReaders;
 }
 
-AskId
-ConfigurationFollower::Remember(Ask aAsk)
-{
-  const AskId id(++mLastAsk);
-  mAsks.emplace(id, std::move(aAsk));
-  return id;
-}
-
-std::optional<ConfigurationFollower::Ask>
-ConfigurationFollower::Forget(AskId aAsk)
-{
-  const auto found = mAsks.find(aAsk);
-  if (found == mAsks.end()) {
-    return std::nullopt;
-  }
-  const Ask ask = found->second;
-  mAsks.erase(found);
-  return ask;
-}
-
-std::vector<AskId>
-ConfigurationFollower::AsksToGiveUp(Instant aNow) const
-{
-  std::vector<AskId> late;
-  for (const auto& [id, ask] : mAsks) {
-    if (ask.mGivenUp <= aNow) {
-      late.push_back(id);
-    }
-  }
-  return late;
-}
-
 void
 ConfigurationFollower::AskStore(Instant aNow, Actions* aActions)
 {
@@ -300,11 +251,11 @@
   const bool watches = IsStoreReader() && mKeyRevision;
   const Duration wait = watches ? kWatchWait : Duration(0);
   const Instant givenUp = aNow + wait + kReadTimeout;
-  const AskId ask = Remember({ watches ? AskKind::Watch : AskKind::Head,
-                               StoreSource{},
-                               {},
-                               aNow,
-                               givenUp });
+  const AskId ask = mAsks.Add({ watches ? AskKind::Watch : AskKind::Head,
+                                StoreSource{},
+                                {},
+                                aNow,
+                                givenUp });
   if (watches) {
     aActions->push_back(WatchHead{ ask, *mKeyRevision, wait });
   } else {
@@ -320,14 +271,12 @@
                                Actions* aActions)
 {
   const ConfigurationSource source(aPeer);
-  const bool asked =
-    std::any_of(mAsks.begin(), mAsks.end(), [&source](const auto& aEntry) {
-      return aEntry.second.mKind == AskKind::Head &&
-             aEntry.second.mSource == source;
-    });
+  const bool asked = mAsks.HasAny([&source](const Ask& aAsk) {
+    return aAsk.mKind == AskKind::Head && aAsk.mSource == source;
+  });
   if (!asked) {
     const AskId ask =
-      Remember({ AskKind::Head, source, {}, aNow, aNow + kReadTimeout });
+      mAsks.Add({ AskKind::Head, source, {}, aNow, aNow + kReadTimeout });
     aActions->push_back(ReadHead{ ask, source });
   }
 }
@@ -346,9 +295,8 @@
                                      Actions* aActions)
 {
   if (aAsk.mKind == AskKind::Part) {
-    if (mFetch && mFetch->mAsked.erase(aAsk.mPart) > 0) {
-      ++mFetch->mFailures;
-      mFetch->mDue = aNow + mPartBackoff.OnFailure();
+    const Duration wait = mPartBackoff.OnFailure();
+    if (mFetch && mFetch->OnFailure(aAsk.mPart, aNow + wait)) {
       ContinueFetch(aNow, aActions);
     }
     return;
@@ -392,13 +340,7 @@
   if (revision <= mRefused) {
     return HeadUse::Refused;
   }
-  BeginFetch({ .mHead = TakeValue(std::move(head)),
-               .mSource = aSource,
-               .mConfirmed = aConfirmed,
-               .mParts = {},
-               .mAsked = {},
-               .mFailures = 0,
-               .mDue = aNow },
+  BeginFetch(PartFetch(TakeValue(std::move(head)), aSource, aConfirmed, aNow),
              aNow,
              aActions);
   return HeadUse::Taken;
@@ -409,19 +351,14 @@
                                   Instant aNow,
                                   Actions* aActions)
 {
-  if (aFetch.mHead.mRevision <= RevisionInForce()) {
-    return;
-  }
-  if (mFetch && mFetch->mHead.mRevision >= aFetch.mHead.mRevision) {
+  const Revision revision = aFetch.Head().mRevision;
+  if (revision <= RevisionInForce() ||
+      (mFetch && mFetch->Head().mRevision >= revision)) {
     return;
   }
-  for (const PartName& name : aFetch.mHead.mParts) {
-    const std::shared_ptr<const std::string> own = FindPart(name);
-    if (own) {
-      aFetch.mParts[name] = own;
-    } else if (mFetch && mFetch->mParts.contains(name)) {
-      aFetch.mParts[name] = mFetch->mParts.at(name);
-    }
+  aFetch.TakeKnown(mParts);
+  if (mFetch) {
+    aFetch.TakeKnown(mFetch->Parts());
   }
   mFetch = std::move(aFetch);
   ContinueFetch(aNow, aActions);
@@ -433,24 +370,13 @@
   if (!mFetch) {
     return;
   }
-  bool whole = true;
-  for (const PartName& name : mFetch->mHead.mParts) {
-    if (mFetch->mParts.contains(name)) {
-      continue;
-    }
-    whole = false;
-    const bool mayAsk = mFetch->mDue <= aNow &&
-                        mFetch->mAsked.size() < kPartsAsked &&
-                        !mFetch->mAsked.contains(name);
-    if (mayAsk) {
-      const ConfigurationSource source = SourceOfNextPart();
-      mFetch->mAsked.insert(name);
-      const AskId ask =
-        Remember({ AskKind::Part, source, name, aNow, aNow + kReadTimeout });
-      aActions->push_back(ReadPart{ ask, source, name });
-    }
+  const ConfigurationSource source = mFetch->NextSource(mPeerRevisions);
+  for (const PartName& part : mFetch->NextToAsk(aNow)) {
+    const AskId ask =
+      mAsks.Add({ AskKind::Part, source, part, aNow, aNow + kReadTimeout });
+    aActions->push_back(ReadPart{ ask, source, part });
   }
-  if (whole && MayAdopt(*mFetch)) {
+  if (mFetch->IsWhole() && MayAdopt(*mFetch)) {
     FinishFetch(aActions);
   }
 }
@@ -458,7 +384,7 @@
 bool
 ConfigurationFollower::MayAdopt(const PartFetch& aFetch) const
 {
-  if (mInForce || aFetch.mConfirmed) {
+  if (mInForce || aFetch.Confirmed()) {
     return true;
   }
   // A node that has just started may have had a larger revision in force in
@@ -468,25 +394,25 @@
     std::count_if(mPeers.begin(), mPeers.end(), [this](const NodeName& aPeer) {
       return mPeerRevisions.contains(aPeer);
     });
-  return aFetch.mHead.mRevision >= mKnown &&
+  return aFetch.Head().mRevision >= mKnown &&
          2 * static_cast<std::size_t>(told) > mPeers.size();
 }
 
 void
 ConfigurationFollower::FinishFetch(Actions* aActions)
 {
-  PartFetch fetch = std::move(*mFetch);
+  const PartFetch fetch = std::move(*mFetch);
   mFetch.reset();
   const Result<std::shared_ptr<const Configuration>> decoded =
-    ConfigurationCodec::Decode(fetch.mHead, fetch.mParts);
+    ConfigurationCodec::Decode(fetch.Head(), fetch.Parts());
   if (IsError(decoded)) {
-    mRefused = fetch.mHead.mRevision;
+    mRefused = fetch.Head().mRevision;
     aActions->push_back(
-      ReportRefused{ fetch.mSource, mRefused, ErrorOf(decoded) });
+      ReportRefused{ fetch.Source(), mRefused, ErrorOf(decoded) });
     return;
   }
-  Adopt(ValueOf(decoded), fetch.mHead, std::move(fetch.mParts), aActions);
-  Confirm(fetch.mConfirmed);
+  Adopt(ValueOf(decoded), fetch.Head(), fetch.Parts(), aActions);
+  Confirm(fetch.Confirmed());
 }
 
 void
@@ -501,10 +427,6 @@
   mInForce = std::move(aConfiguration);
   mHead = aHead;
   mHeadText = mHead.Text();
-  const std::set<PartName> used(mHead.mParts.begin(), mHead.mParts.end());
-  std::erase_if(aParts, [&used](const auto& aEntry) {
-    return !used.contains(aEntry.first);
-  });
   mParts = std::move(aParts);
   aActions->push_back(PutInForce{ mInForce });
 }
@@ -517,22 +439,4 @@
   }
 }
 
-ConfigurationSource
-ConfigurationFollower::SourceOfNextPart() const
-{
-  std::vector<ConfigurationSource> sources;
-  sources.push_back(mFetch->mSource);
-  for (const auto& [peer, revision] : mPeerRevisions) {
-    const NodeName* first = std::get_if<NodeName>(&mFetch->mSource);
-    const bool isFirst = first && *first == peer;
-    if (revision >= mFetch->mHead.mRevision && !isFirst) {
-      sources.emplace_back(peer);
-    }
-  }
-  if (!std::holds_alternative<StoreSource>(mFetch->mSource)) {
-    sources.emplace_back(StoreSource{});
-  }
-  return sources[mFetch->mFailures % sources.size()];
-}
-
 } // namespace verbenachute
--- a/Libraries/LibConfiguration/ConfigurationFollower.h
+++ b/Libraries/LibConfiguration/ConfigurationFollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibConfiguration/AskTable.h>
 #include <LibConfiguration/BackoffSchedule.h>
 #include <LibConfiguration/FollowerAction.h>
 #include <LibConfiguration/PartFetch.h>
@@ -115,9 +116,6 @@
   };
 
   [[nodiscard]] bool IsStoreReader() const;
-  [[nodiscard]] AskId Remember(Ask aAsk);
-  [[nodiscard]] std::optional<Ask> Forget(AskId aAsk);
-  [[nodiscard]] std::vector<AskId> AsksToGiveUp(Instant aNow) const;
   void AskStore(Instant aNow, Actions* aActions);
   void AskPeer(const NodeName& aPeer, Instant aNow, Actions* aActions);
   void ScheduleStore(Instant aNow);
@@ -136,15 +134,13 @@
              ConfigurationParts aParts,
              Actions* aActions);
   void Confirm(std::optional<Instant> aConfirmed);
-  [[nodiscard]] ConfigurationSource SourceOfNextPart() const;
 
   NodeName mSelf;
   std::vector<NodeName> mPeers;
   /// Revisions that peers told, for choosing sources.
   std::map<NodeName, Revision> mPeerRevisions;
 
-  std::map<AskId, Ask> mAsks;
-  std::uint64_t mLastAsk = 0;
+  AskTable<Ask> mAsks;
   BackoffSchedule mStoreBackoff;
   BackoffSchedule mPartBackoff;
   /// When the store is asked for the head again.
--- a/Libraries/LibConfiguration/ConfigurationWriter.cpp
+++ b/Libraries/LibConfiguration/ConfigurationWriter.cpp
@@ -2,7 +2,6 @@
 
 #include <LibConfiguration/ConfigurationCodec.h>
 #include <LibConfiguration/ContentDigest.h>
-#include <LibCore/Overloaded.h>
 #include <LibCore/SocketAddressText.h>
 #include <LibCore/Verify.h>
 
@@ -58,15 +57,7 @@
   if (mState == State::Finished) {
     return actions;
   }
-  std::vector<Ask> late;
-  std::erase_if(mAsks, [aNow, &late](const auto& aEntry) {
-    if (aEntry.second.mGivenUp > aNow) {
-      return false;
-    }
-    late.push_back(aEntry.second);
-    return true;
-  });
-  for (const Ask& ask : late) {
+  for (const Ask& ask : mAsks.TakeLate(aNow)) {
     HandleFailure(ask, Execution::OutcomeUnknown, aNow, &actions);
   }
   if (mState == State::Waiting && mDue <= aNow) {
@@ -78,14 +69,9 @@
 Instant
 ConfigurationWriter::NextWake() const
 {
-  Instant wake = mDeadline;
-  if (mState == State::Waiting) {
-    wake = std::min(wake, mDue);
-  }
-  for (const auto& [id, ask] : mAsks) {
-    wake = std::min(wake, ask.mGivenUp);
-  }
-  return wake;
+  const Instant wake =
+    mState == State::Waiting ? std::min(mDeadline, mDue) : mDeadline;
+  return mAsks.WakeBy(wake);
 }
 
 ConfigurationWriter::Actions
@@ -95,7 +81,7 @@
                             Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = Forget(aAsk, AskKind::Head);
+  const std::optional<Ask> ask = mAsks.Take(aAsk);
   if (!ask || mState != State::ReadingHead) {
     return actions;
   }
@@ -130,7 +116,7 @@
 ConfigurationWriter::OnNoHead(AskId aAsk, Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = Forget(aAsk, AskKind::Head);
+  const std::optional<Ask> ask = mAsks.Take(aAsk);
   if (!ask || mState != State::ReadingHead) {
     return actions;
   }
@@ -143,7 +129,7 @@
   mReadHead = {};
   mKeyRevision = 0;
   mBase = {};
-  ApplyTask(aNow, &actions);
+  MakeNext(aNow, &actions);
   return actions;
 }
 
@@ -153,7 +139,7 @@
                             Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = Forget(aAsk, AskKind::ReadPart);
+  const std::optional<Ask> ask = mAsks.Take(aAsk);
   if (!ask || mState != State::ReadingParts) {
     return actions;
   }
@@ -170,7 +156,7 @@
 ConfigurationWriter::OnPartWritten(AskId aAsk, Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = Forget(aAsk, AskKind::WritePart);
+  const std::optional<Ask> ask = mAsks.Take(aAsk);
   if (ask) {
     mStored.insert(ask->mPart);
     ContinueParts(aNow, &actions);
@@ -182,7 +168,7 @@
 ConfigurationWriter::OnPartDeleted(AskId aAsk, Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = Forget(aAsk, AskKind::DeletePart);
+  const std::optional<Ask> ask = mAsks.Take(aAsk);
   if (ask) {
     std::erase_if(mEncoded.mHead.mRetired, [&ask](const RetiredPart& aRetired) {
       return aRetired.mName == ask->mPart;
@@ -196,7 +182,7 @@
 ConfigurationWriter::OnSwapped(AskId aAsk, Instant)
 {
   Actions actions;
-  const std::optional<Ask> ask = Forget(aAsk, AskKind::Swap);
+  const std::optional<Ask> ask = mAsks.Take(aAsk);
   if (ask && mState == State::SwappingHead) {
     Finish(WriteOutcome{ mNext, mEncoded, mSwapSent }, &actions);
     DeleteUnused(mEncoded.mHead, &actions);
@@ -208,7 +194,7 @@
 ConfigurationWriter::OnSwapConflict(AskId aAsk, Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = Forget(aAsk, AskKind::Swap);
+  const std::optional<Ask> ask = mAsks.Take(aAsk);
   if (ask && mState == State::SwappingHead) {
     // The conflict may be with this swap itself, sent twice on the way or
     // again after a lost reply; only reading the head tells.
@@ -223,11 +209,9 @@
 ConfigurationWriter::OnFailure(AskId aAsk, Execution aExecution, Instant aNow)
 {
   Actions actions;
-  const auto found = mAsks.find(aAsk);
-  if (found != mAsks.end()) {
-    const Ask ask = found->second;
-    mAsks.erase(found);
-    HandleFailure(ask, aExecution, aNow, &actions);
+  const std::optional<Ask> ask = mAsks.Take(aAsk);
+  if (ask) {
+    HandleFailure(*ask, aExecution, aNow, &actions);
   }
   return actions;
 }
@@ -237,27 +221,13 @@
                               const PartName& aPart,
                               Instant aNow)
 {
-  const AskId id(++mLastAsk);
-  mAsks.emplace(id, Ask{ aKind, aPart, aNow + kCallTimeout });
-  return id;
-}
-
-std::optional<ConfigurationWriter::Ask>
-ConfigurationWriter::Forget(AskId aAsk, AskKind aKind)
-{
-  const auto found = mAsks.find(aAsk);
-  if (found == mAsks.end() || found->second.mKind != aKind) {
-    return std::nullopt;
-  }
-  const Ask ask = found->second;
-  mAsks.erase(found);
-  return ask;
+  return mAsks.Add({ aKind, aPart, aNow + kCallTimeout });
 }
 
 void
 ConfigurationWriter::AskHead(Instant aNow, Actions* aActions)
 {
-  mAsks.clear();
+  mAsks.Clear();
   mState = State::ReadingHead;
   aActions->push_back(
     ReadHead{ Remember(AskKind::Head, {}, aNow), StoreSource{} });
@@ -283,7 +253,7 @@
 void
 ConfigurationWriter::Retry(Instant aNow)
 {
-  mAsks.clear();
+  mAsks.Clear();
   mState = State::Waiting;
   mDue = aNow + mBackoff.OnFailure();
 }
@@ -291,13 +261,13 @@
 void
 ConfigurationWriter::ContinueReading(Instant aNow, Actions* aActions)
 {
-  while (!mToRead.empty() && mAsks.size() < kCallsAtOnce) {
+  while (!mToRead.empty() && mAsks.Count() < kCallsAtOnce) {
     const PartName part = mToRead.front();
     mToRead.pop_front();
     const AskId ask = Remember(AskKind::ReadPart, part, aNow);
     aActions->push_back(ReadPart{ ask, StoreSource{}, part });
   }
-  if (mAsks.empty()) {
+  if (mAsks.IsEmpty()) {
     BaseRead(aNow, aActions);
   }
 }
@@ -319,61 +289,23 @@
     mBase.mHead = mReadHead;
   }
   mOldest = mBase.mHead.mRevision;
-  ApplyTask(aNow, aActions);
-}
-
-Result<ChangeOutcome>
-ConfigurationWriter::NextConfiguration() const
-{
-  if (const ChangeRequest* change = std::get_if<ChangeRequest>(&mTask)) {
-    if (!mBase.mConfiguration) {
-      return Error{ Step::Configuration,
-                    ErrorCode::NotFound,
-                    "",
-                    "there is no configuration yet; bootstrap one first" };
-    }
-    return ConfigurationEditor::Apply(mBase.mConfiguration, *change);
-  }
-  const Result<std::shared_ptr<const Configuration>> first =
-    BootstrapConfiguration(std::get<Bootstrap>(mTask));
-  if (IsError(first)) {
-    return ErrorOf(first);
-  }
-  if (!mBase.mConfiguration) {
-    return ChangeOutcome{ ValueOf(first), Revision(1), {} };
-  }
-  const HistoryEntry* entry = ConfigurationEditor::FindOperation(
-    mBase.mConfiguration->Content(), OperationId(Bootstrap::kOperation));
-  const HistoryEntry& own = ValueOf(first)->Content().mHistory.front();
-  if (!entry || entry->mDigest != own.mDigest) {
-    return Error{ Step::Configuration,
-                  ErrorCode::Conflict,
-                  "",
-                  "the store has another configuration already" };
-  }
-  return ChangeOutcome{ mBase.mConfiguration, entry->mRevision, {} };
-}
-
-bool
-ConfigurationWriter::IsApplied(const ChangeOutcome& aOutcome) const
-{
-  return aOutcome.mConfiguration == mBase.mConfiguration;
+  MakeNext(aNow, aActions);
 }
 
 void
-ConfigurationWriter::ApplyTask(Instant aNow, Actions* aActions)
+ConfigurationWriter::MakeNext(Instant aNow, Actions* aActions)
 {
   // A swap that expects an earlier revision of the key can't take effect any
   // more, so the head that was read settles it one way or the other.
   if (mOpenSwap && *mOpenSwap < mKeyRevision) {
     mOpenSwap.reset();
   }
-  Result<ChangeOutcome> next = NextConfiguration();
+  Result<ChangeOutcome> next = ApplyTask(mTask, mBase.mConfiguration);
   if (IsError(next)) {
     FinishFailed(ErrorOf(next), aActions);
     return;
   }
-  if (IsApplied(ValueOf(next))) {
+  if (ValueOf(next).mConfiguration == mBase.mConfiguration) {
     ChangeOutcome outcome = TakeValue(std::move(next));
     if (mNext.mRevision == outcome.mRevision) {
       outcome.mDifferences = mNext.mDifferences;
@@ -427,20 +359,20 @@
   if (mState != State::WritingParts) {
     return;
   }
-  while (!mToWrite.empty() && mAsks.size() < kCallsAtOnce) {
+  while (!mToWrite.empty() && mAsks.Count() < kCallsAtOnce) {
     const PartName name = mToWrite.front();
     mToWrite.pop_front();
     mWritten.insert(name);
     const AskId ask = Remember(AskKind::WritePart, name, aNow);
     aActions->push_back(WritePart{ ask, name, mEncoded.mParts.at(name) });
   }
-  while (!mToDelete.empty() && mAsks.size() < kCallsAtOnce) {
+  while (!mToDelete.empty() && mAsks.Count() < kCallsAtOnce) {
     const PartName name = mToDelete.front();
     mToDelete.pop_front();
     const AskId ask = Remember(AskKind::DeletePart, name, aNow);
     aActions->push_back(DeletePart{ ask, name });
   }
-  if (mAsks.empty()) {
+  if (mAsks.IsEmpty()) {
     Swap(aNow, aActions);
   }
 }
@@ -460,7 +392,7 @@
 {
   VERIFY(mState != State::Finished);
   mState = State::Finished;
-  mAsks.clear();
+  mAsks.Clear();
   aActions->push_back(WriteFinished{ std::move(aOutcome) });
 }
 
@@ -490,7 +422,7 @@
   }
   for (const PartName& name : mWritten) {
     if (!used.contains(name) && !retired.contains(name)) {
-      aActions->push_back(DeletePart{ AskId(++mLastAsk), name });
+      aActions->push_back(DeletePart{ mAsks.NextId(), name });
     }
   }
 }
--- a/Libraries/LibConfiguration/ConfigurationWriter.h
+++ b/Libraries/LibConfiguration/ConfigurationWriter.h
@@ -1,20 +1,16 @@
 #pragma once
 
+#include <LibConfiguration/AskTable.h>
 #include <LibConfiguration/BackoffSchedule.h>
-#include <LibConfiguration/Bootstrap.h>
+#include <LibConfiguration/WriteTask.h>
 #include <LibConfiguration/WriterAction.h>
 
 #include <deque>
-#include <map>
 #include <set>
-#include <variant>
 #include <vector>
 
 namespace verbenachute {
 
-/// What a writer is to write.
-using WriteTask = std::variant<ChangeRequest, Bootstrap>;
-
 /// What a writer starts from: whatever the node has in force.
 struct WriterBase
 {
@@ -106,7 +102,6 @@
   [[nodiscard]] AskId Remember(AskKind aKind,
                                const PartName& aPart,
                                Instant aNow);
-  [[nodiscard]] std::optional<Ask> Forget(AskId aAsk, AskKind aKind);
   void AskHead(Instant aNow, Actions* aActions);
   void HandleFailure(const Ask& aAsk,
                      Execution aExecution,
@@ -115,9 +110,7 @@
   void Retry(Instant aNow);
   void ContinueReading(Instant aNow, Actions* aActions);
   void BaseRead(Instant aNow, Actions* aActions);
-  void ApplyTask(Instant aNow, Actions* aActions);
-  [[nodiscard]] Result<ChangeOutcome> NextConfiguration() const;
-  [[nodiscard]] bool IsApplied(const ChangeOutcome& aOutcome) const;
+  void MakeNext(Instant aNow, Actions* aActions);
   void PlanParts(Instant aNow, Actions* aActions);
   void ContinueParts(Instant aNow, Actions* aActions);
   void Swap(Instant aNow, Actions* aActions);
@@ -131,8 +124,7 @@
   State mState = State::Waiting;
   Instant mDeadline;
   Instant mDue;
-  std::map<AskId, Ask> mAsks;
-  std::uint64_t mLastAsk = 0;
+  AskTable<Ask> mAsks;
   std::uint32_t mRacesLost = 0;
   /// The error that is told if the time runs out now.
   Error mLastFault;
--- a/Libraries/LibConfiguration/LabelTable.cpp
+++ b/Libraries/LibConfiguration/LabelTable.cpp
@@ -6,10 +6,10 @@
 
 namespace verbenachute {
 
-LabelTable::LabelTable(std::map<TargetName, LabelSet> aLabels)
+LabelTable::LabelTable(const std::map<TargetName, LabelSet>& aLabels)
 {
   std::array<std::shared_ptr<Bucket>, kBucketCount> buckets;
-  for (auto& [target, labels] : aLabels) {
+  for (const auto& [target, labels] : aLabels) {
     if (labels.empty()) {
       continue;
     }
@@ -17,7 +17,7 @@
     if (!bucket) {
       bucket = std::make_shared<Bucket>();
     }
-    bucket->emplace_hint(bucket->end(), target, std::move(labels));
+    bucket->emplace_hint(bucket->end(), target, labels);
   }
   std::copy(buckets.begin(), buckets.end(), mBuckets.begin());
 }
--- a/Libraries/LibConfiguration/LabelTable.h
+++ b/Libraries/LibConfiguration/LabelTable.h
@@ -18,7 +18,7 @@
 
   LabelTable() = default;
   /// A table of many targets at once.
-  explicit LabelTable(std::map<TargetName, LabelSet> aLabels);
+  explicit LabelTable(const std::map<TargetName, LabelSet>& aLabels);
 
   /// The labels of a target; empty if it has none.
   [[nodiscard]] const LabelSet& LabelsOf(const TargetName& aTarget) const;
--- a/Libraries/LibConfiguration/OperatorRequestParser.h
+++ b/Libraries/LibConfiguration/OperatorRequestParser.h
@@ -15,7 +15,7 @@
 {
 public:
   /// Largest body of a change, in bytes.
-  static constexpr std::size_t kChangeBytes = 256 * 1024;
+  static constexpr std::size_t kChangeBytes = 262'144;
   static constexpr std::string_view kPathPrefix = "/v1/operator/";
   static constexpr std::string_view kChangePath = "/v1/operator/changes";
   static constexpr Duration kLongestWait = seconds(30);
--- a/Libraries/LibOperator/AnswerText.cpp
+++ b/Libraries/LibOperator/AnswerText.cpp
@@ -53,6 +53,7 @@
   rows.emplace_back(aFields.begin(), aFields.end());
   for (const Json::Value& entry : aEntries) {
     std::vector<std::string> row;
+    row.reserve(aFields.size());
     for (const char* field : aFields) {
       row.push_back(entry[field].isObject()  ? LabelWords(entry[field])
                     : entry[field].isArray() ? Joined(entry[field])
--- a/Libraries/LibOperator/ChangeRequests.cpp
+++ b/Libraries/LibOperator/ChangeRequests.cpp
@@ -57,6 +57,7 @@
     names.insert(name);
   }
   std::vector<CallerId> callers;
+  callers.reserve(names.size());
   for (const std::string& name : names) {
     callers.emplace_back(name);
   }
--- a/Tests/LibConfiguration/TestConfigurationCodec.cpp
+++ b/Tests/LibConfiguration/TestConfigurationCodec.cpp
@@ -75,7 +75,7 @@
                         25 });
     labels[name] = { { "tier", "gold" } };
   }
-  content.mTargetLabels = LabelTable(std::move(labels));
+  content.mTargetLabels = LabelTable(labels);
   content.mTargets = std::make_shared<TargetTable>(std::move(targets));
   const Result<std::shared_ptr<const Configuration>> first =
     Configuration::Create(std::move(content));
