--- a/Tests/LibConfiguration/ConfigurationWorld.cpp
+++ b/Tests/LibConfiguration/ConfigurationWorld.cpp
@@ -229,7 +229,7 @@
 }
 
 void
-ConfigurationWorld::SubmitLabel(std::size_t aNode)
+ConfigurationWorld::SubmitLabel(std::size_t aNode, const std::string& aKey)
 {
   const std::string operation = "op-" + std::to_string(++mLastOperation);
   Node& node = mNodes[aNode];
@@ -245,8 +245,9 @@
   node.mWriters[operation] = std::make_unique<ConfigurationWriter>(
     node.mIdentity,
     mLastOperation,
-    LabelRequest(operation, "key-" + operation, "set"),
+    LabelRequest(operation, aKey.empty() ? "key-" + operation : aKey, "set"),
     base);
+  mKeys[operation] = aKey.empty() ? "key-" + operation : aKey;
   PerformWrite(aNode, operation, node.mWriters[operation]->Start(mNow));
 }
 
@@ -457,6 +458,7 @@
   SwapHeadInStore(ValueOf(encoded).mHead.Text(), head.mRevision, &swapped);
   CHECK(swapped);
   mAccepted.insert(operation);
+  mKeys[operation] = "key-" + operation;
 }
 
 ConfigurationPointer
@@ -506,7 +508,7 @@
     Expect(times == 1, operation + " was applied twice");
   }
   for (const std::string& operation : mAccepted) {
-    Expect(applied.contains(operation) && labels.contains("key-" + operation),
+    Expect(applied.contains(operation) && labels.contains(mKeys[operation]),
            operation + " was accepted and is lost");
   }
   for (const std::string& operation : mFailed) {
--- a/Tests/LibConfiguration/ConfigurationWorld.h
+++ b/Tests/LibConfiguration/ConfigurationWorld.h
@@ -57,8 +57,8 @@
 
   /// Decides over each call from now on.
   void SetChooser(Chooser aChooser) { mChooser = std::move(aChooser); }
-  /// Changes a label of its own through a node.
-  void SubmitLabel(std::size_t aNode);
+  /// Changes a label through a node; one of its own if aKey is empty.
+  void SubmitLabel(std::size_t aNode, const std::string& aKey = "");
   /// Changes the label straight in the store, as an operator who wins a race.
   void RaceLabel();
   void Restart(std::size_t aNode);
@@ -145,6 +145,8 @@
   std::vector<Node> mNodes;
   std::uint64_t mLastIncarnation = 0;
   std::uint64_t mLastOperation = 0;
+  /// The label key that each operation sets.
+  std::map<std::string, std::string> mKeys;
   std::set<std::string> mAccepted;
   std::set<std::string> mFailed;
   std::set<std::string> mUnknown;
--- a/Tests/LibConfiguration/TestConfigurationFaultMatrix.cpp
+++ b/Tests/LibConfiguration/TestConfigurationFaultMatrix.cpp
@@ -106,6 +106,22 @@
 
 } // namespace
 
+TEST_CASE("A writer that gives up takes no part of another one away")
+{
+  ConfigurationWorld world(2);
+  world.SetChooser([](ChangeStep aStep, std::size_t aNode) {
+    return Fate{ .mReplyLost = aStep == ChangeStep::WritePart && aNode == 0 };
+  });
+  // Both write a part with the same labels; the first never learns that it
+  // did, and deletes it in the end.
+  world.SubmitLabel(0, "same");
+  world.SubmitLabel(1, "same");
+  world.RunFor(seconds(12));
+  CHECK(world.Failed() == 1);
+  CHECK(world.Accepted() == 1);
+  world.Settle();
+}
+
 TEST_CASE("Faults at the steps of a configuration change")
 {
   std::size_t held = 0;
