--- a/Tests/LibConfiguration/ConfigurationWorld.h
+++ b/Tests/LibConfiguration/ConfigurationWorld.h
@@ -57,8 +57,8 @@
 
   /// Decides over each call from now on.
   void SetChooser(Chooser aChooser) { mChooser = std::move(aChooser); }
-  /// Changes a label of its own through a node.
-  void SubmitLabel(std::size_t aNode);
+  /// Changes a label through a node; one of its own if aKey is empty.
+  void SubmitLabel(std::size_t aNode, const std::string& aKey = "");
   /// Changes the label straight in the store, as an operator who wins a race.
   void RaceLabel();
   void Restart(std::size_t aNode);
@@ -71,6 +71,8 @@
   [[nodiscard]] std::size_t Accepted() const { return mAccepted.size(); }
   [[nodiscard]] std::size_t Unknown() const { return mUnknown.size(); }
   [[nodiscard]] std::size_t Failed() const { return mFailed.size(); }
+  /// Checks that did not hold.
+  [[nodiscard]] std::size_t Broken() const { return mBroken; }
   [[nodiscard]] const ConfigurationFollower& FollowerOf(std::size_t aNode) const
   {
     return *mNodes[aNode].mFollower;
@@ -105,6 +107,7 @@
     std::function<void(const FakeStore::Value&)> mReply;
   };
 
+  void Expect(bool aHolds, std::string_view aWhat);
   void Begin(std::size_t aNode);
   void At(Instant aTime, std::function<void()> aRun);
   /// Carries out a call of a life of a node; aReply runs in that life only.
@@ -129,7 +132,7 @@
   void SwapHeadInStore(const std::string& aText,
                        std::uint64_t aExpected,
                        bool* aSwapped);
-  void CheckHeadIsComplete() const;
+  void CheckHeadIsComplete();
   void CheckInForce(std::size_t aNode);
   [[nodiscard]] ConfigurationPointer Stored() const;
 
@@ -142,11 +145,14 @@
   std::vector<Node> mNodes;
   std::uint64_t mLastIncarnation = 0;
   std::uint64_t mLastOperation = 0;
+  /// The label key that each operation sets.
+  std::map<std::string, std::string> mKeys;
   std::set<std::string> mAccepted;
   std::set<std::string> mFailed;
   std::set<std::string> mUnknown;
   /// Largest revision that any node said to be in force everywhere.
   Revision mSaidInForce;
+  std::size_t mBroken = 0;
 };
 
 } // namespace verbenachute
