LeaseService: Read the roster when a later epoch is told, tick the voter

Cause, from the node logs of graceful-stop: after a change of the roster the other nodes read it up to 2 s later, as long as a lease, and the daemon never called LeaseVoter::OnTimer, so each gap of 500 ms counted as a pause of the voter, which then granted nothing for 1.5 s.

--- a/Services/verbenachuted/Daemon.cpp
+++ b/Services/verbenachuted/Daemon.cpp
@@ -338,6 +338,7 @@
 void
 Daemon::Parts::OnTick()
 {
+  mLeases.OnTick();
   UpdateSelf();
   TellLeases();
   std::vector<NodeName> peers;
--- a/Services/verbenachuted/LeaseService.cpp
+++ b/Services/verbenachuted/LeaseService.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr Duration kRosterReadInterval = seconds(2);
-
 std::string
 Compact(const Json::Value& aValue)
 {
@@ -70,6 +68,12 @@
   ConsiderRoster();
 }
 
+void
+LeaseService::OnTick()
+{
+  mVoter.OnTimer(mDependencies.mLoop.Now());
+}
+
 void
 LeaseService::OnDomains(const std::vector<FailureDomain>& aDomains)
 {
@@ -106,6 +110,7 @@
   if (IsError(request)) {
     return ErrorOf(request);
   }
+  NoteEpoch(ValueOf(request).mEpoch);
   return WriteLeaseReply(
     mVoter.OnRequest(ValueOf(request), mDependencies.mLoop.Now()));
 }
@@ -245,6 +250,7 @@
 LeaseService::OnReply(const LeaseReply& aReply)
 {
   const Instant now = mDependencies.mLoop.Now();
+  NoteEpoch(aReply.mEpoch);
   mSteward.OnVoterEpoch(aReply.mVoter.mName, aReply.mEpoch, now);
   CarryOut(mHolder.OnReply(aReply, now));
 }
@@ -252,7 +258,8 @@
 void
 LeaseService::ReadStoreRoster()
 {
-  mRosterTimer.Start(kRosterReadInterval);
+  mRosterReads.OnReadStarted(mDependencies.mLoop.Now());
+  ArmRosterTimer();
   mDependencies.mPlatform.Read(
     RosterKey(), [this](const Result<std::optional<StoredValue>>& aValue) {
       OnStoreRoster(aValue);
@@ -263,10 +270,14 @@
 LeaseService::OnStoreRoster(const Result<std::optional<StoredValue>>& aValue)
 {
   if (IsError(aValue)) {
+    mRosterReads.OnReadFailed();
+    ArmRosterTimer();
     return;
   }
   const Instant now = mDependencies.mLoop.Now();
   if (!ValueOf(aValue).has_value()) {
+    mRosterReads.OnRead(RosterEpoch());
+    ArmRosterTimer();
     mSteward.OnStoreRoster(Roster{}, now);
     ConsiderRoster();
     return;
@@ -275,8 +286,12 @@
   if (IsError(roster)) {
     mDependencies.mLogger.Log(
       LogEvent(EventNumber::StoreUnavailable).Because(ErrorOf(roster)));
+    mRosterReads.OnReadFailed();
+    ArmRosterTimer();
     return;
   }
+  mRosterReads.OnRead(ValueOf(roster).mEpoch);
+  ArmRosterTimer();
   mRosterRevision = ValueOf(aValue)->mRevision;
   mVoter.OnStoreRoster(ValueOf(roster));
   mSteward.OnStoreRoster(ValueOf(roster), now);
@@ -316,6 +331,19 @@
     });
 }
 
+void
+LeaseService::NoteEpoch(RosterEpoch aEpoch)
+{
+  mRosterReads.OnToldEpoch(aEpoch);
+  ArmRosterTimer();
+}
+
+void
+LeaseService::ArmRosterTimer()
+{
+  mRosterTimer.Start(mRosterReads.NextRead() - mDependencies.mLoop.Now());
+}
+
 std::string
 LeaseService::RosterKey() const
 {
--- a/Services/verbenachuted/LeaseService.h
+++ b/Services/verbenachuted/LeaseService.h
@@ -5,6 +5,7 @@
 #include <LibControl/ControlMethods.h>
 #include <LibLease/LeaseHolder.h>
 #include <LibLease/LeaseVoter.h>
+#include <LibLease/RosterReadSchedule.h>
 #include <LibLease/RosterSteward.h>
 #include <LibObservation/Logger.h>
 #include <LibPlatform/Platform.h>
@@ -36,6 +37,9 @@
 
   void Start();
 
+  /// Called about ten times a second: the voter takes a longer silence of
+  /// its own timer for a pause and then holds its grants back.
+  void OnTick();
   void OnMembers(const std::vector<LeaseMember>& aMembers,
                  const std::set<NodeName>& aListed);
   void OnDomains(const std::vector<FailureDomain>& aDomains);
@@ -63,6 +67,9 @@
   void ReadStoreRoster();
   void OnStoreRoster(const Result<std::optional<StoredValue>>& aValue);
   void ConsiderRoster();
+  /// Another node told the epoch of the roster that it knows.
+  void NoteEpoch(RosterEpoch aEpoch);
+  void ArmRosterTimer();
   [[nodiscard]] std::string RosterKey() const;
 
   NodeIdentity mSelf;
@@ -72,6 +79,7 @@
   LeaseVoter mVoter;
   LeaseHolder mHolder;
   RosterSteward mSteward;
+  RosterReadSchedule mRosterReads;
   KeyRevision mRosterRevision;
   Timer mHolderTimer;
   Timer mRosterTimer;
