LibQuery: Suspect a query of death as soon as it crashes a target

The fingerprint was marked only when the first run had ended, so repeats that came in between were sent to all shards at once. Marking it in LibDispatch alone was ruled out: its gates hear of the crash a round trip later.

--- a/Libraries/LibQuery/QueryEngine.cpp
+++ b/Libraries/LibQuery/QueryEngine.cpp
@@ -216,25 +216,32 @@
       mActions.push_back(std::move(action));
     }
   }
-  if (mRunning.at(aQuery).mCoordinator->IsComplete()) {
+  const Running& running = mRunning.at(aQuery);
+  Judge(running, aNow);
+  if (running.mCoordinator->IsComplete()) {
     Retire(aQuery, aNow);
   }
 }
 
 void
-QueryEngine::Retire(QueryId aQuery, Instant aNow)
+QueryEngine::Judge(const Running& aRunning, Instant aNow)
 {
-  const Running& running = mRunning.at(aQuery);
-  const CrashGuard& guard = running.mCoordinator->Guard();
-  const bool hasAnswers = running.mCoordinator->MergedCount() > 0;
+  const CrashGuard& guard = aRunning.mCoordinator->Guard();
+  const bool hasAnswers = aRunning.mCoordinator->MergedCount() > 0;
   // A query of death crashes each target that runs it, so an answer clears a
-  // query unless its sending had to be ended.
+  // query unless its sending had to be ended. Repeats that come while it runs
+  // are warned already.
   if (guard.State() == SendingState::Ended ||
       (guard.HasCrashed() && !hasAnswers)) {
-    mSuspects.Suspect(running.mFingerprint, aNow);
-  } else if (hasAnswers) {
-    mSuspects.Clear(running.mFingerprint);
+    mSuspects.Suspect(aRunning.mFingerprint, aNow);
+  } else if (hasAnswers && aRunning.mCoordinator->IsComplete()) {
+    mSuspects.Clear(aRunning.mFingerprint);
   }
+}
+
+void
+QueryEngine::Retire(QueryId aQuery, Instant aNow)
+{
   ArmQuery(aQuery, std::nullopt);
   mRunning.erase(aQuery);
   Await(mAdmission.OnFinished(aQuery, aNow));
--- a/Libraries/LibQuery/QueryEngine.h
+++ b/Libraries/LibQuery/QueryEngine.h
@@ -101,6 +101,7 @@
   void StartQueued(QueryId aQuery, Instant aNow);
   void Refuse(QueryId aQuery, Error aError);
   void Absorb(QueryId aQuery, QueryActions aActions, Instant aNow);
+  void Judge(const Running& aRunning, Instant aNow);
   void Retire(QueryId aQuery, Instant aNow);
   void ArmQuery(QueryId aQuery, std::optional<Instant> aAt);
   [[nodiscard]] LatencyEstimator& LatencyOf(const ServiceName& aService);
--- a/Tests/LibQuery/TestQueryFailures.cpp
+++ b/Tests/LibQuery/TestQueryFailures.cpp
@@ -114,6 +114,19 @@
   CHECK(rig.mSent.size() == 28);
 }
 
+TEST_CASE("A repeat is suspected while the first run still goes on")
+{
+  QueryRig rig;
+  rig.ReportShards(8, 2);
+  rig.Submit(rig.Request());
+  rig.Deliver(QueryRig::Failure(
+    SubQuery(rig.mSent[3]), ErrorCode::Unreachable, Execution::OutcomeUnknown));
+  CHECK(rig.mSent.size() == 9);
+  rig.Submit(rig.Request());
+  CHECK(rig.mSent.size() == 10);
+  CHECK(rig.mEngine.QueryCount() == 2);
+}
+
 TEST_CASE("A suspect that does no harm soon runs as any other")
 {
   QueryRig rig;
