--- a/Tests/LibQuery/TestPolicies.cpp
+++ b/Tests/LibQuery/TestPolicies.cpp
@@ -144,6 +144,7 @@
   SUBCASE("what was seen is forgotten")
   {
     end("a", ReplicaObservation::Overloaded, milliseconds(900));
+    end("a", ReplicaObservation::Answered, milliseconds(900));
     CHECK(FirstChoices(selector, { "a", "b" }, kStart)["a"] == 0);
     const Instant later = kStart + seconds(3600);
     CHECK(FirstChoices(selector, { "a", "b" }, later)["a"] > 100);
--- a/Tests/LibQuery/TestQueryFailures.cpp
+++ b/Tests/LibQuery/TestQueryFailures.cpp
@@ -127,6 +127,58 @@
   CHECK(rig.mEngine.QueryCount() == 2);
 }
 
+TEST_CASE("Under caution nothing is hedged and no crashed target is asked")
+{
+  QueryRig rig;
+  const auto report = [&rig](const char* aTarget,
+                             std::vector<ShardId> aShards,
+                             TargetCondition aCondition) {
+    rig.Report(
+      aTarget, { { IndexVersion(7), 2, std::move(aShards) } }, aCondition);
+  };
+  report("a", { ShardId(0), ShardId(1) }, TargetCondition::Ready);
+  report("b", { ShardId(0) }, TargetCondition::Warming);
+  report("c", { ShardId(1) }, TargetCondition::Ready);
+  rig.Submit(rig.Request());
+  REQUIRE(rig.mSent.size() == 2);
+  REQUIRE(rig.mSent[1].mTarget == TargetName("c"));
+  rig.Take(rig.mEngine.OnTargetLost(TargetName("a"), rig.mNow));
+  REQUIRE(rig.mSent.size() == 3);
+  rig.Deliver(QueryRig::Answer(SubQuery(rig.mSent[2])));
+  rig.Advance(milliseconds(100));
+  CHECK(rig.mSent.size() == 3);
+  rig.Deliver(QueryRig::Failure(
+    SubQuery(rig.mSent[1]), ErrorCode::Overloaded, Execution::NotRun));
+  CHECK(rig.mSent.size() == 3);
+  CHECK(rig.OnlyAnswer().mCoverage == Coverage{ 2, 1, { ShardId(1) } });
+}
+
+TEST_CASE("A replica other than the crashed one is asked without hedging it")
+{
+  QueryRig rig;
+  rig.ReportShards(2, 3);
+  rig.Submit(rig.Request());
+  rig.Take(rig.mEngine.OnTargetLost(rig.mSent[1].mTarget, rig.mNow));
+  REQUIRE(rig.mSent.size() == 3);
+  rig.Deliver(QueryRig::Answer(SubQuery(rig.mSent[2])));
+  rig.Advance(milliseconds(100));
+  CHECK(rig.mSent.size() == 3);
+}
+
+TEST_CASE("The loss of a node is no crash of the targets that it holds")
+{
+  QueryRig rig;
+  rig.ReportShards(8, 2);
+  rig.Submit(rig.Request());
+  for (std::size_t next = 0; next < 8; ++next) {
+    rig.Deliver(QueryRig::Failure(SubQuery(rig.mSent[next]),
+                                  ErrorCode::Unreachable,
+                                  Execution::OutcomeUnknown,
+                                  Step::Route));
+  }
+  CHECK(rig.mSent.size() == 16);
+}
+
 TEST_CASE("A suspect that does no harm soon runs as any other")
 {
   QueryRig rig;
