LibQuery: Test that crashed targets are not asked for other shards

The last mutation of the set stayed green since the hedge timer of the test passed over the crashed target before the retry could choose it. Without that wait the mutation, the set of crashed targets taken away where retries choose, turns "A target that crashed is not asked for another shard" red.

--- a/Tests/LibQuery/TestQueryFailures.cpp
+++ b/Tests/LibQuery/TestQueryFailures.cpp
@@ -127,7 +127,7 @@
   CHECK(rig.mEngine.QueryCount() == 2);
 }
 
-TEST_CASE("Under caution nothing is hedged and no crashed target is asked")
+TEST_CASE("A target that crashed is not asked for another shard")
 {
   QueryRig rig;
   const auto report = [&rig](const char* aTarget,
@@ -145,15 +145,13 @@
   rig.Take(rig.mEngine.OnTargetLost(TargetName("a"), rig.mNow));
   REQUIRE(rig.mSent.size() == 3);
   rig.Deliver(QueryRig::Answer(SubQuery(rig.mSent[2])));
-  rig.Advance(milliseconds(100));
-  CHECK(rig.mSent.size() == 3);
   rig.Deliver(QueryRig::Failure(
     SubQuery(rig.mSent[1]), ErrorCode::Overloaded, Execution::NotRun));
   CHECK(rig.mSent.size() == 3);
   CHECK(rig.OnlyAnswer().mCoverage == Coverage{ 2, 1, { ShardId(1) } });
 }
 
-TEST_CASE("A replica other than the crashed one is asked without hedging it")
+TEST_CASE("Nothing is hedged once a target may have crashed")
 {
   QueryRig rig;
   rig.ReportShards(2, 3);
