Utilities: Give each run of the load tool its own request ids

The ids now carry the time of the start; arrivals and requests follow from the seed alone as before. Built and linted; no load has run with it yet.

--- a/Utilities/verbenachute-load/LoadSettings.h
+++ b/Utilities/verbenachute-load/LoadSettings.h
@@ -23,6 +23,9 @@
   std::uint32_t mLimit = 0;
   std::uint32_t mCallersPerClass = 1;
   std::uint64_t mSeed = 0;
+  /// Begins the request ids. It differs from run to run, since nodes remember
+  /// the outcomes of non-idempotent requests by their ids.
+  std::string mRunName;
   /// Sends beyond the first of a request whose outcome is unknown.
   std::uint32_t mRetries = 0;
   /// Share of the non-idempotent requests that go to two nodes at once.
--- a/Utilities/verbenachute-load/Workload.cpp
+++ b/Utilities/verbenachute-load/Workload.cpp
@@ -51,8 +51,8 @@
 {
   const SiteService& service = mSettings.mSite.mServices[mService(mRandom)];
   PlannedRequest request;
-  request.mRequest = RequestId("r-" + std::to_string(mSettings.mSeed) + "-" +
-                               std::to_string(++mNumber));
+  request.mRequest =
+    RequestId(mSettings.mRunName + "-" + std::to_string(++mNumber));
   request.mClass = service.mClass;
   request.mService = service.mName;
   request.mCaller =
--- a/Utilities/verbenachute-load/main.cpp
+++ b/Utilities/verbenachute-load/main.cpp
@@ -5,6 +5,7 @@
 
 #include <Common/JsonText.h>
 #include <LibCore/SocketAddressText.h>
+#include <LibCore/SystemClock.h>
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -89,6 +90,8 @@
   settings.mLimit = absl::GetFlag(FLAGS_limit);
   settings.mCallersPerClass = absl::GetFlag(FLAGS_callers);
   settings.mSeed = absl::GetFlag(FLAGS_seed);
+  settings.mRunName = "r-" + std::to_string(settings.mSeed) + "-" +
+                      std::to_string(SystemClock().WallTime().count());
   settings.mRetries = absl::GetFlag(FLAGS_retries);
   settings.mDuplicateShare = absl::GetFlag(FLAGS_duplicate_share);
   settings.mCrashShare = absl::GetFlag(FLAGS_crash_share);
