--- a/Tests/LibConfiguration/ConfigurationWorld.cpp
+++ b/Tests/LibConfiguration/ConfigurationWorld.cpp
@@ -105,7 +105,8 @@
   for (int i = 0; i < times; ++i) {
     At(mNow + kLatency + fate.mDelay, [=, this] {
       const std::function<void()> reply = aEffect();
-      if (!reply || fate.mReplyLost) {
+      const bool isLast = i + 1 == times;
+      if (!reply || (fate.mReplyLost && !(fate.mTwice && isLast))) {
         return;
       }
       At(mNow + kLatency, [=, this] {
--- a/Tests/LibConfiguration/ConfigurationWorld.h
+++ b/Tests/LibConfiguration/ConfigurationWorld.h
@@ -35,7 +35,8 @@
   bool mLost = false;
   /// The request takes effect and its reply does not arrive.
   bool mReplyLost = false;
-  /// The request takes effect twice, and both replies arrive.
+  /// The request arrives twice, and both replies come back; with mReplyLost
+  /// only the second one does.
   bool mTwice = false;
   Duration mDelay{ 0 };
 };
--- a/Tests/LibConfiguration/TestConfigurationFaultMatrix.cpp
+++ b/Tests/LibConfiguration/TestConfigurationFaultMatrix.cpp
@@ -122,6 +122,42 @@
   world.Settle();
 }
 
+TEST_CASE("A conflict that can be settled is no failure")
+{
+  struct Row
+  {
+    const char* mName;
+    Fate mFate;
+    void (*mStrike)(ConfigurationWorld*);
+  };
+  for (const Row& row :
+       { Row{ "another operator came first",
+              {},
+              [](ConfigurationWorld* aWorld) { aWorld->RaceLabel(); } },
+         Row{ "the conflict is with the swap itself",
+              { .mReplyLost = true, .mTwice = true },
+              DoNothing } }) {
+    CAPTURE(row.mName);
+    ConfigurationWorld world(2);
+    bool struck = false;
+    world.SetChooser([&](ChangeStep aStep, std::size_t) {
+      if (aStep != ChangeStep::SwapHead || struck) {
+        return Fate{};
+      }
+      struck = true;
+      row.mStrike(&world);
+      return row.mFate;
+    });
+    const std::size_t before = world.Accepted();
+    world.SubmitLabel(0);
+    world.RunFor(seconds(3));
+    CHECK(struck);
+    CHECK(world.Accepted() > before);
+    CHECK(world.Failed() + world.Unknown() == 0);
+    world.Settle();
+  }
+}
+
 TEST_CASE("Faults at the steps of a configuration change")
 {
   std::size_t held = 0;
