--- a/Services/verbenachuted/CallerPort.cpp
+++ b/Services/verbenachuted/CallerPort.cpp
@@ -203,6 +203,9 @@
   if (QueryRefusal* refusal = std::get_if<QueryRefusal>(&outcome)) {
     refusal->mRequest = aRequest.mRequest;
     mDependencies.mMetrics.CountRefusal(refusal->mError, refusal->mExecution);
+    if (refusal->mExecution == Execution::OutcomeUnknown) {
+      mDependencies.mMetrics.Add(Counter::QueriesOutcomeUnknown);
+    }
     mDependencies.mLogger.Log(
       LogEvent(EventNumber::QueryRefused).Because(refusal->mError));
   } else {
--- a/Services/verbenachuted/Daemon.cpp
+++ b/Services/verbenachuted/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "CallerPort.h"
 #include "ConfigurationService.h"
+#include "CountingPlatform.h"
 #include "DispatchService.h"
 #include "LeaseService.h"
 #include "MembershipService.h"
@@ -136,6 +137,7 @@
   void ConnectMembership();
   void ConnectControl();
   void OnTick();
+  [[nodiscard]] std::size_t SuspectCount();
   void TellLeases();
   void UpdateSelf();
   void WriteHeartbeatReply(Json::Value& aOutput);
@@ -148,7 +150,8 @@
   std::unique_ptr<EventLoop> mLoop;
   BoostLogger mLogger;
   MetricsRegistry mMetrics;
-  PlatformClient mPlatform;
+  PlatformClient mPlatformClient;
+  CountingPlatform mPlatform;
   std::unique_ptr<PeerPort> mPeers;
   MembershipService mMembership;
   ConfigurationService mConfiguration;
@@ -172,11 +175,12 @@
   , mSelf(aSelf)
   , mLoop(std::move(aLoop))
   , mLogger({ aSettings.Name() }, mLoop->SystemTime())
-  , mPlatform(*mLoop, aSettings.PlatformAddress())
+  , mPlatformClient(*mLoop, aSettings.PlatformAddress())
+  , mPlatform(mPlatformClient, mMetrics)
   , mPeers(std::move(aPeers))
   , mMembership(DescriptionOf(aSettings, aSelf),
                 aSettings.Seeds(),
-                { *mLoop, *mPeers, mPlatform, mLogger })
+                { *mLoop, *mPeers, mPlatform, mLogger, mMetrics })
   , mConfiguration(aSettings.Name(),
                    { *mLoop, *mPeers, mMembership, mPlatform, mLogger })
   , mLeases(aSelf,
@@ -349,13 +353,28 @@
   mStates.OnTick();
   mOperatorPort->OnTick();
   mMetrics.Set(Gauge::MembersAlive, peers.size() + 1);
+  mMetrics.Set(Gauge::MembersSuspect, SuspectCount());
   mMetrics.Set(Gauge::QueriesInHand, mQueries.QueryCount());
+  mMetrics.Set(Gauge::SubQueriesInHand, mDispatch.InHand());
+  const std::uint64_t late = mQueries.LateAnswers();
+  mMetrics.Add(Counter::LateAnswersDropped,
+               late - mMetrics.Value(Counter::LateAnswersDropped));
   mMetrics.Set(Gauge::OnceEntries, mOnce.Table().Entries());
   mMetrics.Set(Gauge::OnceBytes, mOnce.Table().Bytes());
   mLogger.ReportSuppressed();
   mShutdown.OnTick();
 }
 
+std::size_t
+Daemon::Parts::SuspectCount()
+{
+  const std::vector<Member> members = mMembership.Table().Members(mLoop->Now());
+  return static_cast<std::size_t>(
+    std::count_if(members.begin(), members.end(), [](const Member& aMember) {
+      return aMember.mState == MemberState::Suspect;
+    }));
+}
+
 void
 Daemon::Parts::TellLeases()
 {
--- a/Services/verbenachuted/DispatchService.cpp
+++ b/Services/verbenachuted/DispatchService.cpp
@@ -1,9 +1,30 @@
 #include "DispatchService.h"
 
+#include <LibCore/Verify.h>
 #include <LibTransport/PeerSession.h>
 
 namespace verbenachute {
 
+namespace {
+
+EventNumber
+EventOf(TargetCondition aCondition)
+{
+  switch (aCondition) {
+    case TargetCondition::Ready:
+      return EventNumber::TargetReady;
+    case TargetCondition::Warming:
+      return EventNumber::TargetWarming;
+    case TargetCondition::Draining:
+      return EventNumber::TargetDraining;
+    case TargetCondition::Down:
+      return EventNumber::TargetDown;
+  }
+  VERIFY(!"unknown condition");
+}
+
+} // namespace
+
 DispatchService::DispatchService(EventLoop& aLoop,
                                  const NodeIdentity& aSelf,
                                  const DispatchSettings& aSettings,
@@ -200,9 +221,23 @@
 void
 DispatchService::Perform(const PublishTargetState& aAction)
 {
+  LogCondition(aAction.mState);
   mStatePublished.emit(aAction.mState);
 }
 
+void
+DispatchService::LogCondition(const TargetState& aState)
+{
+  const auto known = mConditions.find(aState.mTarget);
+  if (known != mConditions.end() && known->second == aState.mCondition) {
+    return;
+  }
+  mConditions[aState.mTarget] = aState.mCondition;
+  mLogger.Log(LogEvent(EventOf(aState.mCondition))
+                .At(Step::Target)
+                .Peer(aState.mTarget.value()));
+}
+
 void
 DispatchService::Perform(const ReportPoison& aAction)
 {
--- a/Services/verbenachuted/DispatchService.h
+++ b/Services/verbenachuted/DispatchService.h
@@ -49,6 +49,7 @@
 private:
   void ConnectSignals(LeaseService& aLeases);
   void CarryOut(const DispatchActions& aActions);
+  void LogCondition(const TargetState& aState);
   void Perform(const SendToTarget& aAction);
   void Perform(const CancelAtTarget& aAction);
   void Perform(const CloseExchange& aAction);
@@ -68,6 +69,8 @@
   TargetPort mTargets;
   Timer mTimer;
   std::map<NodeIdentity, PeerPort::SessionHandle> mSessions;
+  // What the log last told of each target.
+  std::map<TargetName, TargetCondition> mConditions;
   AnswerSignal mLocalAnswer;
   StateSignal mStatePublished;
   PoisonSignal mPoisonFound;
--- a/Services/verbenachuted/MembershipService.cpp
+++ b/Services/verbenachuted/MembershipService.cpp
@@ -49,17 +49,6 @@
   return vm;
 }
 
-bool
-HoldsBucket(const MemberDescription& aMember, const Bucket& aBucket)
-{
-  for (const MemberBuckets& buckets : aMember.mBuckets) {
-    if (buckets.mDomain == aBucket.mDomain) {
-      return (buckets.mMask & (1U << aBucket.mIndex)) != 0;
-    }
-  }
-  return false;
-}
-
 } // namespace
 
 MembershipService::MembershipService(const MemberDescription& aSelf,
@@ -99,7 +88,9 @@
   if (IsError(heartbeat)) {
     return ErrorOf(heartbeat);
   }
+  mDependencies.mMetrics.Add(Counter::HeartbeatsReceived);
   Report(mTable.OnHeartbeat(ValueOf(heartbeat), mDependencies.mLoop.Now()));
+  IndexHolders();
   Json::Value output(Json::objectValue);
   if (mReplyWriter) {
     mReplyWriter(output);
@@ -146,13 +137,29 @@
 std::optional<PeerEndpoint>
 MembershipService::HolderOf(const Bucket& aBucket) const
 {
+  const auto found = mHolders.find(aBucket);
+  if (found == mHolders.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void
+MembershipService::IndexHolders()
+{
+  mHolders.clear();
   for (const Member& member : LivePeers()) {
-    if (HoldsBucket(member.mDescription, aBucket)) {
-      return PeerEndpoint{ member.mDescription.mIdentity,
-                           member.mDescription.mPeerAddress };
+    const MemberDescription& description = member.mDescription;
+    for (const MemberBuckets& buckets : description.mBuckets) {
+      for (std::uint16_t index = 0; index < kBucketsPerDomain; ++index) {
+        if ((buckets.mMask & (1U << index)) != 0) {
+          mHolders.emplace(
+            Bucket{ buckets.mDomain, index },
+            PeerEndpoint{ description.mIdentity, description.mPeerAddress });
+        }
+      }
     }
   }
-  return std::nullopt;
 }
 
 sigc::signal<void()>&
@@ -198,6 +205,7 @@
     Send(heartbeat);
   }
   Report(actions.mChanges);
+  IndexHolders();
   mTicked.emit();
 }
 
@@ -205,6 +213,7 @@
 MembershipService::Send(const OutgoingHeartbeat& aHeartbeat)
 {
   const Instant asked = mDependencies.mLoop.Now();
+  mDependencies.mMetrics.Add(Counter::HeartbeatsSent);
   mDependencies.mPeers.Call(
     aHeartbeat.mPeerAddress,
     kHeartbeatMethod,
--- a/Services/verbenachuted/MembershipService.h
+++ b/Services/verbenachuted/MembershipService.h
@@ -7,11 +7,13 @@
 #include <LibMembership/MemberTable.h>
 #include <LibMembership/PauseDetector.h>
 #include <LibObservation/Logger.h>
+#include <LibObservation/MetricsRegistry.h>
 #include <LibPlatform/Platform.h>
 #include <LibTransport/PeerPort.h>
 #include <LibTransport/Timer.h>
 
 #include <functional>
+#include <map>
 #include <set>
 
 namespace verbenachute {
@@ -36,6 +38,7 @@
     PeerPort& mPeers;
     Platform& mPlatform;
     Logger& mLogger;
+    MetricsRegistry& mMetrics;
   };
 
   MembershipService(const MemberDescription& aSelf,
@@ -67,6 +70,8 @@
 
 private:
   void Tick();
+  /// Looked up for each sub-query, so it is made anew for each heartbeat.
+  void IndexHolders();
   void Send(const OutgoingHeartbeat& aHeartbeat);
   void Report(const std::vector<MemberChange>& aChanges);
   void ReadVmList();
@@ -76,6 +81,7 @@
   MemberTable mTable;
   PauseDetector mPauses;
   std::set<NodeName> mListed;
+  std::map<Bucket, PeerEndpoint> mHolders;
   Timer mTickTimer;
   Timer mListTimer;
   ReplyWriter mReplyWriter;
--- a/Services/verbenachuted/QueryService.cpp
+++ b/Services/verbenachuted/QueryService.cpp
@@ -79,10 +79,11 @@
   return mEngine.QueryCount();
 }
 
-const TargetCatalogue&
-QueryService::Catalogue()
+std::uint64_t
+QueryService::LateAnswers() const
 {
-  return mEngine.Catalogue();
+  const QueryCounters& counters = mEngine.Counters();
+  return counters.mDroppedUnknownQuery + counters.mDroppedClosedAttempt;
 }
 
 void
@@ -98,7 +99,7 @@
 QueryService::Perform(const SendSubQuery& aAction)
 {
   const SubQuery& subQuery = aAction.mSubQuery;
-  mDependencies.mMetrics.Add(Counter::SubQueriesSent);
+  CountAttempt(subQuery.mKind);
   const TargetEntry* entry = mView->FindTarget(subQuery.mTarget);
   if (entry == nullptr) {
     FailSoon(subQuery,
@@ -129,6 +130,17 @@
   mDependencies.mPeers.Send(holder->mAddress, holder->mIdentity, subQuery);
 }
 
+void
+QueryService::CountAttempt(AttemptKind aKind)
+{
+  mDependencies.mMetrics.Add(Counter::SubQueriesSent);
+  if (aKind == AttemptKind::Hedge) {
+    mDependencies.mMetrics.Add(Counter::Hedges);
+  } else if (aKind == AttemptKind::Retry) {
+    mDependencies.mMetrics.Add(Counter::Retries);
+  }
+}
+
 void
 QueryService::Perform(const CancelSubQuery& aAction)
 {
--- a/Services/verbenachuted/QueryService.h
+++ b/Services/verbenachuted/QueryService.h
@@ -45,7 +45,8 @@
   void OnHolderLost(const NodeIdentity& aHolder);
 
   [[nodiscard]] std::size_t QueryCount() const;
-  [[nodiscard]] const TargetCatalogue& Catalogue();
+  /// Answers that came when their attempt was over.
+  [[nodiscard]] std::uint64_t LateAnswers() const;
 
 private:
   // Attempts by query, so that all of a finished query are forgotten at once.
@@ -56,6 +57,7 @@
   void Perform(const CancelSubQuery& aAction);
   void Perform(const WakeAt& aAction);
   void Perform(const CompleteQuery& aAction);
+  void CountAttempt(AttemptKind aKind);
   void ForgetAttempts(QueryId aQuery);
   void FailSoon(const SubQuery& aSubQuery,
                 const Error& aError,
