LibQuery: Give warming targets a share of the first attempts

Cause: warming replicas came last in every order, so where a shard had a ready one they got no work, never left their cold start, and there was no replica to hedge with. Ruled out: the budget (its balance was full), the timer of the engine, the latency estimate. Tried first and given up: hedges to warming targets, which turns the test of harmless hedges red, rightly. Now about one plan of a shard in 32 tries a warming replica first; the holder's ramp bounds what it gets.

--- a/Libraries/LibQuery/QueryPlanner.cpp
+++ b/Libraries/LibQuery/QueryPlanner.cpp
@@ -2,6 +2,8 @@
 
 #include <LibQuery/SnapshotChooser.h>
 
+#include <algorithm>
+
 namespace verbenachute {
 
 namespace {
@@ -9,6 +11,23 @@
 /// Choices that are kept; one holds a few hundred bytes a shard.
 constexpr std::size_t kMaximumChoices = 64;
 
+/// Plans of a shard between two that try a warming replica first: a random
+/// number around this one, so that no shard count keeps step with it.
+constexpr std::uint32_t kPlansPerWarmUp = 32;
+
+/// Moves the first warming replica to the front.
+void
+PutWarmingFirst(std::vector<ShardReplica>& aReplicas)
+{
+  const auto warming = std::find_if(
+    aReplicas.begin(), aReplicas.end(), [](const ShardReplica& aReplica) {
+      return aReplica.mCondition == TargetCondition::Warming;
+    });
+  if (warming != aReplicas.end()) {
+    std::rotate(aReplicas.begin(), warming, warming + 1);
+  }
+}
+
 } // namespace
 
 QueryPlanner::QueryPlanner(TargetCatalogue& aCatalogue,
@@ -17,6 +36,7 @@
   : mCatalogue(aCatalogue)
   , mSelector(aSelector)
   , mRandom(aRandom)
+  , mPlansToWarmUp(kPlansPerWarmUp)
 {
 }
 
@@ -40,6 +60,9 @@
   QueryPlan plan = TakeValue(std::move(result));
   for (std::vector<ShardReplica>& candidates : plan.mCandidates) {
     mSelector.Order(candidates, aNow, mRandom);
+    if (IsWarmUpDue()) {
+      PutWarmingFirst(candidates);
+    }
     if (!candidates.empty()) {
       mSelector.Reserve(candidates.front().mTarget);
     }
@@ -48,6 +71,18 @@
   return plan;
 }
 
+bool
+QueryPlanner::IsWarmUpDue()
+{
+  // A target leaves its cold start only by work; the gate of its holder sees
+  // to it that it gets no more than it bears.
+  if (--mPlansToWarmUp > 0) {
+    return false;
+  }
+  mPlansToWarmUp = kPlansPerWarmUp / 2 + mRandom(kPlansPerWarmUp);
+  return true;
+}
+
 Result<QueryPlan>
 QueryPlanner::Choose(const ServiceName& aService,
                      const CallerId& aCaller,
--- a/Libraries/LibQuery/QueryPlanner.h
+++ b/Libraries/LibQuery/QueryPlanner.h
@@ -46,6 +46,8 @@
     QueryPlan mPlan;
   };
 
+  /// Whether the next shard is to try a warming replica first.
+  [[nodiscard]] bool IsWarmUpDue();
   [[nodiscard]] Result<QueryPlan> Choose(
     const ServiceName& aService,
     const CallerId& aCaller,
@@ -54,6 +56,7 @@
   TargetCatalogue& mCatalogue;
   ReplicaSelector& mSelector;
   pcg32 mRandom;
+  std::uint32_t mPlansToWarmUp;
   std::shared_ptr<const ConfigurationView> mView;
   /// The choice depends on these two alone while configuration and catalogue
   /// stand still, and asking the view for each replica is costly.
