LibDispatch: Tell a target warm until it shows strain at the lowest limit

Cause: one slow answer halved the limit of a target and thereby told it warming to all nodes; a warming target gets one first attempt in 32 and is never hedged to, so with 2% stragglers most targets were told cold all the time: about 200 changes to warming a node in 44 s. Ruled out: pauses of the process, of which a quiet machine shows none.

--- a/Libraries/LibDispatch/ColdStartRamp.cpp
+++ b/Libraries/LibDispatch/ColdStartRamp.cpp
@@ -16,6 +16,7 @@
 void
 ColdStartRamp::Reset(Instant aNow)
 {
+  mWarmth = Warmth::Cold;
   mLimit = 1;
   mSuccesses = 0;
   mChanged = aNow;
@@ -32,6 +33,9 @@
   ++mSuccesses;
   if (mSuccesses >= mLimit * kSuccessesPerUnit) {
     mLimit = std::min(mLimit * 2, aFull);
+    if (IsFull(aFull)) {
+      mWarmth = Warmth::Warm;
+    }
     mSuccesses = 0;
     mChanged = aNow;
   }
@@ -45,6 +49,9 @@
   if (aSent < mChanged) {
     return;
   }
+  if (mLimit == 1) {
+    mWarmth = Warmth::Cold;
+  }
   mLimit = std::max<std::uint32_t>(mLimit / 2, 1);
   mChanged = aNow;
 }
@@ -69,4 +76,10 @@
   return mLimit >= aFull;
 }
 
+Warmth
+ColdStartRamp::WarmthAt(std::uint32_t aFull) const
+{
+  return IsFull(aFull) ? Warmth::Warm : mWarmth;
+}
+
 } // namespace verbenachute
--- a/Libraries/LibDispatch/ColdStartRamp.h
+++ b/Libraries/LibDispatch/ColdStartRamp.h
@@ -6,6 +6,13 @@
 
 namespace verbenachute {
 
+/// Whether a target has been through its cold start.
+enum class Warmth
+{
+  Cold,
+  Warm,
+};
+
 /// Limit on the work that a target gets at one time. It starts at 1, doubles
 /// after enough answers at the usual pace and halves when the target sheds,
 /// fails or slows down.
@@ -25,8 +32,12 @@
   /// From 1 up to aFull.
   [[nodiscard]] std::uint32_t Limit(std::uint32_t aFull) const;
   [[nodiscard]] bool IsFull(std::uint32_t aFull) const;
+  /// Warm once the limit was full, until a reset or until the target shows
+  /// strain at the lowest limit. One slow answer makes no target cold.
+  [[nodiscard]] Warmth WarmthAt(std::uint32_t aFull) const;
 
 private:
+  Warmth mWarmth = Warmth::Cold;
   std::uint32_t mLimit = 1;
   std::uint32_t mSuccesses = 0;
   /// Answers to work sent before this tell about an earlier limit.
--- a/Libraries/LibDispatch/DispatchCheck.cpp
+++ b/Libraries/LibDispatch/DispatchCheck.cpp
@@ -153,7 +153,7 @@
     return std::nullopt;
   }
   const bool isDraining =
-    aLane.Judge().ConditionOf(false) == TargetCondition::Draining;
+    aLane.Judge().ConditionOf(Warmth::Cold) == TargetCondition::Draining;
   return NotRunFailure(
     isDraining ? ErrorCode::Draining : ErrorCode::Unreachable,
     aWork.mSubQuery.mTarget,
--- a/Libraries/LibDispatch/TargetJudge.cpp
+++ b/Libraries/LibDispatch/TargetJudge.cpp
@@ -83,7 +83,7 @@
 }
 
 TargetCondition
-TargetJudge::ConditionOf(bool aRampIsFull) const
+TargetJudge::ConditionOf(Warmth aWarmth) const
 {
   switch (mReach) {
     case Reach::Down:
@@ -94,7 +94,8 @@
     case Reach::Up:
       break;
   }
-  return aRampIsFull ? TargetCondition::Ready : TargetCondition::Warming;
+  return aWarmth == Warmth::Warm ? TargetCondition::Ready
+                                 : TargetCondition::Warming;
 }
 
 JudgeChange
--- a/Libraries/LibDispatch/TargetJudge.h
+++ b/Libraries/LibDispatch/TargetJudge.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/TargetState.h>
 #include <LibCore/Time.h>
+#include <LibDispatch/ColdStartRamp.h>
 
 namespace verbenachute {
 
@@ -36,8 +37,8 @@
   [[nodiscard]] bool TakesWork() const;
   /// Whether anything is known about it.
   [[nodiscard]] bool IsKnown() const { return mReach != Reach::Unknown; }
-  /// aRampIsFull tells apart Ready and Warming.
-  [[nodiscard]] TargetCondition ConditionOf(bool aRampIsFull) const;
+  /// aWarmth tells apart Ready and Warming.
+  [[nodiscard]] TargetCondition ConditionOf(Warmth aWarmth) const;
 
 private:
   enum class Reach
--- a/Libraries/LibDispatch/TargetLane.cpp
+++ b/Libraries/LibDispatch/TargetLane.cpp
@@ -184,7 +184,7 @@
   }
   TargetState state;
   state.mTarget = mEntry.mName;
-  state.mCondition = mJudge.ConditionOf(mRamp.IsFull(FullLimit()));
+  state.mCondition = mJudge.ConditionOf(mRamp.WarmthAt(FullLimit()));
   state.mVersions = mVersions;
   state.mSequence = mPublished.mSequence;
   if (state == mPublished) {
--- a/Tests/LibDispatch/TestColdStart.cpp
+++ b/Tests/LibDispatch/TestColdStart.cpp
@@ -129,18 +129,18 @@
   TargetJudge judge;
   const Instant start{ seconds(1) };
   judge.OnProbeReply(start);
-  CHECK(judge.ConditionOf(true) == TargetCondition::Ready);
-  CHECK(judge.ConditionOf(false) == TargetCondition::Warming);
+  CHECK(judge.ConditionOf(Warmth::Warm) == TargetCondition::Ready);
+  CHECK(judge.ConditionOf(Warmth::Cold) == TargetCondition::Warming);
   judge.OnDraining(start);
   judge.OnReply();
   judge.OnProbeReply(start + seconds(29));
-  CHECK(judge.ConditionOf(true) == TargetCondition::Draining);
+  CHECK(judge.ConditionOf(Warmth::Warm) == TargetCondition::Draining);
   CHECK(judge.OnProbeReply(start + seconds(30)) == JudgeChange::Returned);
   CHECK(judge.TakesWork());
   judge.OnProbeFailed();
   CHECK(judge.TakesWork());
   CHECK(judge.OnProbeFailed() == JudgeChange::Lost);
-  CHECK(judge.ConditionOf(true) == TargetCondition::Down);
+  CHECK(judge.ConditionOf(Warmth::Warm) == TargetCondition::Down);
 }
 
 } // namespace verbenachute
