LibJson: Read and write JSON text in one place

Six copies of a compact writer and five of a reader stood in transport, target, caller, platform, daemon and slopes; the strict reader of LibConfiguration now serves them all, so every edge refuses repeated keys, deep nesting and trailing text.

--- a/Libraries/LibCaller/JsonFields.cpp
+++ b/Libraries/LibCaller/JsonFields.cpp
@@ -1,36 +1,27 @@
 #include <LibCaller/JsonFields.h>
 
+#include <LibJson/JsonText.h>
+
 #include <algorithm>
-#include <memory>
+#include <utility>
 
 namespace verbenachute {
 
 namespace {
 
-constexpr int kMaximumDepth = 16;
+constexpr std::size_t kMaximumBodyBytes = 256UL * 1024;
 
 } // namespace
 
 JsonFields::JsonFields(std::string_view aText)
   : mObject(Json::objectValue)
 {
-  Json::CharReaderBuilder builder;
-  Json::CharReaderBuilder::strictMode(&builder.settings_);
-  builder["stackLimit"] = kMaximumDepth;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  std::string problem;
-  try {
-    if (!reader->parse(
-          aText.data(), aText.data() + aText.size(), &value, &problem)) {
-      Refuse("the body is no valid JSON: " + problem);
-      return;
-    }
-  } catch (const Json::Exception& exception) {
-    // The reader throws when a text is nested deeper than its limit.
-    Refuse(std::string("the body is no valid JSON: ") + exception.what());
+  Result<Json::Value> parsed = ParseJson(aText, kMaximumBodyBytes);
+  if (IsError(parsed)) {
+    mProblem = ErrorOf(parsed);
     return;
   }
+  Json::Value value = TakeValue(std::move(parsed));
   if (!value.isObject()) {
     Refuse("the body is no JSON object");
     return;
--- a/Libraries/LibCaller/QueryOutcomeWriter.cpp
+++ b/Libraries/LibCaller/QueryOutcomeWriter.cpp
@@ -1,6 +1,7 @@
 #include <LibCaller/QueryOutcomeWriter.h>
 
 #include <LibCore/Verify.h>
+#include <LibJson/JsonText.h>
 
 #include <json/json.h>
 
@@ -20,14 +21,6 @@
 constexpr int kUnavailable = 503;
 constexpr int kTimeout = 504;
 
-std::string
-Compact(const Json::Value& aValue)
-{
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, aValue);
-}
-
 Json::Value
 CoverageValue(const Coverage& aCoverage)
 {
@@ -63,7 +56,7 @@
     body["hits"].append(std::move(item));
   }
   body["extra_attempts"] = aAnswer.mExtraAttempts;
-  return OutcomeText{ 200, Compact(body) };
+  return OutcomeText{ 200, CompactJson(body) };
 }
 
 OutcomeText
@@ -76,7 +69,7 @@
   body["error"]["step"] = StepName(aRefusal.mError.mStep);
   body["error"]["peer"] = aRefusal.mError.mPeer;
   body["error"]["message"] = aRefusal.mError.mMessage;
-  return OutcomeText{ StatusOf(aRefusal.mError.mCode), Compact(body) };
+  return OutcomeText{ StatusOf(aRefusal.mError.mCode), CompactJson(body) };
 }
 
 } // namespace
--- a/Libraries/LibConfiguration/ConfigurationCodec.cpp
+++ b/Libraries/LibConfiguration/ConfigurationCodec.cpp
@@ -3,7 +3,7 @@
 #include <LibConfiguration/ConfigurationDocument.h>
 #include <LibConfiguration/ContentDigest.h>
 #include <LibConfiguration/JsonObjectReader.h>
-#include <LibConfiguration/JsonText.h>
+#include <LibJson/JsonText.h>
 #include <LibConfiguration/PartCutter.h>
 
 #include <set>
--- a/Libraries/LibConfiguration/ConfigurationEditor.cpp
+++ b/Libraries/LibConfiguration/ConfigurationEditor.cpp
@@ -5,7 +5,7 @@
 #include <LibConfiguration/EditApplication.h>
 #include <LibConfiguration/EditDifferences.h>
 #include <LibConfiguration/EditJson.h>
-#include <LibConfiguration/JsonText.h>
+#include <LibJson/JsonText.h>
 #include <LibConfiguration/NameRules.h>
 #include <LibConfiguration/SteeringPolicy.h>
 #include <LibCore/Overloaded.h>
--- a/Libraries/LibConfiguration/ConfigurationHead.cpp
+++ b/Libraries/LibConfiguration/ConfigurationHead.cpp
@@ -2,7 +2,7 @@
 
 #include <LibConfiguration/ContentDigest.h>
 #include <LibConfiguration/JsonObjectReader.h>
-#include <LibConfiguration/JsonText.h>
+#include <LibJson/JsonText.h>
 
 namespace verbenachute {
 
--- a/Libraries/LibConfiguration/EditDifferences.cpp
+++ b/Libraries/LibConfiguration/EditDifferences.cpp
@@ -1,7 +1,7 @@
 #include <LibConfiguration/EditDifferences.h>
 
 #include <LibConfiguration/EntryJson.h>
-#include <LibConfiguration/JsonText.h>
+#include <LibJson/JsonText.h>
 #include <LibCore/Overloaded.h>
 
 #include <set>
--- a/Libraries/LibConfiguration/EntryJson.cpp
+++ b/Libraries/LibConfiguration/EntryJson.cpp
@@ -2,7 +2,7 @@
 
 #include <LibConfiguration/EditJson.h>
 #include <LibConfiguration/JsonObjectReader.h>
-#include <LibConfiguration/JsonText.h>
+#include <LibJson/JsonText.h>
 #include <LibCore/SocketAddressText.h>
 
 #include <algorithm>
--- a/Libraries/LibConfiguration/OperatorRequestParser.cpp
+++ b/Libraries/LibConfiguration/OperatorRequestParser.cpp
@@ -3,7 +3,7 @@
 #include <LibConfiguration/ConfigurationEditor.h>
 #include <LibConfiguration/EditJson.h>
 #include <LibConfiguration/JsonObjectReader.h>
-#include <LibConfiguration/JsonText.h>
+#include <LibJson/JsonText.h>
 #include <LibConfiguration/NameRules.h>
 
 #include <algorithm>
--- a/Libraries/LibConfiguration/PartCutter.cpp
+++ b/Libraries/LibConfiguration/PartCutter.cpp
@@ -1,7 +1,7 @@
 #include <LibConfiguration/PartCutter.h>
 
 #include <LibConfiguration/ContentDigest.h>
-#include <LibConfiguration/JsonText.h>
+#include <LibJson/JsonText.h>
 #include <LibCore/RendezvousHash.h>
 #include <LibCore/Verify.h>
 
--- a/Libraries/LibConfiguration/JsonText.cpp
+++ b/Libraries/LibJson/JsonText.cpp
@@ -1,4 +1,4 @@
-#include <LibConfiguration/JsonText.h>
+#include <LibJson/JsonText.h>
 
 #include <json/reader.h>
 #include <json/writer.h>
--- a/Libraries/LibOperator/AnswerText.cpp
+++ b/Libraries/LibOperator/AnswerText.cpp
@@ -2,7 +2,7 @@
 
 #include <LibConfiguration/Difference.h>
 #include <LibConfiguration/EntryJson.h>
-#include <LibConfiguration/JsonText.h>
+#include <LibJson/JsonText.h>
 
 #include <vector>
 
--- a/Libraries/LibOperator/ChangeRequests.cpp
+++ b/Libraries/LibOperator/ChangeRequests.cpp
@@ -3,7 +3,7 @@
 #include <LibConfiguration/EditJson.h>
 #include <LibConfiguration/EntryJson.h>
 #include <LibConfiguration/JsonObjectReader.h>
-#include <LibConfiguration/JsonText.h>
+#include <LibJson/JsonText.h>
 #include <LibConfiguration/OperatorRequestParser.h>
 #include <LibCore/SocketAddressText.h>
 
--- a/Libraries/LibOperator/ToolCommandTable.cpp
+++ b/Libraries/LibOperator/ToolCommandTable.cpp
@@ -1,6 +1,6 @@
 #include <LibOperator/ToolCommandTable.h>
 
-#include <LibConfiguration/JsonText.h>
+#include <LibJson/JsonText.h>
 #include <LibConfiguration/OperatorRequestParser.h>
 #include <LibOperator/AnswerText.h>
 #include <LibOperator/ChangeRequests.h>
--- a/Libraries/LibPlatform/PlatformClient.cpp
+++ b/Libraries/LibPlatform/PlatformClient.cpp
@@ -1,6 +1,7 @@
 #include <LibPlatform/PlatformClient.h>
 
 #include <LibCore/SocketAddressText.h>
+#include <LibJson/JsonText.h>
 #include <LibPlatform/PlatformReplyParser.h>
 
 #include <algorithm>
@@ -60,7 +61,7 @@
   Json::Value body;
   body["value"] = aValue;
   body["expected_revision"] = Json::UInt64(aExpected.value());
-  request.mBody = Json::writeString(Json::StreamWriterBuilder(), body);
+  request.mBody = CompactJson(body);
   Call(request,
        kCallTimeout,
        [done = std::move(aDone)](const Result<HttpReply>& aReply) {
--- a/Libraries/LibPlatform/PlatformReplyParser.cpp
+++ b/Libraries/LibPlatform/PlatformReplyParser.cpp
@@ -1,14 +1,16 @@
 #include <LibPlatform/PlatformReplyParser.h>
 
 #include <LibCore/SocketAddressText.h>
+#include <LibJson/JsonText.h>
 
 #include <json/json.h>
-#include <memory>
 
 namespace verbenachute {
 
 namespace {
 
+// A list of all VMs of the fleet, or a value of 1 MiB with its escapes.
+constexpr std::size_t kMaximumBodyBytes = 8UL * 1024 * 1024;
 constexpr int kOk = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotFound = 404;
@@ -31,13 +33,8 @@
 Result<Json::Value>
 ParseObject(const std::string& aBody)
 {
-  const Json::CharReaderBuilder builder;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  std::string problem;
-  if (!reader->parse(
-        aBody.data(), aBody.data() + aBody.size(), &value, &problem) ||
-      !value.isObject()) {
+  Result<Json::Value> value = ParseJson(aBody, kMaximumBodyBytes);
+  if (IsError(value) || !ValueOf(value).isObject()) {
     return StoreError(ErrorCode::Internal,
                       "the key-value service sent malformed JSON");
   }
--- a/Libraries/LibTarget/TargetCodec.cpp
+++ b/Libraries/LibTarget/TargetCodec.cpp
@@ -2,15 +2,16 @@
 
 #include <LibControl/JsonReader.h>
 #include <LibControl/TargetStateCodec.h>
+#include <LibJson/JsonText.h>
 
 #include <json/json.h>
 #include <limits>
-#include <memory>
 
 namespace verbenachute {
 
 namespace {
 
+constexpr std::size_t kMaximumBodyBytes = 8UL * 1024 * 1024;
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kTimeout = 408;
@@ -22,16 +23,11 @@
 Json::Value
 ParseBody(const std::string& aBody)
 {
-  const Json::CharReaderBuilder builder;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  std::string problem;
-  if (!reader->parse(
-        aBody.data(), aBody.data() + aBody.size(), &value, &problem) ||
-      !value.isObject()) {
+  Result<Json::Value> value = ParseJson(aBody, kMaximumBodyBytes);
+  if (IsError(value) || !ValueOf(value).isObject()) {
     throw MalformedControl("the body is no JSON object");
   }
-  return value;
+  return TakeValue(std::move(value));
 }
 
 std::vector<Hit>
@@ -122,9 +118,7 @@
   body["query"] = aSubQuery.mText;
   body["limit"] = aSubQuery.mLimit;
   body["idempotent"] = aSubQuery.mIdempotency == Idempotency::Idempotent;
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, body);
+  return CompactJson(body);
 }
 
 TargetReply
--- a/Libraries/LibTransport/PeerPort.cpp
+++ b/Libraries/LibTransport/PeerPort.cpp
@@ -1,6 +1,7 @@
 #include <LibTransport/PeerPort.h>
 
 #include <LibCore/SocketAddressText.h>
+#include <LibJson/JsonText.h>
 
 #include <utility>
 #include <vector>
@@ -10,16 +11,10 @@
 namespace {
 
 constexpr Duration kCallTimeout = seconds(1);
+// No larger than a frame of the link.
+constexpr std::size_t kMaximumReplyBytes = 16UL * 1024 * 1024;
 constexpr Duration kExpiryInterval = milliseconds(100);
 
-std::string
-Compact(const Json::Value& aValue)
-{
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, aValue);
-}
-
 Error
 CallError(const std::string& aPeer, const std::string& aMessage)
 {
@@ -76,7 +71,7 @@
   request["id"] = Json::UInt64(id);
   request["method"] = aMethod;
   request["params"] = aParameters;
-  LinkTo(aAddress).SendControl(Compact(request));
+  LinkTo(aAddress).SendControl(CompactJson(request));
   if (!mCallTimer.IsRunning()) {
     mCallTimer.Start(kExpiryInterval);
   }
@@ -179,12 +174,12 @@
 void
 PeerPort::OnControlReply(const std::string& aReply)
 {
-  Json::CharReaderBuilder builder;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value reply;
-  if (!reader->parse(
-        aReply.data(), aReply.data() + aReply.size(), &reply, nullptr) ||
-      !reply.isObject() || !reply["id"].isUInt64()) {
+  const Result<Json::Value> parsed = ParseJson(aReply, kMaximumReplyBytes);
+  if (IsError(parsed) || !ValueOf(parsed).isObject()) {
+    return;
+  }
+  const Json::Value& reply = ValueOf(parsed);
+  if (!reply["id"].isUInt64()) {
     return;
   }
   const auto found = mCalls.find(reply["id"].asUInt64());
@@ -199,7 +194,7 @@
   }
   call.mDone(
     CallError(SocketAddressText(call.mAddress),
-              "the peer refused the call: " + Compact(reply["error"])));
+              "the peer refused the call: " + CompactJson(reply["error"])));
 }
 
 void
--- a/Services/verbenachuted/CallerPort.cpp
+++ b/Services/verbenachuted/CallerPort.cpp
@@ -4,6 +4,7 @@
 #include <LibCaller/QueryRequestParser.h>
 #include <LibCore/SocketAddressText.h>
 #include <LibCore/Verify.h>
+#include <LibJson/JsonText.h>
 
 #include <json/json.h>
 #include <utility>
@@ -29,9 +30,7 @@
   body["ticket"] = NodeIdentityText(aAnswer.mTicket);
   body["ticket_valid_for_ms"] = Json::Int64(
     std::chrono::duration_cast<milliseconds>(aAnswer.mTicketValidFor).count());
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, body);
+  return CompactJson(body);
 }
 
 } // namespace
--- a/Services/verbenachuted/LeaseService.cpp
+++ b/Services/verbenachuted/LeaseService.cpp
@@ -1,34 +1,24 @@
 #include "LeaseService.h"
 
 #include <LibControl/LeaseCodec.h>
+#include <LibJson/JsonText.h>
 
-#include <memory>
 #include <utility>
 
 namespace verbenachute {
 
 namespace {
 
-std::string
-Compact(const Json::Value& aValue)
-{
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, aValue);
-}
+constexpr std::size_t kMaximumRosterBytes = 64UL * 1024;
 
 Result<Roster>
 ParseRoster(const std::string& aText)
 {
-  const Json::CharReaderBuilder builder;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  std::string problem;
-  if (!reader->parse(
-        aText.data(), aText.data() + aText.size(), &value, &problem)) {
-    return Error{ Step::Lease, ErrorCode::InvalidInput, "", problem };
+  const Result<Json::Value> value = ParseJson(aText, kMaximumRosterBytes);
+  if (IsError(value)) {
+    return ErrorOf(value);
   }
-  return ReadRoster(value);
+  return ReadRoster(ValueOf(value));
 }
 
 } // namespace
@@ -311,7 +301,7 @@
     proposal->mExpected == RosterEpoch(0) ? KeyRevision(0) : mRosterRevision;
   mDependencies.mPlatform.CompareAndSwap(
     RosterKey(),
-    Compact(WriteRoster(proposal->mNext)),
+    CompactJson(WriteRoster(proposal->mNext)),
     expected,
     [this,
      epoch = proposal->mNext.mEpoch](const Result<SwapOutcome>& aOutcome) {
--- a/Services/verbenachuted/OperatorPort.cpp
+++ b/Services/verbenachuted/OperatorPort.cpp
@@ -1,6 +1,6 @@
 #include "OperatorPort.h"
 
-#include <LibConfiguration/JsonText.h>
+#include <LibJson/JsonText.h>
 
 #include <algorithm>
 #include <utility>
--- a/Services/verbenachuted/TargetPort.cpp
+++ b/Services/verbenachuted/TargetPort.cpp
@@ -1,6 +1,7 @@
 #include "TargetPort.h"
 
 #include <LibCore/SocketAddressText.h>
+#include <LibJson/JsonText.h>
 #include <LibTarget/TargetCodec.h>
 
 #include <json/json.h>
@@ -19,9 +20,7 @@
 {
   Json::Value body;
   body["attempt"] = aAttempt;
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, body);
+  return CompactJson(body);
 }
 
 } // namespace
--- a/Utilities/verbenachute-slopes/ControlMechanisms.cpp
+++ b/Utilities/verbenachute-slopes/ControlMechanisms.cpp
@@ -6,6 +6,7 @@
 #include <LibControl/MemberCodec.h>
 #include <LibCore/Verify.h>
 #include <LibDispatch/DispatchGate.h>
+#include <LibJson/JsonText.h>
 #include <LibLease/LeaseVoter.h>
 #include <LibMembership/MemberTable.h>
 
@@ -29,14 +30,6 @@
   }
 };
 
-std::string
-Compact(const Json::Value& aValue)
-{
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, aValue);
-}
-
 MemberDescription
 Describe(std::size_t aNumber)
 {
@@ -157,10 +150,10 @@
       for (std::size_t index = 0; index < kRequests; ++index) {
         now += milliseconds(1);
         ++request.mRound;
-        const std::string question = Compact(WriteLeaseRequest(request));
+        const std::string question = CompactJson(WriteLeaseRequest(request));
         voter.OnTimer(now);
         const std::string answer =
-          Compact(WriteLeaseReply(voter.OnRequest(request, now)));
+          CompactJson(WriteLeaseReply(voter.OnRequest(request, now)));
         bytes = question.size() + answer.size();
       }
     });
@@ -193,7 +186,7 @@
         bytes = 0;
         const MemberActions actions = table.Tick(now);
         for (const OutgoingHeartbeat& heartbeat : actions.mSend) {
-          bytes += Compact(WriteHeartbeat(heartbeat.mHeartbeat)).size();
+          bytes += CompactJson(WriteHeartbeat(heartbeat.mHeartbeat)).size();
         }
       }
     });
--- a/Utilities/verbenachute-slopes/main.cpp
+++ b/Utilities/verbenachute-slopes/main.cpp
@@ -1,6 +1,6 @@
 #include "Mechanisms.h"
 
-#include <json/json.h>
+#include <LibJson/JsonText.h>
 
 #include <cstdio>
 
@@ -31,8 +31,6 @@
     }
     list.append(std::move(item));
   }
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  std::printf("%s\n", Json::writeString(builder, list).c_str());
+  std::printf("%s\n", CompactJson(list).c_str());
   return 0;
 }
--- a/Utilities/verbenachute/Tool.cpp
+++ b/Utilities/verbenachute/Tool.cpp
@@ -1,7 +1,7 @@
 #include "Tool.h"
 
 #include <LibConfiguration/ConfigurationCodec.h>
-#include <LibConfiguration/JsonText.h>
+#include <LibJson/JsonText.h>
 #include <LibConfiguration/OperatorAnswers.h>
 #include <LibConfiguration/OperatorRequestParser.h>
 #include <LibCore/SocketAddressText.h>
