--- a/Libraries/LibConfiguration/ConfigurationFollower.cpp
+++ b/Libraries/LibConfiguration/ConfigurationFollower.cpp
@@ -232,7 +232,7 @@
 {
   constexpr std::string_view kKey = "configuration reader";
   const std::uint64_t own = RendezvousWeight(kKey, mSelf.value());
-  const auto heavier = std::count_if(
+  const std::ptrdiff_t heavier = std::count_if(
     mPeers.begin(), mPeers.end(), [own, kKey](const NodeName& aPeer) {
       return RendezvousWeight(kKey, aPeer.value()) > own;
     });
@@ -390,7 +390,7 @@
   // A node that has just started may have had a larger revision in force in
   // its life before, which a single peer may not know yet. The store's word
   // settles it, or that of a majority of the peers.
-  const auto told =
+  const std::ptrdiff_t told =
     std::count_if(mPeers.begin(), mPeers.end(), [this](const NodeName& aPeer) {
       return mPeerRevisions.contains(aPeer);
     });
--- a/Meta/scenarios/run-all.sh
+++ b/Meta/scenarios/run-all.sh
@@ -7,7 +7,7 @@
 if [ $# -eq 0 ]; then
   set -- calm kill-node freeze-node platform-outage graceful-stop \
     duplicate-sends query-of-death cold-targets index-versions \
-    domain-out-and-back target-faults
+    domain-out-and-back target-faults hostile-input
 fi
 passed=0
 for name in "$@"; do
--- a/StandIns/Platform/PlatformService.cpp
+++ b/StandIns/Platform/PlatformService.cpp
@@ -67,7 +67,7 @@
   };
   static const std::vector<Route> kRoutes = {
     // clang-format off
-    { "GET", "/v1/keys/", "", "get", CallKind::Read, &PlatformService::GetKey },
+    { "GET", "/v1/keys/", "", "get", CallKind::Read, &PlatformService::ReadKey },
     { "PUT", "/v1/keys/", "", "put", CallKind::Write, &PlatformService::PutKey },
     { "DELETE", "/v1/keys/", "", "delete", CallKind::Write, &PlatformService::DeleteKey },
     { "GET", "/v1/watch/", "", "watch", CallKind::Read, &PlatformService::WatchKey },
@@ -108,7 +108,7 @@
 }
 
 void
-PlatformService::GetKey(const HttpRequest& aRequest, const std::string& aKey)
+PlatformService::ReadKey(const HttpRequest& aRequest, const std::string& aKey)
 {
   const KeyEntry* entry = mStore.Find(aKey);
   if (entry) {
--- a/StandIns/Platform/PlatformService.h
+++ b/StandIns/Platform/PlatformService.h
@@ -56,7 +56,7 @@
   void Dispatch(const HttpRequest& aRequest);
   void Control(const HttpRequest& aRequest);
 
-  void GetKey(const HttpRequest& aRequest, const std::string& aKey);
+  void ReadKey(const HttpRequest& aRequest, const std::string& aKey);
   void PutKey(const HttpRequest& aRequest, const std::string& aKey);
   void DeleteKey(const HttpRequest& aRequest, const std::string& aKey);
   void WatchKey(const HttpRequest& aRequest, const std::string& aKey);
