--- a/Libraries/LibConfiguration/ConfigurationCodec.cpp
+++ b/Libraries/LibConfiguration/ConfigurationCodec.cpp
@@ -3,8 +3,8 @@
 #include <LibConfiguration/ConfigurationDocument.h>
 #include <LibConfiguration/ContentDigest.h>
 #include <LibConfiguration/JsonObjectReader.h>
-#include <LibJson/JsonText.h>
 #include <LibConfiguration/PartCutter.h>
+#include <LibJson/JsonText.h>
 
 #include <set>
 
--- a/Libraries/LibConfiguration/ConfigurationEditor.cpp
+++ b/Libraries/LibConfiguration/ConfigurationEditor.cpp
@@ -5,10 +5,10 @@
 #include <LibConfiguration/EditApplication.h>
 #include <LibConfiguration/EditDifferences.h>
 #include <LibConfiguration/EditJson.h>
-#include <LibJson/JsonText.h>
 #include <LibConfiguration/NameRules.h>
 #include <LibConfiguration/SteeringPolicy.h>
 #include <LibCore/Overloaded.h>
+#include <LibJson/JsonText.h>
 
 #include <algorithm>
 
--- a/Libraries/LibConfiguration/EditDifferences.cpp
+++ b/Libraries/LibConfiguration/EditDifferences.cpp
@@ -1,8 +1,8 @@
 #include <LibConfiguration/EditDifferences.h>
 
 #include <LibConfiguration/EntryJson.h>
-#include <LibJson/JsonText.h>
 #include <LibCore/Overloaded.h>
+#include <LibJson/JsonText.h>
 
 #include <set>
 
--- a/Libraries/LibConfiguration/EntryJson.cpp
+++ b/Libraries/LibConfiguration/EntryJson.cpp
@@ -2,8 +2,8 @@
 
 #include <LibConfiguration/EditJson.h>
 #include <LibConfiguration/JsonObjectReader.h>
-#include <LibJson/JsonText.h>
 #include <LibCore/SocketAddressText.h>
+#include <LibJson/JsonText.h>
 
 #include <algorithm>
 #include <limits>
--- a/Libraries/LibConfiguration/OperatorRequestParser.cpp
+++ b/Libraries/LibConfiguration/OperatorRequestParser.cpp
@@ -3,8 +3,8 @@
 #include <LibConfiguration/ConfigurationEditor.h>
 #include <LibConfiguration/EditJson.h>
 #include <LibConfiguration/JsonObjectReader.h>
-#include <LibJson/JsonText.h>
 #include <LibConfiguration/NameRules.h>
+#include <LibJson/JsonText.h>
 
 #include <algorithm>
 #include <charconv>
--- a/Libraries/LibConfiguration/PartCutter.cpp
+++ b/Libraries/LibConfiguration/PartCutter.cpp
@@ -1,9 +1,9 @@
 #include <LibConfiguration/PartCutter.h>
 
 #include <LibConfiguration/ContentDigest.h>
-#include <LibJson/JsonText.h>
 #include <LibCore/RendezvousHash.h>
 #include <LibCore/Verify.h>
+#include <LibJson/JsonText.h>
 
 namespace verbenachute {
 
--- a/Libraries/LibOperator/ChangeRequests.cpp
+++ b/Libraries/LibOperator/ChangeRequests.cpp
@@ -3,9 +3,9 @@
 #include <LibConfiguration/EditJson.h>
 #include <LibConfiguration/EntryJson.h>
 #include <LibConfiguration/JsonObjectReader.h>
-#include <LibJson/JsonText.h>
 #include <LibConfiguration/OperatorRequestParser.h>
 #include <LibCore/SocketAddressText.h>
+#include <LibJson/JsonText.h>
 
 #include <algorithm>
 #include <fstream>
--- a/Libraries/LibOperator/ToolCommandTable.cpp
+++ b/Libraries/LibOperator/ToolCommandTable.cpp
@@ -1,7 +1,7 @@
 #include <LibOperator/ToolCommandTable.h>
 
-#include <LibJson/JsonText.h>
 #include <LibConfiguration/OperatorRequestParser.h>
+#include <LibJson/JsonText.h>
 #include <LibOperator/AnswerText.h>
 #include <LibOperator/ChangeRequests.h>
 #include <LibOperator/ToolFlagTable.h>
--- a/Utilities/verbenachute/Tool.cpp
+++ b/Utilities/verbenachute/Tool.cpp
@@ -1,10 +1,10 @@
 #include "Tool.h"
 
 #include <LibConfiguration/ConfigurationCodec.h>
-#include <LibJson/JsonText.h>
 #include <LibConfiguration/OperatorAnswers.h>
 #include <LibConfiguration/OperatorRequestParser.h>
 #include <LibCore/SocketAddressText.h>
+#include <LibJson/JsonText.h>
 #include <LibOperator/AnswerText.h>
 #include <LibOperator/MetricsText.h>
 #include <LibOperator/ToolCommandTable.h>
