verbenachuted: Guard shards in moves, and wait for operators' changes at the end

The check that a move leaves no target knew services only, since the daemon gave it no shards; a domain whose loss empties a shard could be taken out unasked. It now gets the shards of the newest version of each service. Seen with three nodes of gelo-volta: after caxias-a, taking caxias-b out is refused with 'shard 0 of cadastro-cliente would be left with no target for any caller'. A graceful shutdown also waits for changes of operators in hand, and a replaced life of a peer is told as lost at once.

--- a/Services/verbenachuted/Daemon.cpp
+++ b/Services/verbenachuted/Daemon.cpp
@@ -20,6 +20,7 @@
 #include <LibTransport/EventLoop.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace verbenachute {
@@ -133,6 +134,9 @@
   [[nodiscard]] int Run();
 
 private:
+  /// The shards of the newest version of each service, for the check that a
+  /// move leaves none without a target.
+  [[nodiscard]] std::vector<CoverageGroup> ShardGroups();
   void ConnectConfiguration();
   void ConnectMembership();
   void ConnectControl();
@@ -231,16 +235,34 @@
   Result<std::unique_ptr<OperatorPort>> port = OperatorPort::Create(
     mSelf,
     mSettings.OperatorAddress(),
-    { *mLoop, mPlatform, mConfiguration, mMembership, mLeases, []() {
-       return std::vector<CoverageGroup>();
+    { *mLoop, mPlatform, mConfiguration, mMembership, mLeases, [this]() {
+       return ShardGroups();
      } });
   if (IsError(port)) {
     return ErrorOf(port);
   }
   mOperatorPort = TakeValue(std::move(port));
+  mShutdown.SetOperatorPort(*mOperatorPort);
   return Success();
 }
 
+std::vector<CoverageGroup>
+Daemon::Parts::ShardGroups()
+{
+  std::vector<CoverageGroup> groups;
+  const std::shared_ptr<const Configuration>& view =
+    mConfiguration.Follower().InForce();
+  if (view == nullptr) {
+    return groups;
+  }
+  for (const std::pair<const ServiceName, std::vector<TargetName>>& service :
+       view->Content().mTargets->Services()) {
+    std::vector<CoverageGroup> shards = mQueries.ShardGroupsOf(service.first);
+    std::move(shards.begin(), shards.end(), std::back_inserter(groups));
+  }
+  return groups;
+}
+
 int
 Daemon::Parts::Run()
 {
--- a/Services/verbenachuted/MembershipService.cpp
+++ b/Services/verbenachuted/MembershipService.cpp
@@ -235,6 +235,12 @@
     if (change.mKind == MemberChange::Kind::Died) {
       mMemberLost.emit(change.mMember);
     }
+    if (change.mKind == MemberChange::Kind::Replaced) {
+      // The change names the new life; the ones before it have ended.
+      mMemberLost.emit(
+        NodeIdentity{ change.mMember.mName,
+                      Incarnation(change.mMember.mIncarnation.value() - 1) });
+    }
     if (change.mKind == MemberChange::Kind::SelfReplaced) {
       mSelfReplaced.emit();
     }
--- a/Services/verbenachuted/QueryService.cpp
+++ b/Services/verbenachuted/QueryService.cpp
@@ -73,6 +73,30 @@
   mEngine.Catalogue().HolderLost(aHolder);
 }
 
+std::vector<CoverageGroup>
+QueryService::ShardGroupsOf(const ServiceName& aService)
+{
+  std::vector<CoverageGroup> groups;
+  const std::vector<ShardMap>& maps =
+    mEngine.Catalogue().ShardMapsOf(aService, *mView);
+  if (maps.empty()) {
+    return groups;
+  }
+  std::size_t shard = 0;
+  for (const std::vector<ShardReplica>& replicas : maps.front().mReplicas) {
+    CoverageGroup group;
+    group.mName =
+      "shard " + std::to_string(shard++) + " of " + aService.value();
+    for (const ShardReplica& replica : replicas) {
+      group.mTargets.push_back(replica.mTarget);
+    }
+    if (!group.mTargets.empty()) {
+      groups.push_back(std::move(group));
+    }
+  }
+  return groups;
+}
+
 std::size_t
 QueryService::QueryCount() const
 {
--- a/Services/verbenachuted/QueryService.h
+++ b/Services/verbenachuted/QueryService.h
@@ -3,6 +3,7 @@
 #include "DispatchService.h"
 #include "HolderDirectory.h"
 
+#include <LibConfiguration/Change.h>
 #include <LibObservation/MetricsRegistry.h>
 #include <LibQuery/QueryEngine.h>
 #include <LibTransport/PeerPort.h>
@@ -44,6 +45,10 @@
   void OnTargetState(const NodeIdentity& aHolder, const TargetState& aState);
   void OnHolderLost(const NodeIdentity& aHolder);
 
+  /// The shards of the newest version of a service with the targets that
+  /// have them; shards that no target has are left out.
+  [[nodiscard]] std::vector<CoverageGroup> ShardGroupsOf(
+    const ServiceName& aService);
   [[nodiscard]] std::size_t QueryCount() const;
   /// Answers that came when their attempt was over.
   [[nodiscard]] std::uint64_t LateAnswers() const;
--- a/Services/verbenachuted/ShutdownService.cpp
+++ b/Services/verbenachuted/ShutdownService.cpp
@@ -25,6 +25,12 @@
   mCallerPort = &aPort;
 }
 
+void
+ShutdownService::SetOperatorPort(const OperatorPort& aPort)
+{
+  mOperatorPort = &aPort;
+}
+
 void
 ShutdownService::OnSignal()
 {
@@ -81,9 +87,11 @@
   if (HasSuccessor()) {
     facts.mBucketsHeld = mDependencies.mLeases.Holder().HeldBuckets(now).size();
   }
-  VERIFY(mCallerPort != nullptr);
+  VERIFY(mCallerPort != nullptr && mOperatorPort != nullptr);
   facts.mQueries = mCallerPort->InHand();
-  facts.mSubQueries = mDependencies.mDispatch.InHand();
+  // A change of an operator in hand holds the end back as work of a peer.
+  facts.mSubQueries =
+    mDependencies.mDispatch.InHand() + mOperatorPort->InHand();
   return facts;
 }
 
--- a/Services/verbenachuted/ShutdownService.h
+++ b/Services/verbenachuted/ShutdownService.h
@@ -5,6 +5,7 @@
 #include "LeaseService.h"
 #include "MembershipService.h"
 #include "OnceService.h"
+#include "OperatorPort.h"
 #include "ServingMode.h"
 
 #include <LibMembership/LeavingProcess.h>
@@ -30,8 +31,9 @@
   ShutdownService(const LeavingProcess::Settings& aSettings,
                   Dependencies aDependencies);
 
-  /// The port whose requests are finished before the end; it outlives this.
+  /// The ports whose requests are finished before the end; they outlive this.
   void SetCallerPort(const CallerPort& aPort);
+  void SetOperatorPort(const OperatorPort& aPort);
   /// SIGTERM or SIGINT: the first asks for a shutdown, the second gives up.
   void OnSignal();
   void OnTick();
@@ -60,6 +62,7 @@
   Dependencies mDependencies;
   LeavingProcess mProcess;
   const CallerPort* mCallerPort = nullptr;
+  const OperatorPort* mOperatorPort = nullptr;
   LeavingPhase mLoggedPhase = LeavingPhase::Serving;
   ServingMode mMode = ServingMode::Serving;
   Holding mHolding = Holding::Allowed;
