LibTransport: Drop a method of the HTTP server that nothing calls

A node that leaves goes on accepting until its address answers have run out, so StopAccepting had no caller and the bound socket was kept only for it.

--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -84,9 +84,9 @@
       static_cast<HttpServer*>(aServer)->Handle(aRaw);
     },
     server.get());
-  server->mSocket = evhttp_bind_socket_with_handle(
+  const evhttp_bound_socket* socket = evhttp_bind_socket_with_handle(
     server->mServer, aAddress.mHost.c_str(), aAddress.mPort);
-  if (server->mSocket == nullptr) {
+  if (socket == nullptr) {
     return Error{ Step::Settings,
                   ErrorCode::Unavailable,
                   aAddress.mHost + ":" + std::to_string(aAddress.mPort),
@@ -108,14 +108,6 @@
   return mRequestArrived;
 }
 
-void
-HttpServer::StopAccepting()
-{
-  if (mSocket != nullptr) {
-    evhttp_del_accept_socket(mServer, std::exchange(mSocket, nullptr));
-  }
-}
-
 void
 HttpServer::Handle(evhttp_request* aRaw)
 {
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -7,7 +7,6 @@
 #include <memory>
 
 struct evhttp;
-struct evhttp_bound_socket;
 
 namespace verbenachute {
 
@@ -37,15 +36,12 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   [[nodiscard]] RequestArrivedSignal& RequestArrived();
-  /// Refuses new connections; those that stand go on.
-  void StopAccepting();
 
 private:
   HttpServer() = default;
   void Handle(evhttp_request* aRaw);
 
   evhttp* mServer = nullptr;
-  evhttp_bound_socket* mSocket = nullptr;
   RequestArrivedSignal mRequestArrived;
 };
 
