--- /dev/null
+++ b/Libraries/LibForward/ForwardAction.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibForward/CallerRequest.h>
+#include <LibForward/PartReply.h>
+#include <LibRouting/ServingPlan.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace verbenachute {
+
+/// Number of a request within one process; never used twice.
+using RequestNumber = Strong<struct RequestNumberTag, std::uint64_t>;
+
+/// Why a request was not sent to any target.
+enum class RefusalReason
+{
+  /// This node knows no plan yet.
+  NoPlan,
+  /// Too few of the shards, or no target of the service, can take work.
+  NoTarget,
+  /// All targets are busy, or this node is.
+  Overloaded,
+  /// The targets declined and no further attempt is allowed.
+  Declined,
+  /// Requests like this one have crashed the targets that ran them.
+  Poisonous,
+  /// The caller's time was up before the request could be sent.
+  TooLate,
+};
+
+/// Why a request that was sent got no answer.
+enum class FailureReason
+{
+  /// The attempts failed and no further one is allowed.
+  AttemptsFailed,
+  DeadlinePassed,
+};
+
+/// Names as they stand in logs, such as "no_target".
+[[nodiscard]] const char*
+RefusalReasonName(RefusalReason aReason);
+[[nodiscard]] const char*
+FailureReasonName(FailureReason aReason);
+
+/// A response of a target that is passed on unchanged.
+struct RelayedOutcome
+{
+  PartReply mReply;
+};
+
+/// The merged answer of a query over many shards.
+struct GatheredOutcome
+{
+  /// The greatest records, falling.
+  std::string mRecords;
+  std::vector<std::string> mSignatures;
+  std::size_t mMissing = 0;
+};
+
+/// Not run, and never will be.
+struct RefusedOutcome
+{
+  RefusalReason mReason = RefusalReason::Overloaded;
+  Duration mRetryAfter{ 0 };
+};
+
+/// It may have run.
+struct FailedOutcome
+{
+  FailureReason mReason = FailureReason::AttemptsFailed;
+};
+
+/// The plan has no route for the request.
+struct NoRouteOutcome
+{};
+
+using ForwardOutcome = std::variant<RelayedOutcome,
+                                    GatheredOutcome,
+                                    RefusedOutcome,
+                                    FailedOutcome,
+                                    NoRouteOutcome>;
+
+/// What a request cost and what decided its outcome, for logs and metrics.
+struct ForwardSummary
+{
+  std::string mRoute;
+  PlanVersion mPlan;
+  Duration mElapsed{ 0 };
+  Duration mObjective{ 0 };
+  std::size_t mParts = 0;
+  std::size_t mPartsDone = 0;
+  std::uint32_t mAttempts = 0;
+  std::uint32_t mHedges = 0;
+  std::uint32_t mRetries = 0;
+  /// Hedges and retries that the budget did not pay for.
+  std::uint32_t mUnpaid = 0;
+  /// Services of the parts that are missing, separated by spaces.
+  std::string mMissing;
+};
+
+/// Send a request to a target.
+struct SendAction
+{
+  AttemptId mAttempt;
+  TargetName mTarget;
+  SocketAddress mAddress;
+  CallerRequestPointer mRequest;
+  /// What is left of the caller's time.
+  Duration mTimeLeft{ 0 };
+  /// How many connections to the target this node may have.
+  std::uint32_t mConnections = 1;
+};
+
+/// Close the connection on which an attempt runs; its result does not matter
+/// any more.
+struct CancelAction
+{
+  AttemptId mAttempt;
+};
+
+/// Answer a caller.
+struct AnswerAction
+{
+  RequestNumber mNumber;
+  ForwardOutcome mOutcome;
+  ForwardSummary mSummary;
+};
+
+using ForwardAction = std::variant<SendAction, CancelAction, AnswerAction>;
+using ForwardActions = std::vector<ForwardAction>;
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -0,0 +1,375 @@
+#include <LibForward/ForwardEngine.h>
+#include <LibForward/RecordMerger.h>
+
+#include <LibCore/RendezvousHash.h>
+#include <LibCore/Verify.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace verbenachute {
+
+namespace {
+
+// Expected latencies that differ by less than this share are taken as equal,
+// so that nodes with the same knowledge do not all choose the same target.
+constexpr double kChoiceNoise = 0.12;
+// Of the connections that a target accepts, the part that is shared out; the
+// rest is for nodes that are just joining.
+constexpr double kConnectionsUsed = 0.95;
+constexpr Duration kRetryAfterDeclined = milliseconds(60);
+constexpr Duration kRetryAfterNoTarget = milliseconds(250);
+
+} // namespace
+
+bool
+ForwardEngine::IsOpen(const TargetRecord& aTarget) const
+{
+  return aTarget.Listed().mStanding == TargetStanding::Ready &&
+         mAdmittance(aTarget.Listed());
+}
+
+std::uint32_t
+ForwardEngine::ConnectionShare(const ServiceTerms* aTerms) const
+{
+  if (aTerms == nullptr) {
+    return 1;
+  }
+  const double share = kConnectionsUsed * aTerms->mMaximumConnections /
+                       static_cast<double>(mNodes.size());
+  return std::max(1U, static_cast<std::uint32_t>(share));
+}
+
+bool
+ForwardEngine::ColdAllows(TargetRecord* aTarget,
+                          const ServiceTerms* aTerms,
+                          Instant aNow)
+{
+  if (aTerms == nullptr || aTerms->mColdRate <= 0 || !aTarget->IsCold(aNow)) {
+    return true;
+  }
+  const double share =
+    aTerms->mColdRate / static_cast<double>(mNodes.size());
+  if (share >= 1) {
+    return aTarget->TakeColdSend(share, aNow);
+  }
+  // Each node's share is less than one request a second: only the first few
+  // nodes in the target's own order send to it, one request a second each.
+  const std::size_t senders =
+    std::max<std::size_t>(1, static_cast<std::size_t>(aTerms->mColdRate));
+  const std::string& name = aTarget->Listed().mName.value();
+  const std::uint64_t own = RendezvousWeight(name, mSelf.value());
+  const std::size_t before = static_cast<std::size_t>(
+    std::count_if(mNodes.begin(), mNodes.end(), [&](const NodeName& aNode) {
+      return RendezvousWeight(name, aNode.value()) > own;
+    }));
+  const double rate = std::min(1.0, aTerms->mColdRate);
+  return before < senders && aTarget->TakeColdSend(rate, aNow);
+}
+
+ForwardEngine::Choice
+ForwardEngine::ChooseTarget(const Request& aRequest,
+                            const Part& aPart,
+                            Instant aNow)
+{
+  const ServiceTerms* terms = aRequest.mPlan->FindService(aPart.mService);
+  const std::uint32_t share = ConnectionShare(terms);
+  const Duration typical = StatisticsOf(*aRequest.mRoute).Typical();
+  std::uniform_real_distribution<double> noise(1, 1 + kChoiceNoise);
+  Choice choice;
+  double best = 0;
+  for (TargetRecord* target : mTargets.Of(aPart.mService)) {
+    const TargetName& name = target->Listed().mName;
+    const bool tried =
+      std::find(aPart.mTried.begin(), aPart.mTried.end(), name) !=
+      aPart.mTried.end();
+    if (tried || !IsOpen(*target) || target->IsDown(aNow)) {
+      continue;
+    }
+    if (target->InFlight() >= share) {
+      choice.mBusy = true;
+      continue;
+    }
+    double cost = static_cast<double>(
+      target->ExpectedLatency(typical, aNow).count());
+    if (target->Listed().mDomain != mSettings.mDomain) {
+      cost += static_cast<double>(mSettings.mDomainRoundTrip.count());
+    }
+    cost *= noise(mRandom);
+    if (choice.mTarget != nullptr && cost >= best) {
+      continue;
+    }
+    if (!ColdAllows(target, terms, aNow)) {
+      choice.mBusy = true;
+      continue;
+    }
+    choice.mTarget = target;
+    best = cost;
+  }
+  return choice;
+}
+
+void
+ForwardEngine::StartPart(RequestNumber aNumber,
+                         Request* aRequest,
+                         std::size_t aPart,
+                         Instant aNow)
+{
+  Part& part = aRequest->mParts[aPart];
+  const Choice choice = ChooseTarget(*aRequest, part, aNow);
+  if (choice.mTarget != nullptr) {
+    Send(aNumber, aRequest, aPart, choice.mTarget, aNow);
+    return;
+  }
+  if (choice.mBusy && aNow < aRequest->mWaitUntil) {
+    part.mState = PartState::Waiting;
+    StateOf(part.mService).mWaiting.emplace_back(aNumber, aPart);
+    return;
+  }
+  part.mState = PartState::Failed;
+}
+
+void
+ForwardEngine::Send(RequestNumber aNumber,
+                    Request* aRequest,
+                    std::size_t aPart,
+                    TargetRecord* aTarget,
+                    Instant aNow)
+{
+  Part& part = aRequest->mParts[aPart];
+  VERIFY(part.mTried.size() < aRequest->mRoute->mMaximumAttempts);
+  VERIFY(part.mTried.empty() || !part.mMayHaveRun ||
+         aRequest->mRoute->mRepeatability == Repeatability::Repeatable);
+  const Route& route = *aRequest->mRoute;
+  const AttemptId id(mNextAttempt++);
+  const ListedTarget& listed = aTarget->Listed();
+  const Duration usual = StatisticsOf(route).Usual();
+  part.mState = PartState::Running;
+  part.mRunning.push_back(id);
+  part.mTried.push_back(listed.mName);
+  const bool hedges = mSettings.mHedging == ForwardHedging::Adaptive &&
+                      route.mRepeatability == Repeatability::Repeatable &&
+                      part.mTried.size() < route.mMaximumAttempts;
+  part.mHedgeAt.reset();
+  if (hedges) {
+    part.mHedgeAt = aNow + usual;
+  }
+  mAttempts.emplace(id,
+                    Attempt{ aNumber,
+                             aPart,
+                             listed.mName,
+                             aNow,
+                             route.mName,
+                             route.mRepeatability,
+                             false });
+  aTarget->BeginTrial(aNow);
+  aTarget->OnSent(id, usual, aNow);
+  ++aRequest->mSummary.mAttempts;
+  mActions.push_back(
+    SendAction{ id,
+                listed.mName,
+                listed.mAddress,
+                aRequest->mRequest,
+                aRequest->mDeadline - aNow,
+                ConnectionShare(aRequest->mPlan->FindService(part.mService)) });
+}
+
+void
+ForwardEngine::HedgePart(RequestNumber aNumber,
+                         Request* aRequest,
+                         std::size_t aPart,
+                         Instant aNow)
+{
+  Part& part = aRequest->mParts[aPart];
+  if (part.mTried.size() >= aRequest->mRoute->mMaximumAttempts) {
+    return;
+  }
+  const Choice choice = ChooseTarget(*aRequest, part, aNow);
+  if (choice.mTarget == nullptr || choice.mTarget->IsStalled(aNow)) {
+    return;
+  }
+  if (!StateOf(part.mService)
+         .mBudget->Take(ExtraUse::Hedge, mNodes.size(), aNow)) {
+    ++aRequest->mSummary.mUnpaid;
+    return;
+  }
+  ++aRequest->mSummary.mHedges;
+  Send(aNumber, aRequest, aPart, choice.mTarget, aNow);
+}
+
+void
+ForwardEngine::RetryPart(RequestNumber aNumber,
+                         Request* aRequest,
+                         std::size_t aPart,
+                         Instant aNow)
+{
+  Part& part = aRequest->mParts[aPart];
+  if (!part.mRunning.empty()) {
+    return;
+  }
+  const bool mayRepeat =
+    !part.mMayHaveRun ||
+    aRequest->mRoute->mRepeatability == Repeatability::Repeatable;
+  if (!mayRepeat ||
+      part.mTried.size() >= aRequest->mRoute->mMaximumAttempts) {
+    part.mState = PartState::Failed;
+    return;
+  }
+  const Choice choice = ChooseTarget(*aRequest, part, aNow);
+  if (choice.mTarget == nullptr) {
+    part.mState = PartState::Failed;
+    return;
+  }
+  if (!StateOf(part.mService)
+         .mBudget->Take(ExtraUse::Retry, mNodes.size(), aNow)) {
+    ++aRequest->mSummary.mUnpaid;
+    part.mState = PartState::Failed;
+    return;
+  }
+  ++aRequest->mSummary.mRetries;
+  Send(aNumber, aRequest, aPart, choice.mTarget, aNow);
+}
+
+void
+ForwardEngine::ServeWaiting(const ServiceName& aService, Instant aNow)
+{
+  const auto found = mServices.find(aService);
+  if (found == mServices.end()) {
+    return;
+  }
+  std::deque<std::pair<RequestNumber, std::size_t>>& waiting =
+    found->second.mWaiting;
+  while (!waiting.empty()) {
+    const std::pair<RequestNumber, std::size_t> next = waiting.front();
+    const auto request = mRequests.find(next.first);
+    const bool waits =
+      request != mRequests.end() &&
+      request->second.mParts[next.second].mState == PartState::Waiting;
+    if (!waits) {
+      waiting.pop_front();
+      continue;
+    }
+    const Choice choice = ChooseTarget(
+      request->second, request->second.mParts[next.second], aNow);
+    if (choice.mTarget == nullptr) {
+      return;
+    }
+    waiting.pop_front();
+    Send(next.first, &request->second, next.second, choice.mTarget, aNow);
+    ScheduleWake(next.first, &request->second, aNow);
+  }
+}
+
+void
+ForwardEngine::Evaluate(RequestNumber aNumber, Instant aNow)
+{
+  const auto found = mRequests.find(aNumber);
+  if (found == mRequests.end()) {
+    return;
+  }
+  if (found->second.mShards != nullptr) {
+    EvaluateGather(aNumber, &found->second, aNow);
+  } else {
+    EvaluateSingle(aNumber, &found->second, aNow);
+  }
+  const auto still = mRequests.find(aNumber);
+  if (still != mRequests.end()) {
+    ScheduleWake(aNumber, &still->second, aNow);
+  }
+}
+
+void
+ForwardEngine::EvaluateSingle(RequestNumber aNumber,
+                              Request* aRequest,
+                              Instant aNow)
+{
+  Part& part = aRequest->mParts.front();
+  if (part.mState == PartState::Done) {
+    Finish(aNumber, RelayedOutcome{ std::move(*part.mReply) }, aNow);
+    return;
+  }
+  if (part.mState == PartState::Failed) {
+    if (part.mReply.has_value()) {
+      Finish(aNumber, RelayedOutcome{ std::move(*part.mReply) }, aNow);
+      return;
+    }
+    GiveUp(aNumber, aRequest, aNow);
+    return;
+  }
+  if (aNow >= aRequest->mDeadline) {
+    if (part.mState == PartState::Waiting) {
+      Finish(
+        aNumber, RefusedOutcome{ RefusalReason::Overloaded, Duration(0) }, aNow);
+      return;
+    }
+    Finish(aNumber, FailedOutcome{ FailureReason::DeadlinePassed }, aNow);
+  }
+}
+
+void
+ForwardEngine::EvaluateGather(RequestNumber aNumber,
+                              Request* aRequest,
+                              Instant aNow)
+{
+  std::size_t done = 0;
+  std::size_t failed = 0;
+  for (const Part& part : aRequest->mParts) {
+    done += part.mState == PartState::Done ? 1 : 0;
+    failed += part.mState == PartState::Failed ? 1 : 0;
+  }
+  const std::size_t total = aRequest->mParts.size();
+  const std::size_t least = aRequest->mShards->LeastParts();
+  const bool enough = done >= least;
+  const bool settled = done + failed == total;
+  if (enough && (settled || aNow >= aRequest->mCut)) {
+    Finish(aNumber, Merged(*aRequest), aNow);
+    return;
+  }
+  if (total - failed < least) {
+    GiveUp(aNumber, aRequest, aNow);
+    return;
+  }
+  if (aNow >= aRequest->mDeadline) {
+    Finish(aNumber, FailedOutcome{ FailureReason::DeadlinePassed }, aNow);
+  }
+}
+
+void
+ForwardEngine::GiveUp(RequestNumber aNumber, Request* aRequest, Instant aNow)
+{
+  const bool mayHaveRun = std::any_of(
+    aRequest->mParts.begin(), aRequest->mParts.end(), [](const Part& aPart) {
+      return aPart.mMayHaveRun || !aPart.mRunning.empty();
+    });
+  if (mayHaveRun) {
+    Finish(aNumber, FailedOutcome{ FailureReason::AttemptsFailed }, aNow);
+    return;
+  }
+  const bool sent = aRequest->mSummary.mAttempts > 0;
+  Finish(aNumber,
+         sent
+           ? RefusedOutcome{ RefusalReason::Declined, kRetryAfterDeclined }
+           : RefusedOutcome{ RefusalReason::NoTarget, kRetryAfterNoTarget },
+         aNow);
+}
+
+ForwardOutcome
+ForwardEngine::Merged(const Request& aRequest) const
+{
+  GatheredOutcome outcome;
+  std::vector<std::string_view> parts;
+  for (const Part& part : aRequest.mParts) {
+    if (part.mState != PartState::Done) {
+      ++outcome.mMissing;
+      continue;
+    }
+    parts.push_back(part.mReply->mBody);
+    outcome.mSignatures.push_back(part.mReply->mSignature);
+  }
+  VERIFY(outcome.mSignatures.size() >= aRequest.mShards->LeastParts());
+  outcome.mRecords = MergeGreatest(parts, aRequest.mShards->mGreatest);
+  return outcome;
+}
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibForward/TargetTable.cpp
@@ -0,0 +1,88 @@
+#include <LibForward/TargetTable.h>
+
+#include <algorithm>
+
+namespace verbenachute {
+
+void
+TargetTable::List(const ListedTarget& aTarget, Instant aNow)
+{
+  std::unique_ptr<TargetRecord>& record = mTargets[aTarget.mName];
+  if (!record) {
+    record = std::make_unique<TargetRecord>(aTarget, aNow);
+    Index(record.get());
+    return;
+  }
+  const ServiceName before = record->Listed().mService;
+  record->Relist(aTarget, aNow);
+  if (before != aTarget.mService) {
+    Unindex(before, record.get());
+    Index(record.get());
+  }
+}
+
+void
+TargetTable::Unlist(const TargetName& aTarget)
+{
+  const auto found = mTargets.find(aTarget);
+  if (found == mTargets.end()) {
+    return;
+  }
+  Unindex(found->second->Listed().mService, found->second.get());
+  mTargets.erase(found);
+}
+
+TargetRecord*
+TargetTable::Find(const TargetName& aTarget)
+{
+  const auto found = mTargets.find(aTarget);
+  return found == mTargets.end() ? nullptr : found->second.get();
+}
+
+const std::vector<TargetRecord*>&
+TargetTable::Of(const ServiceName& aService) const
+{
+  static const std::vector<TargetRecord*> sNone;
+  const auto found = mServices.find(aService);
+  return found == mServices.end() ? sNone : found->second;
+}
+
+std::vector<const TargetRecord*>
+TargetTable::All() const
+{
+  std::vector<const TargetRecord*> all;
+  all.reserve(mTargets.size());
+  for (const auto& entry : mTargets) {
+    all.push_back(entry.second.get());
+  }
+  return all;
+}
+
+void
+TargetTable::Index(TargetRecord* aRecord)
+{
+  std::vector<TargetRecord*>& targets = mServices[aRecord->Listed().mService];
+  const auto place = std::lower_bound(
+    targets.begin(),
+    targets.end(),
+    aRecord,
+    [](const TargetRecord* aOne, const TargetRecord* aOther) {
+      return aOne->Listed().mName < aOther->Listed().mName;
+    });
+  targets.insert(place, aRecord);
+}
+
+void
+TargetTable::Unindex(const ServiceName& aService, const TargetRecord* aRecord)
+{
+  const auto found = mServices.find(aService);
+  if (found == mServices.end()) {
+    return;
+  }
+  std::erase(found->second, aRecord);
+  if (found->second.empty()) {
+    mServices.erase(found);
+  }
+}
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibGossip/GossipCodec.cpp
@@ -0,0 +1,107 @@
+#include <LibGossip/GossipCodec.h>
+
+#include <LibWire/FieldReader.h>
+#include <LibWire/FieldWriter.h>
+
+namespace verbenachute {
+
+namespace {
+
+constexpr std::size_t kNewsFields = 10;
+constexpr std::size_t kStrikeFields = 2;
+// A datagram holds a few dozen entries at most.
+constexpr std::size_t kMostEntries = 256;
+
+void
+WriteNews(const NodeNews& aNews, FieldWriter* aWriter)
+{
+  aWriter->Array(kNewsFields);
+  aWriter->Id(aNews.mIdentity.mName);
+  aWriter->Id(aNews.mIdentity.mIncarnation);
+  aWriter->Number(aNews.mCount);
+  aWriter->Text(aNews.mCallerAddress.mHost);
+  aWriter->Number(aNews.mCallerAddress.mPort);
+  aWriter->Number(aNews.mPeerAddress.mPort);
+  aWriter->Id(aNews.mDomain);
+  aWriter->Enumerator(aNews.mService);
+  aWriter->Id(aNews.mStore);
+  aWriter->Id(aNews.mPlan);
+}
+
+NodeNews
+ReadNews(FieldReader aReader)
+{
+  NodeNews news;
+  news.mIdentity.mName = aReader.Id<NodeName>();
+  news.mIdentity.mIncarnation = aReader.Id<Incarnation>();
+  news.mCount = aReader.Number<std::uint64_t>();
+  news.mCallerAddress.mHost = aReader.Text();
+  news.mCallerAddress.mPort = aReader.Number<std::uint16_t>();
+  news.mPeerAddress.mHost = news.mCallerAddress.mHost;
+  news.mPeerAddress.mPort = aReader.Number<std::uint16_t>();
+  news.mDomain = aReader.Id<FailureDomain>();
+  news.mService = aReader.Enumerator(NodeService::Leaving);
+  news.mStore = aReader.Id<StoreRevision>();
+  news.mPlan = aReader.Id<PlanVersion>();
+  return news;
+}
+
+std::size_t
+CheckedCount(FieldReader* aReader)
+{
+  const std::size_t count = aReader->Number<std::size_t>();
+  if (count > kMostEntries) {
+    throw MalformedField("too many entries");
+  }
+  return count;
+}
+
+} // namespace
+
+std::string
+EncodeGossip(const GossipMessage& aMessage)
+{
+  FieldWriter writer(1);
+  writer.BeginMessage();
+  writer.Number(aMessage.mNews.size());
+  for (const NodeNews& news : aMessage.mNews) {
+    WriteNews(news, &writer);
+  }
+  writer.Number(aMessage.mStrikes.size());
+  for (const PoisonStrike& strike : aMessage.mStrikes) {
+    writer.Array(kStrikeFields);
+    writer.Id(strike.mFingerprint);
+    writer.Id(strike.mTarget);
+  }
+  writer.EndMessage();
+  return writer.TakeBytes();
+}
+
+Result<GossipMessage>
+DecodeGossip(std::string_view aBytes)
+{
+  try {
+    const UnpackedBytes bytes(aBytes);
+    FieldReader batch = bytes.Root();
+    FieldReader reader = batch.Array();
+    GossipMessage message;
+    const std::size_t news = CheckedCount(&reader);
+    for (std::size_t i = 0; i < news; ++i) {
+      message.mNews.push_back(ReadNews(reader.Array()));
+    }
+    const std::size_t strikes = CheckedCount(&reader);
+    for (std::size_t i = 0; i < strikes; ++i) {
+      FieldReader strike = reader.Array();
+      const Fingerprint fingerprint = strike.Id<Fingerprint>();
+      message.mStrikes.push_back(
+        PoisonStrike{ fingerprint, strike.Id<TargetName>() });
+    }
+    return message;
+  } catch (const std::exception& problem) {
+    return Error{
+      Step::Membership, ErrorCode::InvalidInput, "", problem.what()
+    };
+  }
+}
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibGossip/GossipTable.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <LibGossip/NodeNews.h>
+
+#include <map>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace verbenachute {
+
+/// Finds out which nodes live by the counts that they spread: each node sends
+/// its own count and what it has heard to a few others, over and over. A node
+/// whose count stands still is not offered to callers any more.
+class GossipTable
+{
+public:
+  struct Settings
+  {
+    /// Pause between two rounds.
+    Duration mPeriod = milliseconds(250);
+    /// Nodes that each round sends to.
+    std::size_t mFanout = 8;
+    /// Entries in one datagram; about 80 bytes each.
+    std::size_t mEntries = 14;
+    std::uint64_t mSeed = 1;
+  };
+
+  /// A datagram to send.
+  struct Datagram
+  {
+    SocketAddress mTo;
+    GossipMessage mMessage;
+  };
+
+  GossipTable(const Settings& aSettings, NodeNews aSelf);
+
+  /// An address where a node may be, from the settings or from the store.
+  void AddSeed(const SocketAddress& aAddress);
+  void SetService(NodeService aService);
+  void SetKnowledge(StoreRevision aStore, PlanVersion aPlan);
+  /// Spreads a strike in the next rounds.
+  void AddStrike(const PoisonStrike& aStrike);
+
+  /// One round; call it each Settings::mPeriod.
+  [[nodiscard]] std::vector<Datagram> Round(Instant aNow);
+  /// A round to all nodes at once, for news that must not wait.
+  [[nodiscard]] std::vector<Datagram> Announce(Instant aNow);
+  /// Takes a message in; gives the strikes that were not known yet.
+  std::vector<PoisonStrike> Receive(const GossipMessage& aMessage,
+                                    Instant aNow);
+
+  /// This node and the others that are heard of and serve; sorted by name.
+  [[nodiscard]] std::vector<NodeNews> Offered(Instant aNow) const;
+  /// All that may still be sending: heard of within kMayLive.
+  [[nodiscard]] std::vector<NodeName> MayLive(Instant aNow) const;
+  /// The living peer that knows the most changes of the store; null if none.
+  [[nodiscard]] const NodeNews* BestInformed(Instant aNow) const;
+  [[nodiscard]] const NodeNews& Self() const { return mSelf; }
+
+  /// A silent node counts for limits that nodes share for this long.
+  static constexpr Duration kMayLive = seconds(11);
+
+private:
+  struct Peer
+  {
+    NodeNews mNews;
+    Instant mHeard;
+  };
+
+  void Outlive(Incarnation aHeard);
+  [[nodiscard]] GossipMessage Message();
+  [[nodiscard]] std::vector<SocketAddress> Receivers(Instant aNow);
+  [[nodiscard]] Duration SilenceLimit() const;
+  [[nodiscard]] bool IsHeard(const Peer& aPeer, Instant aNow) const;
+
+  Settings mSettings;
+  NodeNews mSelf;
+  std::map<NodeName, Peer> mPeers;
+  std::set<SocketAddress> mSeeds;
+  /// Strikes and the rounds for which they are still sent.
+  std::map<std::pair<Fingerprint, TargetName>, unsigned> mStrikes;
+  std::minstd_rand mRandom;
+};
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibGossip/NodeNews.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibCore/Time.h>
+#include <LibForward/PoisonLog.h>
+#include <LibRouting/ServingPlan.h>
+#include <LibStore/StoreItem.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace verbenachute {
+
+/// Whether a node may be offered to callers.
+enum class NodeService
+{
+  /// It has not yet read what it needs to serve.
+  Starting,
+  Serving,
+  /// It finishes what it has and ends.
+  Leaving,
+};
+
+/// What a node says of itself. A higher count of the same life is newer.
+struct NodeNews
+{
+  NodeIdentity mIdentity;
+  std::uint64_t mCount = 0;
+  SocketAddress mCallerAddress;
+  SocketAddress mPeerAddress;
+  FailureDomain mDomain;
+  NodeService mService = NodeService::Starting;
+  /// Changes of the store that it knows.
+  StoreRevision mStore;
+  PlanVersion mPlan;
+
+  friend bool operator==(const NodeNews&, const NodeNews&) = default;
+};
+
+/// What one node sends another: its own news first, then that of others.
+struct GossipMessage
+{
+  std::vector<NodeNews> mNews;
+  std::vector<PoisonStrike> mStrikes;
+
+  friend bool operator==(const GossipMessage&, const GossipMessage&) = default;
+};
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibHttp/HttpText.cpp
@@ -0,0 +1,158 @@
+#include <LibHttp/HttpText.h>
+
+#include <algorithm>
+#include <cctype>
+#include <http_parser.h>
+
+namespace verbenachute {
+
+namespace {
+
+constexpr std::string_view kLineEnd = "\r\n";
+
+void
+AppendFields(const HttpFields& aFields, std::string* aText)
+{
+  for (const HttpField& field : aFields.All()) {
+    aText->append(field.mName).append(": ").append(field.mValue);
+    aText->append(kLineEnd);
+  }
+}
+
+void
+AppendLength(std::size_t aLength, std::string* aText)
+{
+  aText->append("Content-Length: ").append(std::to_string(aLength));
+  aText->append(kLineEnd);
+}
+
+bool
+HasNoBody(int aStatus)
+{
+  return aStatus < 200 || aStatus == 204 || aStatus == 304;
+}
+
+int
+HexValue(char aCharacter)
+{
+  if (aCharacter >= '0' && aCharacter <= '9') {
+    return aCharacter - '0';
+  }
+  const char lower = static_cast<char>(
+    std::tolower(static_cast<unsigned char>(aCharacter)));
+  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+std::string
+Decoded(std::string_view aText)
+{
+  std::string text;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    const bool escape = aText[i] == '%' && i + 2 < aText.size() &&
+                        HexValue(aText[i + 1]) >= 0 &&
+                        HexValue(aText[i + 2]) >= 0;
+    if (escape) {
+      text += static_cast<char>(HexValue(aText[i + 1]) * 16 +
+                                HexValue(aText[i + 2]));
+      i += 2;
+    } else {
+      text += aText[i] == '+' ? ' ' : aText[i];
+    }
+  }
+  return text;
+}
+
+} // namespace
+
+std::string
+RequestText(std::string_view aMethod,
+            std::string_view aTarget,
+            const HttpFields& aFields,
+            std::string_view aBody)
+{
+  std::string text;
+  text.reserve(256 + aBody.size());
+  text.append(aMethod).append(" ").append(aTarget).append(" HTTP/1.1");
+  text.append(kLineEnd);
+  AppendFields(aFields, &text);
+  if (!aBody.empty() || (aMethod != "GET" && aMethod != "HEAD")) {
+    AppendLength(aBody.size(), &text);
+  }
+  text.append(kLineEnd).append(aBody);
+  return text;
+}
+
+std::string
+ResponseText(int aStatus,
+             const HttpFields& aFields,
+             std::string_view aBody,
+             AfterResponse aAfter)
+{
+  std::string text;
+  text.reserve(256 + aBody.size());
+  text.append("HTTP/1.1 ").append(std::to_string(aStatus)).append(" ");
+  text.append(ReasonPhrase(aStatus)).append(kLineEnd);
+  AppendFields(aFields, &text);
+  if (!HasNoBody(aStatus)) {
+    AppendLength(aBody.size(), &text);
+  }
+  if (aAfter == AfterResponse::Close) {
+    text.append("Connection: close").append(kLineEnd);
+  }
+  text.append(kLineEnd).append(aBody);
+  return text;
+}
+
+const char*
+ReasonPhrase(int aStatus)
+{
+  switch (aStatus) {
+#define VERBENACHUTE_REASON(number, name, text)                                \
+  case number:                                                                 \
+    return #text;
+    HTTP_STATUS_MAP(VERBENACHUTE_REASON)
+#undef VERBENACHUTE_REASON
+    default:
+      return "Status";
+  }
+}
+
+std::string
+QueryParameter(std::string_view aTarget, std::string_view aName)
+{
+  const std::size_t question = aTarget.find('?');
+  std::size_t begin =
+    question == std::string_view::npos ? aTarget.size() : question + 1;
+  while (begin < aTarget.size()) {
+    const std::size_t end = std::min(aTarget.find('&', begin), aTarget.size());
+    const std::string_view pair = aTarget.substr(begin, end - begin);
+    const std::size_t equals = std::min(pair.find('='), pair.size());
+    if (pair.substr(0, equals) == aName) {
+      return Decoded(pair.substr(std::min(equals + 1, pair.size())));
+    }
+    begin = end + 1;
+  }
+  return "";
+}
+
+std::string
+QueryEncoded(std::string_view aText)
+{
+  constexpr std::string_view kUnreserved = "-._~/";
+  constexpr char kDigits[] = "0123456789ABCDEF";
+  std::string text;
+  for (const char character : aText) {
+    const unsigned char byte = static_cast<unsigned char>(character);
+    if (std::isalnum(byte) != 0 ||
+        kUnreserved.find(character) != std::string_view::npos) {
+      text += character;
+    } else {
+      text += '%';
+      text += kDigits[byte / 16];
+      text += kDigits[byte % 16];
+    }
+  }
+  return text;
+}
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibHttp/SocketOptions.cpp
@@ -0,0 +1,56 @@
+#include <LibHttp/SocketOptions.h>
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace verbenachute {
+
+namespace {
+
+constexpr int kProbes = 3;
+
+void
+SetOption(int aSocket, int aLevel, int aName, int aValue)
+{
+  // A kernel that lacks an option leaves the connection as it is; timeouts of
+  // the exchanges still bound the wait.
+  static_cast<void>(
+    setsockopt(aSocket, aLevel, aName, &aValue, sizeof(aValue)));
+}
+
+} // namespace
+
+void
+TuneSocket(int aSocket, const SilenceLimits& aLimits)
+{
+  const int probe = static_cast<int>(aLimits.mProbe.count());
+  SetOption(aSocket, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(aSocket,
+            IPPROTO_TCP,
+            TCP_USER_TIMEOUT,
+            static_cast<int>(aLimits.mUnacknowledged.count()));
+  SetOption(aSocket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, probe);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, probe);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+sockaddr_in
+SocketAddressOf(const SocketAddress& aAddress)
+{
+  sockaddr_in raw{};
+  raw.sin_family = AF_INET;
+  raw.sin_port = htons(aAddress.mPort);
+  static_cast<void>(inet_pton(AF_INET, aAddress.mHost.c_str(), &raw.sin_addr));
+  return raw;
+}
+
+int
+SocketOf(bufferevent* aStream)
+{
+  return static_cast<int>(bufferevent_getfd(aStream));
+}
+
+} // namespace verbenachute
--- a/Libraries/LibObservation/EventNumber.h
+++ b/Libraries/LibObservation/EventNumber.h
@@ -35,12 +35,20 @@
   ChangeAccepted = 404,
   ChangeRefused = 405,
   ChangeProposed = 406,
+  PlanApplied = 407,
+  PlanIgnored = 408,
+  EntryUnreadable = 409,
+  DomainTakenOut = 410,
+  DomainBroughtIn = 411,
+  SettingsReloaded = 412,
 
   QueryRefused = 500,
   QueryPartial = 501,
   OutcomeUnknown = 502,
   CallerHungUp = 503,
   CallerInputRefused = 504,
+  RequestFailed = 505,
+  RequestLate = 506,
 
   TargetWarming = 600,
   TargetReady = 601,
@@ -48,6 +56,7 @@
   TargetDown = 603,
   RequestPoisoned = 604,
   LoadShed = 605,
+  TargetGone = 606,
 
   RequestReplayed = 700,
   RequestConflict = 701,
--- /dev/null
+++ b/Libraries/LibRouting/Route.cpp
@@ -0,0 +1,23 @@
+#include <LibRouting/Route.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace verbenachute {
+
+namespace {
+
+// Shares such as 0.9 of 20 are not exact in binary; this keeps 18 at 18.
+constexpr double kRounding = 1e-9;
+
+} // namespace
+
+std::size_t
+ShardSet::LeastParts() const
+{
+  const double least =
+    std::ceil(mLeastCoverage * static_cast<double>(mShards.size()) - kRounding);
+  return std::max<std::size_t>(1, static_cast<std::size_t>(std::max(least, 0.0)));
+}
+
+} // namespace verbenachute
--- a/Libraries/LibSettings/EnvironmentSettings.cpp
+++ b/Libraries/LibSettings/EnvironmentSettings.cpp
@@ -27,7 +27,8 @@
 } // namespace
 
 Result<RawSettings>
-ReadEnvironmentSettings(const char* const* aEnvironment)
+ReadEnvironmentSettings(const char* const* aEnvironment,
+                        std::string_view aForeign)
 {
   RawSettings settings;
   for (; *aEnvironment != nullptr; ++aEnvironment) {
@@ -37,6 +38,9 @@
     }
     const std::size_t equals = std::min(entry.find('='), entry.size());
     const std::string_view variable = entry.substr(0, equals);
+    if (variable == aForeign) {
+      continue;
+    }
     const std::string name = SettingNameOf(variable);
     const std::span<const SettingDescription> table = SettingTable();
     const bool known = std::any_of(
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -91,6 +91,35 @@
     return number;
   }
 
+  std::optional<SocketAddress> OptionalAddress(const char* aName)
+  {
+    if (TextOf(aName) == "none") {
+      return std::nullopt;
+    }
+    return Address(aName);
+  }
+
+  double Decimal(const char* aName, double aMinimum, double aMaximum)
+  {
+    const std::string text = TextOf(aName);
+    double number = 0;
+    const char* end = text.data() + text.size();
+    const std::from_chars_result read =
+      std::from_chars(text.data(), end, number);
+    if (text.empty() || read.ec != std::errc() || read.ptr != end ||
+        !(number >= aMinimum && number <= aMaximum)) {
+      Refuse(aName, text);
+      return aMinimum;
+    }
+    return number;
+  }
+
+  Duration Seconds(const char* aName, double aMinimum, double aMaximum)
+  {
+    return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Decimal(aName, aMinimum, aMaximum)));
+  }
+
   std::string OneOf(const char* aName,
                     std::initializer_list<const char*> aAllowed)
   {
@@ -172,6 +201,15 @@
   settings.mHedgePolicy =
     reader.OneOf("hedge_policy", { "adaptive", "fixed", "none" });
   settings.mExtraLoadPerMille = reader.Number("extra_load_per_mille", 0, 1000);
+  settings.mDispatch = reader.OneOf("dispatch", { "holders", "direct" });
+  settings.mReadyAddress = reader.OptionalAddress("ready_address");
+  settings.mDirectoryAddress = reader.OptionalAddress("directory_address");
+  settings.mRetryRatio = reader.Decimal("retry_ratio", 0, 1);
+  settings.mRetryWindow = reader.Seconds("retry_window_s", 1, 3600);
+  settings.mRetrySlack = reader.Decimal("retry_slack", 0, 1'000'000);
+  settings.mGrace = reader.Seconds("grace_s", 0.5, 3600);
+  settings.mPartialAnswers =
+    reader.OneOf("partial_answers", { "at_objective", "last" });
   reader.RefuseUnknown();
   if (reader.Problem().has_value()) {
     return *reader.Problem();
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -6,6 +6,7 @@
 #include <LibSettings/RawSettings.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,29 @@
     return mExtraLoadPerMille;
   }
 
+  /// "holders" or "direct".
+  [[nodiscard]] const std::string& DispatchName() const { return mDispatch; }
+  [[nodiscard]] const std::optional<SocketAddress>& ReadyAddress() const
+  {
+    return mReadyAddress;
+  }
+  [[nodiscard]] const std::optional<SocketAddress>& DirectoryAddress() const
+  {
+    return mDirectoryAddress;
+  }
+  /// Extra attempts for each request for a service, over all nodes.
+  [[nodiscard]] double RetryRatio() const { return mRetryRatio; }
+  [[nodiscard]] Duration RetryWindow() const { return mRetryWindow; }
+  /// Extra attempts in each window beyond the ratio, over all nodes.
+  [[nodiscard]] double RetrySlack() const { return mRetrySlack; }
+  /// Time from SIGTERM until the process is ended by force.
+  [[nodiscard]] Duration Grace() const { return mGrace; }
+  /// "at_objective" or "last".
+  [[nodiscard]] const std::string& PartialAnswersName() const
+  {
+    return mPartialAnswers;
+  }
+
 private:
   Settings() = default;
 
@@ -79,6 +103,14 @@
   std::uint32_t mQueryLimit = 0;
   std::string mHedgePolicy;
   std::uint32_t mExtraLoadPerMille = 0;
+  std::string mDispatch;
+  std::optional<SocketAddress> mReadyAddress;
+  std::optional<SocketAddress> mDirectoryAddress;
+  double mRetryRatio = 0;
+  Duration mRetryWindow{ 0 };
+  double mRetrySlack = 0;
+  Duration mGrace{ 0 };
+  std::string mPartialAnswers;
 };
 
 } // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibStore/StoreFollower.cpp
@@ -0,0 +1,155 @@
+#include <LibStore/StoreFollower.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenachute {
+
+namespace {
+
+// A node that follows the store well has nothing to ask of its peers.
+constexpr Duration kIdle = seconds(3600);
+
+} // namespace
+
+StoreFollower::StoreFollower(Settings aSettings)
+  : mSettings(std::move(aSettings))
+  , mBackoff(mSettings.mSelf,
+             mSettings.mFirstBackOff,
+             mSettings.mLongestBackOff)
+{
+}
+
+void
+StoreFollower::OnAnswer(Instant aNow)
+{
+  mCallRunning = false;
+  mBackoff.OnSuccess();
+  if (mFailingSince.has_value()) {
+    mFailingSince.reset();
+    mRestoredAt = aNow;
+  }
+}
+
+void
+StoreFollower::BeginLoading()
+{
+  mPhase = Phase::Loading;
+  mLoaded.clear();
+  mLoadedAt.reset();
+  mAfter.clear();
+}
+
+StoreMirror::Changes
+StoreFollower::OnPage(const StorePage& aPage, Instant aNow)
+{
+  OnAnswer(aNow);
+  mNextCall = aNow;
+  mLoaded.insert(mLoaded.end(), aPage.mItems.begin(), aPage.mItems.end());
+  // Pages are no snapshot: what changed after the earliest of them is learnt
+  // again from the watch.
+  mLoadedAt = mLoadedAt.has_value() ? std::min(*mLoadedAt, aPage.mAt)
+                                    : aPage.mAt;
+  if (aPage.mMore && !aPage.mItems.empty()) {
+    mAfter = aPage.mItems.back().mKey;
+    return {};
+  }
+  StoreMirror::Changes changes = mMirror.Replace(mLoaded, *mLoadedAt);
+  mHasCopy = true;
+  BeginLoading();
+  mPhase = Phase::Watching;
+  return changes;
+}
+
+StoreMirror::Changes
+StoreFollower::OnChanges(const StoreChanges& aChanges, Instant aNow)
+{
+  OnAnswer(aNow);
+  mNextCall = aChanges.mChanges.empty() ? aNow : aNow + mSettings.mGather;
+  return mMirror.Apply(aChanges);
+}
+
+void
+StoreFollower::OnFailure(StoreFailure aFailure, Instant aNow)
+{
+  mCallRunning = false;
+  if (aFailure == StoreFailure::HistoryGone) {
+    BeginLoading();
+    mNextCall = aNow;
+    return;
+  }
+  if (!mFailingSince.has_value()) {
+    mFailingSince = aNow;
+  }
+  mNextCall = aNow + mBackoff.OnFailure();
+}
+
+StoreMirror::Changes
+StoreFollower::OnPeerCopy(const std::vector<StoreItem>& aItems,
+                          StoreRevision aAt,
+                          Instant aNow)
+{
+  mPeerAsked = false;
+  mNextPeer = aNow + mSettings.mPeerPause;
+  if (mHasCopy && aAt <= mMirror.At()) {
+    return {};
+  }
+  StoreMirror::Changes changes = mMirror.Replace(aItems, aAt);
+  if (!mHasCopy) {
+    mHasCopy = true;
+    if (mPhase == Phase::Loading) {
+      BeginLoading();
+      mPhase = Phase::Watching;
+    }
+  }
+  return changes;
+}
+
+void
+StoreFollower::OnPeerFailure(Instant aNow)
+{
+  mPeerAsked = false;
+  mNextPeer = aNow + mSettings.mPeerPause;
+}
+
+void
+StoreFollower::OnPeerRevision(StoreRevision aRevision)
+{
+  mPeerRevision = std::max(mPeerRevision, aRevision);
+}
+
+std::vector<FollowerCall>
+StoreFollower::Due(Instant aNow)
+{
+  std::vector<FollowerCall> calls;
+  if (!mCallRunning && aNow >= mNextCall) {
+    mCallRunning = true;
+    if (mPhase == Phase::Loading) {
+      calls.emplace_back(ReadPageAction{ mAfter });
+    } else {
+      calls.emplace_back(WatchAction{ mMirror.At(), mSettings.mWatchWait });
+    }
+  }
+  const bool peerKnowsMore = mPeerRevision > mMirror.At() || !mHasCopy;
+  if (mFailingSince.has_value() && peerKnowsMore && !mPeerAsked &&
+      aNow >= mNextPeer) {
+    mPeerAsked = true;
+    calls.emplace_back(AskPeerAction{ mMirror.At() });
+  }
+  return calls;
+}
+
+Instant
+StoreFollower::NextDue() const
+{
+  Instant next = mNextPeer + kIdle;
+  if (!mCallRunning) {
+    next = std::min(next, mNextCall);
+  }
+  if (mFailingSince.has_value() && !mPeerAsked) {
+    next = std::min(next, mNextPeer + mSettings.mPeerPause);
+  }
+  return next;
+}
+
+} // namespace verbenachute
--- /dev/null
+++ b/Libraries/LibStore/StoreMirror.cpp
@@ -0,0 +1,74 @@
+#include <LibStore/StoreMirror.h>
+
+#include <algorithm>
+#include <set>
+
+namespace verbenachute {
+
+void
+StoreMirror::Put(const StoreItem& aItem, Changes* aChanges)
+{
+  const auto found = mItems.find(aItem.mKey);
+  if (found != mItems.end() && found->second.mRevision >= aItem.mRevision) {
+    return;
+  }
+  mItems[aItem.mKey] = aItem;
+  aChanges->push_back(
+    StoreChange{ aItem.mKey, aItem.mValue, aItem.mRevision });
+}
+
+StoreMirror::Changes
+StoreMirror::Apply(const StoreChanges& aChanges)
+{
+  Changes changes;
+  for (const StoreChange& change : aChanges.mChanges) {
+    if (change.mValue.has_value()) {
+      Put(StoreItem{ change.mKey, *change.mValue, change.mRevision }, &changes);
+      continue;
+    }
+    const auto found = mItems.find(change.mKey);
+    if (found != mItems.end() && found->second.mRevision < change.mRevision) {
+      mItems.erase(found);
+      changes.push_back(change);
+    }
+  }
+  mAt = std::max(mAt, aChanges.mAt);
+  return changes;
+}
+
+StoreMirror::Changes
+StoreMirror::Replace(const std::vector<StoreItem>& aItems, StoreRevision aAt)
+{
+  Changes changes;
+  if (aAt < mAt) {
+    return changes;
+  }
+  std::set<std::string> present;
+  for (const StoreItem& item : aItems) {
+    present.insert(item.mKey);
+    Put(item, &changes);
+  }
+  for (auto item = mItems.begin(); item != mItems.end();) {
+    if (present.contains(item->first) || item->second.mRevision > aAt) {
+      ++item;
+      continue;
+    }
+    changes.push_back(StoreChange{ item->first, std::nullopt, aAt });
+    item = mItems.erase(item);
+  }
+  mAt = aAt;
+  return changes;
+}
+
+std::vector<StoreItem>
+StoreMirror::Items() const
+{
+  std::vector<StoreItem> items;
+  items.reserve(mItems.size());
+  for (const auto& entry : mItems) {
+    items.push_back(entry.second);
+  }
+  return items;
+}
+
+} // namespace verbenachute
--- a/Libraries/LibTransport/EventLoop.cpp
+++ b/Libraries/LibTransport/EventLoop.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr int kWatchedSignals[] = { SIGTERM, SIGINT };
+constexpr int kWatchedSignals[] = { SIGTERM, SIGINT, SIGHUP };
 
 } // namespace
 
@@ -87,6 +87,12 @@
   return mSignalArrived;
 }
 
+sigc::signal<void()>&
+EventLoop::ReloadRequested()
+{
+  return mReloadRequested;
+}
+
 Instant
 EventLoop::Now() const
 {
--- a/Libraries/LibTransport/EventLoop.h
+++ b/Libraries/LibTransport/EventLoop.h
@@ -33,6 +33,8 @@
 
   /// Emitted with the number of each SIGTERM and SIGINT.
   [[nodiscard]] sigc::signal<void(int)>& SignalArrived();
+  /// Emitted at each SIGHUP: the settings may have changed.
+  [[nodiscard]] sigc::signal<void()>& ReloadRequested();
 
   [[nodiscard]] Instant Now() const;
   [[nodiscard]] const Clock& SystemTime() const;
@@ -47,6 +49,7 @@
   std::vector<event*> mSignalEvents;
   std::vector<std::function<void()>> mDeferred;
   sigc::signal<void(int)> mSignalArrived;
+  sigc::signal<void()> mReloadRequested;
   SystemClock mClock;
 };
 
--- a/Meta/install-packages.sh
+++ b/Meta/install-packages.sh
@@ -5,7 +5,7 @@
 packages=(
   build-essential cmake ninja-build ccache pkg-config
   clang clang-format clang-tidy clang-tools libclang-rt-14-dev
-  libsigc++-3.0-dev libevent-dev libjsonrpccpp-dev libjsoncpp-dev
+  libsigc++-3.0-dev libevent-dev libhttp-parser-dev libjsonrpccpp-dev libjsoncpp-dev
   libabsl-dev libboost-log-dev libboost-dev
   libxxhash-dev libmsgpack-cxx-dev libpcg-cpp-dev
   doctest-dev libtrompeloeil-cpp-dev librapidcheck-dev
--- /dev/null
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -0,0 +1,593 @@
+#include "EntryNode.h"
+
+#include "GossipPort.h"
+#include "SettingsWatch.h"
+#include "StoreLink.h"
+#include "TargetPool.h"
+
+#include <platform/KeyWire.h>
+#include <platform/RequestWire.h>
+
+#include <LibCore/Overloaded.h>
+#include <LibCore/SocketAddressText.h>
+#include <LibCore/Verify.h>
+#include <LibEntry/EntryKnowledge.h>
+#include <LibEntry/NodeDeparture.h>
+#include <LibHttp/HttpListener.h>
+#include <LibObservation/BoostLogger.h>
+#include <LibObservation/MetricsRegistry.h>
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace verbenachute {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr Duration kDeparturePause = milliseconds(50);
+constexpr Duration kIdleCheckPause = seconds(1);
+// Addresses in one answer of the directory.
+constexpr std::size_t kMostAddresses = 64;
+constexpr unsigned kLifeShift = 20;
+
+NodeIdentity
+NewLife(const Settings& aSettings)
+{
+  const SystemClock clock;
+  return NodeIdentity{ aSettings.Name(),
+                       Incarnation(static_cast<std::uint64_t>(
+                         clock.WallTime().count())) };
+}
+
+ForwardSettings
+EngineSettings(const Settings& aSettings, const NodeIdentity& aSelf)
+{
+  ForwardSettings settings;
+  settings.mDomain = aSettings.HomeDomain();
+  settings.mExtra = ExtraLimits{ aSettings.RetryRatio(),
+                                 aSettings.RetrySlack(),
+                                 aSettings.RetryWindow() };
+  settings.mHedging = aSettings.HedgePolicyName() == "none"
+                        ? ForwardHedging::Never
+                        : ForwardHedging::Adaptive;
+  settings.mPartial = aSettings.PartialAnswersName() == "last"
+                        ? PartialAnswers::WhenNothingIsLeft
+                        : PartialAnswers::AtObjective;
+  settings.mMaximumRunning = aSettings.QueryLimit();
+  settings.mFirstAttempt = AttemptId(aSelf.mIncarnation.value() << kLifeShift);
+  settings.mSeed = aSelf.mIncarnation.value();
+  return settings;
+}
+
+NodeNews
+NewsOf(const Settings& aSettings, const NodeIdentity& aSelf)
+{
+  NodeNews news;
+  news.mIdentity = aSelf;
+  news.mCallerAddress = aSettings.CallerAddress();
+  news.mPeerAddress = aSettings.PeerAddress();
+  news.mDomain = aSettings.HomeDomain();
+  return news;
+}
+
+GossipTable::Settings
+GossipSettings(const NodeIdentity& aSelf)
+{
+  GossipTable::Settings settings;
+  settings.mSeed = aSelf.mIncarnation.value();
+  return settings;
+}
+
+NodeDeparture::Settings
+DepartureSettings(const Settings& aSettings)
+{
+  return NodeDeparture::Settings{ aSettings.Grace(),
+                                  aSettings.AddressValidity() };
+}
+
+ServerLimits
+LimitsOf(const CallerLimits& aLimits)
+{
+  ServerLimits limits;
+  limits.mMessage.mHeaderBytes = aLimits.mHeaderBytes;
+  limits.mMessage.mBodyBytes = aLimits.mBodyBytes;
+  limits.mHeader = aLimits.mHeaderTime;
+  limits.mIdle = aLimits.mIdleTime;
+  return limits;
+}
+
+} // namespace
+
+/// The parts of a node, in the order in which they depend on each other.
+class EntryNode::Parts
+{
+public:
+  Parts(const CommandLine& aCommandLine,
+        const Settings& aSettings,
+        std::unique_ptr<EventLoop> aLoop,
+        std::unique_ptr<GossipPort> aGossipPort);
+
+  [[nodiscard]] Result<Success> Listen();
+  [[nodiscard]] int Run();
+
+private:
+  using CallPointer = std::shared_ptr<HttpCall>;
+
+  struct OpenCall
+  {
+    CallPointer mCall;
+    CallerRequestPointer mRequest;
+  };
+
+  void OnCallerCall(const CallPointer& aCall);
+  void OnDirectoryCall(const CallPointer& aCall);
+  void OnReadyCall(const CallPointer& aCall);
+  void OnPeerCall(const CallPointer& aCall);
+  void OnGossip(const GossipMessage& aMessage);
+  void OnGossipTick();
+  void OnKnowledge(const StoreMirror::Changes& aChanges);
+  void OnSettingsChanged();
+  void OnStop();
+  void OnDepartureTick();
+  void Perform(ForwardActions aActions);
+  void Answer(const AnswerAction& aAction);
+  void LogOutcome(const AnswerAction& aAction, const CallerRequest& aRequest);
+  void ScheduleEngine();
+  void UpdateService();
+  [[nodiscard]] bool IsReady() const;
+  [[nodiscard]] AfterResponse AfterThis() const;
+
+  CommandLine mCommandLine;
+  Settings mSettings;
+  NodeIdentity mSelf;
+  std::unique_ptr<EventLoop> mLoop;
+  BoostLogger mLogger;
+  MetricsRegistry mMetrics;
+  ForwardEngine mEngine;
+  EntryKnowledge mKnowledge;
+  GossipTable mGossip;
+  std::unique_ptr<GossipPort> mGossipPort;
+  TargetPool mPool;
+  StoreLink mStore;
+  NodeDeparture mDeparture;
+  SettingsWatch mSettingsWatch;
+  Timer mEngineTimer;
+  Timer mGossipTimer;
+  Timer mDepartureTimer;
+  Timer mIdleTimer;
+  std::unique_ptr<HttpListener> mCallerListener;
+  std::unique_ptr<HttpListener> mDirectoryListener;
+  std::unique_ptr<HttpListener> mReadyListener;
+  std::unique_ptr<HttpListener> mPeerListener;
+  std::unordered_map<RequestNumber, OpenCall> mCalls;
+  std::uint64_t mNextNumber = 1;
+};
+
+EntryNode::Parts::Parts(const CommandLine& aCommandLine,
+                        const Settings& aSettings,
+                        std::unique_ptr<EventLoop> aLoop,
+                        std::unique_ptr<GossipPort> aGossipPort)
+  : mCommandLine(aCommandLine)
+  , mSettings(aSettings)
+  , mSelf(NewLife(aSettings))
+  , mLoop(std::move(aLoop))
+  , mLogger({ aSettings.Name() }, mLoop->SystemTime())
+  , mEngine(EngineSettings(aSettings, mSelf))
+  , mKnowledge(mEngine, mLogger)
+  , mGossip(GossipSettings(mSelf), NewsOf(aSettings, mSelf))
+  , mGossipPort(std::move(aGossipPort))
+  , mPool(
+      *mLoop,
+      [this](AttemptId aAttempt, PartReply aReply) {
+        Perform(mEngine.OnReply(aAttempt, std::move(aReply), mLoop->Now()));
+      },
+      [this](AttemptId aAttempt, AttemptFailure aFailure) {
+        Perform(mEngine.OnFailure(aAttempt, aFailure, mLoop->Now()));
+      })
+  , mStore(aSettings.Name(),
+           aSettings.PlatformAddress(),
+           { *mLoop,
+             mLogger,
+             [this]() -> std::optional<SocketAddress> {
+               const NodeNews* best = mGossip.BestInformed(mLoop->Now());
+               return best == nullptr ? std::nullopt
+                                      : std::optional(best->mPeerAddress);
+             },
+             [this](const StoreMirror::Changes& aChanges) {
+               OnKnowledge(aChanges);
+             } })
+  , mDeparture(DepartureSettings(aSettings))
+  , mSettingsWatch(*mLoop,
+                   aCommandLine.mSettingsFile,
+                   [this]() { OnSettingsChanged(); })
+  , mEngineTimer(*mLoop,
+                 [this]() { Perform(mEngine.OnTime(mLoop->Now())); })
+  , mGossipTimer(*mLoop, [this]() { OnGossipTick(); })
+  , mDepartureTimer(*mLoop, [this]() { OnDepartureTick(); })
+  , mIdleTimer(*mLoop,
+               [this]() {
+                 mPool.CloseIdle();
+                 mKnowledge.OnTime(mLoop->Now());
+                 mLogger.ReportSuppressed();
+                 mIdleTimer.Start(kIdleCheckPause);
+               })
+{
+  mEngine.SetNodes({ mSelf.mName }, mSelf.mName);
+  for (const SocketAddress& seed : aSettings.Seeds()) {
+    // Seeds name another port of the same nodes; ports are alike on all.
+    mGossip.AddSeed(
+      SocketAddress{ seed.mHost, aSettings.PeerAddress().mPort });
+  }
+  mGossipPort->SetReceiver(
+    [this](const GossipMessage& aMessage) { OnGossip(aMessage); });
+  mLoop->SignalArrived().connect([this](int) { OnStop(); });
+}
+
+Result<Success>
+EntryNode::Parts::Listen()
+{
+  struct Port
+  {
+    std::optional<SocketAddress> mAddress;
+    std::unique_ptr<HttpListener>* mListener;
+    void (Parts::*mHandler)(const CallPointer&);
+  };
+  const Port ports[] = {
+    { mSettings.CallerAddress(), &mCallerListener, &Parts::OnCallerCall },
+    { mSettings.DirectoryAddress(),
+      &mDirectoryListener,
+      &Parts::OnDirectoryCall },
+    { mSettings.ReadyAddress(), &mReadyListener, &Parts::OnReadyCall },
+    { mSettings.PeerAddress(), &mPeerListener, &Parts::OnPeerCall },
+  };
+  for (const Port& port : ports) {
+    if (!port.mAddress.has_value()) {
+      continue;
+    }
+    Result<std::unique_ptr<HttpListener>> listener = HttpListener::Create(
+      *mLoop,
+      *port.mAddress,
+      ServerLimits(),
+      [this, handler = port.mHandler](const CallPointer& aCall) {
+        (this->*handler)(aCall);
+      });
+    if (IsError(listener)) {
+      return ErrorOf(listener);
+    }
+    *port.mListener = TakeValue(std::move(listener));
+  }
+  return Success();
+}
+
+int
+EntryNode::Parts::Run()
+{
+  mLogger.Log(LogEvent(EventNumber::DaemonStarted)
+                .With("identity", NodeIdentityText(mSelf)));
+  mStore.Start(platform::OwnKeyText("nodes/" + mSelf.mName.value()),
+               SocketAddressText(mSettings.PeerAddress()));
+  OnGossipTick();
+  mIdleTimer.Start(kIdleCheckPause);
+  mLoop->Run();
+  mLogger.Log(LogEvent(EventNumber::ShutdownFinished).At(Step::Shutdown));
+  return 0;
+}
+
+bool
+EntryNode::Parts::IsReady() const
+{
+  return mEngine.Plan() != nullptr && mStore.Follower().HasCopy() &&
+         mDeparture.Phase() == DeparturePhase::Serving;
+}
+
+AfterResponse
+EntryNode::Parts::AfterThis() const
+{
+  return mDeparture.Phase() == DeparturePhase::Serving
+           ? AfterResponse::KeepOpen
+           : AfterResponse::Close;
+}
+
+void
+EntryNode::Parts::OnCallerCall(const CallPointer& aCall)
+{
+  const RequestNumber number(mNextNumber++);
+  // A new connection took the caller a round trip before it could send.
+  const Duration connecting = 2 * ForwardSettings().mCallerDelay;
+  const CallerRequestPointer request =
+    platform::ReadCallerRequest(aCall.get(), connecting);
+  mCalls.emplace(number, OpenCall{ aCall, request });
+  aCall->CallerGone().connect([this, number]() {
+    mCalls.erase(number);
+    Perform(mEngine.OnCallerGone(number, mLoop->Now()));
+  });
+  Perform(mEngine.Submit(number, request, mLoop->Now()));
+}
+
+void
+EntryNode::Parts::OnDirectoryCall(const CallPointer& aCall)
+{
+  const std::optional<platform::AddressQuestion> question =
+    platform::ReadAddressQuestion(*aCall);
+  if (!question.has_value()) {
+    aCall->Respond(kNotFound, HttpFields(), "");
+    return;
+  }
+  std::vector<SocketAddress> addresses;
+  for (const NodeNews& node : mGossip.Offered(mLoop->Now())) {
+    addresses.push_back(node.mCallerAddress);
+  }
+  addresses.resize(std::min(addresses.size(), kMostAddresses));
+  if (addresses.empty()) {
+    aCall->Respond(kUnavailable, HttpFields(), "");
+    return;
+  }
+  HttpFields fields;
+  fields.Add("Content-Type", "application/json");
+  aCall->Respond(
+    kOk,
+    fields,
+    platform::AddressAnswer(addresses, mSettings.AddressValidity()));
+}
+
+void
+EntryNode::Parts::OnReadyCall(const CallPointer& aCall)
+{
+  const bool asked = platform::IsReadinessQuestion(*aCall);
+  aCall->Respond(!asked      ? kNotFound
+                 : IsReady() ? kOk
+                             : kUnavailable,
+                 HttpFields(),
+                 "");
+}
+
+void
+EntryNode::Parts::OnPeerCall(const CallPointer& aCall)
+{
+  const StoreFollower& follower = mStore.Follower();
+  if (aCall->mTarget != "/copy" || !follower.HasCopy()) {
+    aCall->Respond(
+      aCall->mTarget == "/copy" ? kUnavailable : kNotFound, HttpFields(), "");
+    return;
+  }
+  HttpFields fields;
+  fields.Add("Content-Type", "application/json");
+  aCall->Respond(kOk,
+                 fields,
+                 platform::EncodeCopy(follower.Mirror().Items(),
+                                      follower.Mirror().At()));
+}
+
+void
+EntryNode::Parts::OnGossip(const GossipMessage& aMessage)
+{
+  const Instant now = mLoop->Now();
+  for (const PoisonStrike& strike : mGossip.Receive(aMessage, now)) {
+    mEngine.OnStrike(strike, now);
+  }
+  for (const NodeNews& news : aMessage.mNews) {
+    mStore.OnPeerRevision(news.mStore);
+  }
+}
+
+void
+EntryNode::Parts::OnGossipTick()
+{
+  const Instant now = mLoop->Now();
+  UpdateService();
+  mGossipPort->Send(mGossip.Round(now));
+  mEngine.SetNodes(mGossip.MayLive(now), mSelf.mName);
+  mGossipTimer.Start(GossipTable::Settings().mPeriod);
+}
+
+void
+EntryNode::Parts::UpdateService()
+{
+  mGossip.SetKnowledge(mStore.Follower().Mirror().At(),
+                       mEngine.Plan() ? mEngine.Plan()->Version()
+                                      : PlanVersion());
+  mGossip.SetService(mDeparture.Phase() != DeparturePhase::Serving
+                       ? NodeService::Leaving
+                     : IsReady() ? NodeService::Serving
+                                 : NodeService::Starting);
+}
+
+void
+EntryNode::Parts::OnKnowledge(const StoreMirror::Changes& aChanges)
+{
+  const bool wasReady = IsReady();
+  mKnowledge.Apply(aChanges, mStore.Follower(), mLoop->Now());
+  for (const auto& own : mKnowledge.OwnKeys()) {
+    const Result<SocketAddress> address = ParseSocketAddress(own.second);
+    if (own.first.starts_with("nodes/") && !IsError(address)) {
+      mGossip.AddSeed(ValueOf(address));
+    }
+  }
+  if (mEngine.Plan() && mCallerListener) {
+    mCallerListener->SetLimits(LimitsOf(mEngine.Plan()->Limits()));
+  }
+  if (!wasReady && IsReady()) {
+    UpdateService();
+    mGossipPort->Send(mGossip.Announce(mLoop->Now()));
+  }
+  ScheduleEngine();
+}
+
+void
+EntryNode::Parts::OnSettingsChanged()
+{
+  const Result<Settings> settings = LoadSettings(mCommandLine);
+  if (IsError(settings)) {
+    mLogger.Log(
+      LogEvent(EventNumber::SettingsRefused).Because(ErrorOf(settings)));
+    return;
+  }
+  mSettings = ValueOf(settings);
+  mEngine.SetExtraLimits(EngineSettings(mSettings, mSelf).mExtra);
+  mLogger.Log(LogEvent(EventNumber::SettingsReloaded).At(Step::Settings));
+}
+
+void
+EntryNode::Parts::OnStop()
+{
+  if (mDeparture.Phase() != DeparturePhase::Serving) {
+    return;
+  }
+  const Instant now = mLoop->Now();
+  mLogger.Log(LogEvent(EventNumber::ShutdownStarted).At(Step::Shutdown));
+  mDeparture.OnStop(now);
+  UpdateService();
+  mGossipPort->Send(mGossip.Announce(now));
+  OnDepartureTick();
+}
+
+void
+EntryNode::Parts::OnDepartureTick()
+{
+  const DeparturePhase before = mDeparture.Phase();
+  const DeparturePhase phase = mDeparture.Advance(
+    mCallerListener->ConnectionCount(), mEngine.Running(), mLoop->Now());
+  if (before != phase && phase == DeparturePhase::Closing) {
+    mCallerListener->StopAccepting();
+  }
+  if (phase == DeparturePhase::Done) {
+    mLoop->Stop();
+    return;
+  }
+  mDepartureTimer.Start(kDeparturePause);
+}
+
+void
+EntryNode::Parts::Perform(ForwardActions aActions)
+{
+  for (ForwardAction& action : aActions) {
+    std::visit(
+      Overloaded{
+        [this](const SendAction& aSend) { mPool.Send(aSend); },
+        [this](const CancelAction& aCancel) { mPool.Cancel(aCancel.mAttempt); },
+        [this](const AnswerAction& aAnswer) { Answer(aAnswer); } },
+      action);
+  }
+  for (const PoisonStrike& strike : mEngine.TakeStrikes()) {
+    mGossip.AddStrike(strike);
+  }
+  ScheduleEngine();
+}
+
+void
+EntryNode::Parts::ScheduleEngine()
+{
+  const std::optional<Instant> next = mEngine.NextWake();
+  if (next.has_value()) {
+    mEngineTimer.Start(*next - mLoop->Now());
+  } else {
+    mEngineTimer.Stop();
+  }
+}
+
+void
+EntryNode::Parts::Answer(const AnswerAction& aAction)
+{
+  const auto found = mCalls.find(aAction.mNumber);
+  if (found == mCalls.end()) {
+    return;
+  }
+  const OpenCall open = std::move(found->second);
+  mCalls.erase(found);
+  LogOutcome(aAction, *open.mRequest);
+  platform::AnswerCaller(
+    open.mCall.get(), *open.mRequest, aAction.mOutcome, AfterThis());
+}
+
+void
+EntryNode::Parts::LogOutcome(const AnswerAction& aAction,
+                             const CallerRequest& aRequest)
+{
+  const ForwardSummary& summary = aAction.mSummary;
+  std::optional<EventNumber> number;
+  std::string reason;
+  std::visit(
+    Overloaded{
+      [&](const RelayedOutcome&) {
+        if (summary.mElapsed > summary.mObjective) {
+          number = EventNumber::RequestLate;
+        }
+      },
+      [&](const GatheredOutcome& aGathered) {
+        if (summary.mElapsed > summary.mObjective) {
+          number = EventNumber::RequestLate;
+        } else if (aGathered.mMissing > 0) {
+          number = EventNumber::QueryPartial;
+        }
+      },
+      [&](const RefusedOutcome& aRefused) {
+        number = EventNumber::QueryRefused;
+        reason = RefusalReasonName(aRefused.mReason);
+      },
+      [&](const FailedOutcome& aFailed) {
+        number = EventNumber::RequestFailed;
+        reason = FailureReasonName(aFailed.mReason);
+      },
+      [](const NoRouteOutcome&) {} },
+    aAction.mOutcome);
+  if (!number.has_value()) {
+    return;
+  }
+  mLogger.Log(LogEvent(*number)
+                .At(Step::Dispatch)
+                .Peer(summary.mRoute)
+                .With("request", aRequest.mId.value())
+                .With("reason", reason)
+                .With("plan", summary.mPlan.value())
+                .With("elapsed_us", summary.mElapsed.count())
+                .With("parts", summary.mParts)
+                .With("parts_done", summary.mPartsDone)
+                .With("attempts", summary.mAttempts)
+                .With("hedges", summary.mHedges)
+                .With("retries", summary.mRetries)
+                .With("unpaid", summary.mUnpaid)
+                .With("missing", summary.mMissing));
+}
+
+Result<std::unique_ptr<EntryNode>>
+EntryNode::Create(const CommandLine& aCommandLine, const Settings& aSettings)
+{
+  Result<std::unique_ptr<EventLoop>> loop = EventLoop::Create();
+  if (IsError(loop)) {
+    return ErrorOf(loop);
+  }
+  Result<std::unique_ptr<GossipPort>> gossip =
+    GossipPort::Create(*ValueOf(loop), aSettings.PeerAddress());
+  if (IsError(gossip)) {
+    return ErrorOf(gossip);
+  }
+  std::unique_ptr<Parts> parts =
+    std::make_unique<Parts>(aCommandLine,
+                            aSettings,
+                            TakeValue(std::move(loop)),
+                            TakeValue(std::move(gossip)));
+  const Result<Success> listening = parts->Listen();
+  if (IsError(listening)) {
+    return ErrorOf(listening);
+  }
+  return std::unique_ptr<EntryNode>(new EntryNode(std::move(parts)));
+}
+
+EntryNode::EntryNode(std::unique_ptr<Parts> aParts)
+  : mParts(std::move(aParts))
+{
+}
+
+EntryNode::~EntryNode() = default;
+
+int
+EntryNode::Run()
+{
+  return mParts->Run();
+}
+
+} // namespace verbenachute
--- a/Services/verbenachuted/Flags.cpp
+++ b/Services/verbenachuted/Flags.cpp
@@ -2,6 +2,8 @@
 
 #include <LibSettings/EnvironmentSettings.h>
 #include <LibSettings/SettingTable.h>
+#include <LibSettings/SettingsFile.h>
+#include <platform/Environment.h>
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -28,6 +30,15 @@
 ABSL_FLAG(std::string, query_limit, "", "see below");
 ABSL_FLAG(std::string, hedge_policy, "", "see below");
 ABSL_FLAG(std::string, extra_load_per_mille, "", "see below");
+ABSL_FLAG(std::string, dispatch, "", "see below");
+ABSL_FLAG(std::string, ready_address, "", "see below");
+ABSL_FLAG(std::string, directory_address, "", "see below");
+ABSL_FLAG(std::string, retry_ratio, "", "see below");
+ABSL_FLAG(std::string, retry_window_s, "", "see below");
+ABSL_FLAG(std::string, retry_slack, "", "see below");
+ABSL_FLAG(std::string, grace_s, "", "see below");
+ABSL_FLAG(std::string, partial_answers, "", "see below");
+ABSL_FLAG(std::string, settings_file, "", "file with further settings");
 ABSL_FLAG(bool, check, false, "check the settings and end");
 
 namespace verbenachute {
@@ -47,6 +58,9 @@
               ? std::string("; must be given\n")
               : std::string("; default: ") + setting.mDefault + "\n";
   }
+  text += "  --settings_file\n      file with lines 'name = value'; flags and "
+          "variables win over it;\n      read again at SIGHUP and when it "
+          "changes\n";
   return text + "  --check\n      checks the settings and ends\n";
 }
 
@@ -80,17 +94,34 @@
                   "",
                   std::string("'") + rest[1] + "' is no flag" };
   }
-  Result<RawSettings> settings = ReadEnvironmentSettings(aEnvironment);
+  Result<RawSettings> settings = ReadEnvironmentSettings(
+    aEnvironment, platform::kSettingsPathVariable);
   if (IsError(settings)) {
     return ErrorOf(settings);
   }
   CommandLine commandLine;
   commandLine.mSettings = TakeValue(std::move(settings));
   AddGivenFlags(&commandLine.mSettings);
+  commandLine.mSettingsFile = absl::GetFlag(FLAGS_settings_file);
   if (absl::GetFlag(FLAGS_check)) {
     commandLine.mMode = StartMode::CheckOnly;
   }
   return commandLine;
 }
 
+Result<Settings>
+LoadSettings(const CommandLine& aCommandLine)
+{
+  RawSettings raw = aCommandLine.mSettings;
+  if (!aCommandLine.mSettingsFile.empty()) {
+    Result<RawSettings> file = ReadSettingsFile(aCommandLine.mSettingsFile);
+    if (IsError(file)) {
+      return ErrorOf(file);
+    }
+    // Keeps what stands there already.
+    raw.merge(TakeValue(std::move(file)));
+  }
+  return Settings::Create(raw);
+}
+
 } // namespace verbenachute
--- a/Services/verbenachuted/Flags.h
+++ b/Services/verbenachuted/Flags.h
@@ -2,6 +2,9 @@
 
 #include <LibCore/Error.h>
 #include <LibSettings/RawSettings.h>
+#include <LibSettings/Settings.h>
+
+#include <string>
 
 namespace verbenachute {
 
@@ -15,7 +18,10 @@
 
 struct CommandLine
 {
+  /// Without those of the settings file.
   RawSettings mSettings;
+  /// Path of the settings file; empty if there is none.
+  std::string mSettingsFile;
   StartMode mMode = StartMode::Run;
 };
 
@@ -25,4 +31,9 @@
 [[nodiscard]] Result<CommandLine>
 ReadCommandLine(int aCount, char** aWords, const char* const* aEnvironment);
 
+/// Reads the settings file, if there is one, and checks all settings together.
+/// Flags and variables win over the file.
+[[nodiscard]] Result<Settings>
+LoadSettings(const CommandLine& aCommandLine);
+
 } // namespace verbenachute
--- /dev/null
+++ b/Services/verbenachuted/GossipPort.cpp
@@ -0,0 +1,98 @@
+#include "GossipPort.h"
+
+#include <LibCore/SocketAddressText.h>
+#include <LibGossip/GossipCodec.h>
+#include <LibHttp/SocketOptions.h>
+
+#include <array>
+#include <event2/event.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace verbenachute {
+
+namespace {
+
+constexpr std::size_t kMaximumDatagram = 4096;
+// Datagrams that are read in one go, so that a flood does not keep the loop
+// from other work.
+constexpr int kMaximumBatch = 64;
+
+} // namespace
+
+Result<std::unique_ptr<GossipPort>>
+GossipPort::Create(EventLoop& aLoop, const SocketAddress& aAddress)
+{
+  std::unique_ptr<GossipPort> port(new GossipPort());
+  port->mSocket =
+    socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = SocketAddressOf(aAddress);
+  if (port->mSocket < 0 ||
+      bind(port->mSocket,
+           reinterpret_cast<const sockaddr*>(&address),
+           sizeof(address)) != 0) {
+    return Error{ Step::Settings,
+                  ErrorCode::Unavailable,
+                  SocketAddressText(aAddress),
+                  "the address can not be bound for datagrams" };
+  }
+  port->mEvent = event_new(
+    aLoop.Base(),
+    port->mSocket,
+    EV_READ | EV_PERSIST,
+    [](evutil_socket_t, short, void* aSelf) {
+      static_cast<GossipPort*>(aSelf)->ReadAll();
+    },
+    port.get());
+  event_add(port->mEvent, nullptr);
+  return port;
+}
+
+GossipPort::~GossipPort()
+{
+  if (mEvent != nullptr) {
+    event_free(mEvent);
+  }
+  if (mSocket >= 0) {
+    close(mSocket);
+  }
+}
+
+void
+GossipPort::Send(const std::vector<GossipTable::Datagram>& aDatagrams) const
+{
+  for (const GossipTable::Datagram& datagram : aDatagrams) {
+    const std::string bytes = EncodeGossip(datagram.mMessage);
+    const sockaddr_in address = SocketAddressOf(datagram.mTo);
+    static_cast<void>(sendto(mSocket,
+                             bytes.data(),
+                             bytes.size(),
+                             0,
+                             reinterpret_cast<const sockaddr*>(&address),
+                             sizeof(address)));
+  }
+}
+
+void
+GossipPort::ReadAll()
+{
+  std::array<char, kMaximumDatagram> bytes{};
+  for (int i = 0; i < kMaximumBatch; ++i) {
+    const ssize_t size = recv(mSocket, bytes.data(), bytes.size(), 0);
+    if (size < 0) {
+      return;
+    }
+    const Result<GossipMessage> message = DecodeGossip(
+      std::string_view(bytes.data(), static_cast<std::size_t>(size)));
+    if (IsError(message)) {
+      ++mMalformed;
+      continue;
+    }
+    if (mReceived) {
+      mReceived(ValueOf(message));
+    }
+  }
+}
+
+} // namespace verbenachute
--- a/Services/verbenachuted/main.cpp
+++ b/Services/verbenachuted/main.cpp
@@ -1,4 +1,5 @@
 #include "Daemon.h"
+#include "EntryNode.h"
 #include "Flags.h"
 
 #include <LibSettings/Settings.h>
@@ -33,8 +34,7 @@
   if (IsError(commandLine)) {
     return Fail(ErrorOf(commandLine), kExitBadSettings);
   }
-  const Result<Settings> settings =
-    Settings::Create(ValueOf(commandLine).mSettings);
+  const Result<Settings> settings = LoadSettings(ValueOf(commandLine));
   if (IsError(settings)) {
     return Fail(ErrorOf(settings), kExitBadSettings);
   }
@@ -42,6 +42,14 @@
     std::printf("the settings are valid\n");
     return 0;
   }
+  if (ValueOf(settings).DispatchName() == "direct") {
+    Result<std::unique_ptr<EntryNode>> node =
+      EntryNode::Create(ValueOf(commandLine), ValueOf(settings));
+    if (IsError(node)) {
+      return Fail(ErrorOf(node), kExitNotStarted);
+    }
+    return ValueOf(node)->Run();
+  }
   Result<std::unique_ptr<Daemon>> daemon = Daemon::Create(ValueOf(settings));
   if (IsError(daemon)) {
     return Fail(ErrorOf(daemon), kExitNotStarted);
