--- a/Libraries/LibStore/StoreFollower.cpp
+++ b/Libraries/LibStore/StoreFollower.cpp
@@ -5,13 +5,6 @@
 
 namespace verbenachute {
 
-namespace {
-
-// A node that follows the store well has nothing to ask of its peers.
-constexpr Duration kIdle = seconds(3600);
-
-} // namespace
-
 StoreFollower::StoreFollower(Settings aSettings)
   : mSettings(std::move(aSettings))
   , mBackoff(mSettings.mSelf,
@@ -139,15 +132,16 @@
   return calls;
 }
 
-Instant
+std::optional<Instant>
 StoreFollower::NextDue() const
 {
-  Instant next = mNextPeer + kIdle;
+  std::optional<Instant> next;
   if (!mCallRunning) {
-    next = std::min(next, mNextCall);
+    next = mNextCall;
   }
   if (mFailingSince.has_value() && !mPeerAsked) {
-    next = std::min(next, mNextPeer + mSettings.mPeerPause);
+    const Instant peer = mNextPeer + mSettings.mPeerPause;
+    next = std::min(next.value_or(peer), peer);
   }
   return next;
 }
--- a/Libraries/LibStore/StoreFollower.h
+++ b/Libraries/LibStore/StoreFollower.h
@@ -80,8 +80,9 @@
 
   /// The calls that are due. Each is answered by one event above.
   [[nodiscard]] std::vector<FollowerCall> Due(Instant aNow);
-  /// When Due has to be asked next at the latest, without any event.
-  [[nodiscard]] Instant NextDue() const;
+  /// When Due has to be asked next without any event; nothing if only an event
+  /// can make a call due.
+  [[nodiscard]] std::optional<Instant> NextDue() const;
 
   [[nodiscard]] const StoreMirror& Mirror() const { return mMirror; }
   /// Whether a whole copy has been read, from the store or from a peer.
--- a/Services/verbenachuted/StoreLink.cpp
+++ b/Services/verbenachuted/StoreLink.cpp
@@ -76,7 +76,12 @@
   for (const FollowerCall& call : mFollower.Due(now)) {
     std::visit([this](const auto& aAction) { Execute(aAction); }, call);
   }
-  mTimer.Start(mFollower.NextDue() - now);
+  const std::optional<Instant> next = mFollower.NextDue();
+  if (next.has_value()) {
+    mTimer.Start(*next - now);
+  } else {
+    mTimer.Stop();
+  }
 }
 
 void
