--- a/Libraries/LibEntry/EntryKnowledge.cpp
+++ b/Libraries/LibEntry/EntryKnowledge.cpp
@@ -25,36 +25,36 @@
 {
   for (const StoreChange& change : aChanges) {
     std::visit(
-      Overloaded{
-        [&](const platform::PlanKey&) {
-          // Without a plan the last one stays: intent never goes back.
-          if (change.mValue.has_value()) {
-            ApplyPlan(*change.mValue);
-          }
-        },
-        [&](const platform::DomainOutKey& aKey) {
-          if (change.mValue.has_value()) {
-            mOut.insert(aKey.mDomain);
-          } else {
-            mOut.erase(aKey.mDomain);
-          }
-          mLogger.Log(LogEvent(change.mValue.has_value()
+      Overloaded{ [&](const platform::PlanKey&) {
+                   // Without a plan the last one stays: intent never goes back.
+                   if (change.mValue.has_value()) {
+                     ApplyPlan(*change.mValue);
+                   }
+                 },
+                  [&](const platform::DomainOutKey& aKey) {
+                    if (change.mValue.has_value()) {
+                      mOut.insert(aKey.mDomain);
+                    } else {
+                      mOut.erase(aKey.mDomain);
+                    }
+                    mLogger.Log(
+                      LogEvent(change.mValue.has_value()
                                  ? EventNumber::DomainTakenOut
                                  : EventNumber::DomainBroughtIn)
                         .With("domain", aKey.mDomain.value())
                         .With("store_revision", change.mRevision.value()));
-        },
-        [&](const platform::TargetKey& aKey) {
-          ApplyTarget(aKey.mTarget, change.mValue, aFollower, aNow);
-        },
-        [&](const platform::OwnKey& aKey) {
-          if (change.mValue.has_value()) {
-            mOwn[aKey.mName] = *change.mValue;
-          } else {
-            mOwn.erase(aKey.mName);
-          }
-        },
-        [](const platform::OtherKey&) {} },
+                  },
+                  [&](const platform::TargetKey& aKey) {
+                    ApplyTarget(aKey.mTarget, change.mValue, aFollower, aNow);
+                  },
+                  [&](const platform::OwnKey& aKey) {
+                    if (change.mValue.has_value()) {
+                      mOwn[aKey.mName] = *change.mValue;
+                    } else {
+                      mOwn.erase(aKey.mName);
+                    }
+                  },
+                  [](const platform::OtherKey&) {} },
       platform::MeaningOf(change.mKey));
   }
 }
@@ -77,8 +77,7 @@
                   .With("entry", skipped));
   }
   const PlanVersion version = plan.mContent.mVersion;
-  const bool newer =
-    !mEngine.Plan() || version > mEngine.Plan()->Version();
+  const bool newer = !mEngine.Plan() || version > mEngine.Plan()->Version();
   mEngine.SetPlan(
     std::make_shared<const ServingPlan>(std::move(plan.mContent)));
   mLogger.Log(
@@ -94,18 +93,14 @@
                             Instant aNow)
 {
   if (!aValue.has_value()) {
-    const RemovalHold::Verdict verdict =
-      mHold.OnRemoved(aTarget,
-                      aFollower.FailingSince(),
-                      aFollower.RestoredAt(),
-                      aNow);
+    const RemovalHold::Verdict verdict = mHold.OnRemoved(
+      aTarget, aFollower.FailingSince(), aFollower.RestoredAt(), aNow);
     if (verdict == RemovalHold::Verdict::RemoveNow) {
       Unlist(aTarget, "entry removed");
     }
     return;
   }
-  const Result<ListedTarget> target =
-    platform::DecodeTarget(aTarget, *aValue);
+  const Result<ListedTarget> target = platform::DecodeTarget(aTarget, *aValue);
   if (IsError(target)) {
     ++mUnreadable;
     mLogger.Log(
--- a/Libraries/LibEntry/NodeDeparture.cpp
+++ b/Libraries/LibEntry/NodeDeparture.cpp
@@ -49,8 +49,8 @@
   if (mPhase == DeparturePhase::Announced && since >= ServingTime()) {
     mPhase = DeparturePhase::Closing;
   }
-  const bool finished = mPhase == DeparturePhase::Closing &&
-                        aConnections == 0 && aRequests == 0;
+  const bool finished =
+    mPhase == DeparturePhase::Closing && aConnections == 0 && aRequests == 0;
   if (finished || since >= mSettings.mGrace - kReserve) {
     mPhase = DeparturePhase::Done;
   }
--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -100,10 +100,10 @@
   request.mRequest = std::move(aRequest);
   request.mPlan = mPlan;
   if (!mPlan) {
-    mActions.push_back(AnswerAction{
-      aNumber,
-      RefusedOutcome{ RefusalReason::NoPlan, kRetryAfterNoPlan },
-      request.mSummary });
+    mActions.push_back(
+      AnswerAction{ aNumber,
+                    RefusedOutcome{ RefusalReason::NoPlan, kRetryAfterNoPlan },
+                    request.mSummary });
     return TakeActions();
   }
   request.mSummary.mPlan = mPlan->Version();
@@ -127,7 +127,8 @@
     mActions.push_back(AnswerAction{ aNumber, *problem, request.mSummary });
     return TakeActions();
   }
-  Request& placed = mRequests.emplace(aNumber, std::move(request)).first->second;
+  Request& placed =
+    mRequests.emplace(aNumber, std::move(request)).first->second;
   for (std::size_t i = 0; i < placed.mParts.size(); ++i) {
     StartPart(aNumber, &placed, i, aNow);
   }
@@ -152,8 +153,8 @@
   aRequest->mDeadline = request.mArrived + patience - back;
   const Duration inTime =
     route.mLatencyObjective - spent - mSettings.mCallerDelay - back;
-  aRequest->mCut =
-    std::min(aRequest->mDeadline, request.mArrived + std::max(inTime, Duration(0)));
+  aRequest->mCut = std::min(aRequest->mDeadline,
+                            request.mArrived + std::max(inTime, Duration(0)));
   if (mSettings.mPartial == PartialAnswers::WhenNothingIsLeft) {
     aRequest->mCut = aRequest->mDeadline;
   }
@@ -210,8 +211,9 @@
   const std::size_t room =
     aRequest.mRoute->mPriority == 0
       ? mSettings.mMaximumRunning
-      : mSettings.mMaximumRunning - mSettings.mMaximumRunning / 8 *
-          std::min<std::size_t>(aRequest.mRoute->mPriority, 4);
+      : mSettings.mMaximumRunning -
+          mSettings.mMaximumRunning / 8 *
+            std::min<std::size_t>(aRequest.mRoute->mPriority, 4);
   if (mRequests.size() >= room) {
     return RefusedOutcome{ RefusalReason::Overloaded, kRetryAfterOverload };
   }
@@ -236,8 +238,7 @@
   VERIFY(statistics != mStatistics.end());
   TargetRecord* target = mTargets.Find(attempt.mTarget);
   if (target != nullptr) {
-    target->OnReply(
-      aAttempt, aReply, statistics->second.Typical(), aNow);
+    target->OnReply(aAttempt, aReply, statistics->second.Typical(), aNow);
   }
   if (aReply.mMeaning == ReplyMeaning::Answered) {
     statistics->second.ObserveLatency(aNow - attempt.mSent);
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -166,8 +166,7 @@
   [[nodiscard]] bool ColdAllows(TargetRecord* aTarget,
                                 const ServiceTerms* aTerms,
                                 Instant aNow);
-  [[nodiscard]] std::uint32_t ConnectionShare(
-    const ServiceTerms* aTerms) const;
+  [[nodiscard]] std::uint32_t ConnectionShare(const ServiceTerms* aTerms) const;
   void ServeWaiting(const ServiceName& aService, Instant aNow);
 
   // Outcomes.
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -49,8 +49,7 @@
   if (aTerms == nullptr || aTerms->mColdRate <= 0 || !aTarget->IsCold(aNow)) {
     return true;
   }
-  const double share =
-    aTerms->mColdRate / static_cast<double>(mNodes.size());
+  const double share = aTerms->mColdRate / static_cast<double>(mNodes.size());
   if (share >= 1) {
     return aTarget->TakeColdSend(share, aNow);
   }
@@ -91,8 +90,8 @@
       choice.mBusy = true;
       continue;
     }
-    double cost = static_cast<double>(
-      target->ExpectedLatency(typical, aNow).count());
+    double cost =
+      static_cast<double>(target->ExpectedLatency(typical, aNow).count());
     if (target->Listed().mDomain != mSettings.mDomain) {
       cost += static_cast<double>(mSettings.mDomainRoundTrip.count());
     }
@@ -211,8 +210,7 @@
   const bool mayRepeat =
     !part.mMayHaveRun ||
     aRequest->mRoute->mRepeatability == Repeatability::Repeatable;
-  if (!mayRepeat ||
-      part.mTried.size() >= aRequest->mRoute->mMaximumAttempts) {
+  if (!mayRepeat || part.mTried.size() >= aRequest->mRoute->mMaximumAttempts) {
     part.mState = PartState::Failed;
     return;
   }
@@ -250,8 +248,8 @@
       waiting.pop_front();
       continue;
     }
-    const Choice choice = ChooseTarget(
-      request->second, request->second.mParts[next.second], aNow);
+    const Choice choice =
+      ChooseTarget(request->second, request->second.mParts[next.second], aNow);
     if (choice.mTarget == nullptr) {
       return;
     }
@@ -299,8 +297,9 @@
   }
   if (aNow >= aRequest->mDeadline) {
     if (part.mState == PartState::Waiting) {
-      Finish(
-        aNumber, RefusedOutcome{ RefusalReason::Overloaded, Duration(0) }, aNow);
+      Finish(aNumber,
+             RefusedOutcome{ RefusalReason::Overloaded, Duration(0) },
+             aNow);
       return;
     }
     Finish(aNumber, FailedOutcome{ FailureReason::DeadlinePassed }, aNow);
@@ -348,9 +347,8 @@
   }
   const bool sent = aRequest->mSummary.mAttempts > 0;
   Finish(aNumber,
-         sent
-           ? RefusedOutcome{ RefusalReason::Declined, kRetryAfterDeclined }
-           : RefusedOutcome{ RefusalReason::NoTarget, kRetryAfterNoTarget },
+         sent ? RefusedOutcome{ RefusalReason::Declined, kRetryAfterDeclined }
+              : RefusedOutcome{ RefusalReason::NoTarget, kRetryAfterNoTarget },
          aNow);
 }
 
--- a/Libraries/LibForward/PoisonLog.cpp
+++ b/Libraries/LibForward/PoisonLog.cpp
@@ -49,8 +49,7 @@
 PoisonLog::IsPoisonous(Fingerprint aFingerprint, Instant aNow)
 {
   const auto found = mEntries.find(aFingerprint);
-  return found != mEntries.end() &&
-         found->second.mTargets.size() >= kStrikes &&
+  return found != mEntries.end() && found->second.mTargets.size() >= kStrikes &&
          aNow - found->second.mLast <= kMemory;
 }
 
--- a/Libraries/LibForward/TargetRecord.cpp
+++ b/Libraries/LibForward/TargetRecord.cpp
@@ -108,11 +108,11 @@
     NoteFailure(kSampleWeight, aNow);
     return;
   }
-  const double ratio =
-    std::clamp(static_cast<double>(latency.count()) /
-                 static_cast<double>(std::max<Duration::rep>(aTypical.count(), 1)),
-               kLeastSlowness,
-               kGreatestSlowness);
+  const double ratio = std::clamp(
+    static_cast<double>(latency.count()) /
+      static_cast<double>(std::max<Duration::rep>(aTypical.count(), 1)),
+    kLeastSlowness,
+    kGreatestSlowness);
   const double slowness = Faded(mSlowness, 1, aNow);
   const double failure = Faded(mFailure, 0, aNow);
   mSlowness = slowness + kSampleWeight * (ratio - slowness);
@@ -168,11 +168,11 @@
     return;
   }
   ++mFailuresInRow;
-  const double ratio =
-    std::clamp(static_cast<double>(waited.count()) /
-                 static_cast<double>(std::max<Duration::rep>(aTypical.count(), 1)),
-               kLeastSlowness,
-               kGreatestSlowness);
+  const double ratio = std::clamp(
+    static_cast<double>(waited.count()) /
+      static_cast<double>(std::max<Duration::rep>(aTypical.count(), 1)),
+    kLeastSlowness,
+    kGreatestSlowness);
   const double slowness = Faded(mSlowness, 1, aNow);
   mFailure = Faded(mFailure, 0, aNow);
   mSlowness = slowness + kSampleWeight * (std::max(ratio, slowness) - slowness);
@@ -200,8 +200,7 @@
 TargetRecord::IsStalled(Instant aNow) const
 {
   for (const auto& entry : mInFlight) {
-    const double age =
-      static_cast<double>((aNow - entry.second.mSent).count());
+    const double age = static_cast<double>((aNow - entry.second.mSent).count());
     if (age > kStallFactor * static_cast<double>(entry.second.mUsual.count())) {
       return true;
     }
@@ -228,7 +227,8 @@
       static_cast<double>(mLoad.mRunning) + mLoad.mWaiting;
     ahead = std::max(ahead, weight * reported);
   }
-  const double queue = 1 + 0.5 * ahead / slots + std::max(0.0, ahead + 1 - slots) / slots;
+  const double queue =
+    1 + 0.5 * ahead / slots + std::max(0.0, ahead + 1 - slots) / slots;
   const double failing = 1 + kFailurePenalty * FailureShare(aNow);
   const double expected = static_cast<double>(aTypical.count()) *
                           Faded(mSlowness, 1, aNow) * queue * failing;
--- a/Libraries/LibForward/TargetRecord.h
+++ b/Libraries/LibForward/TargetRecord.h
@@ -41,8 +41,7 @@
   void BeginTrial(Instant aNow);
 
   /// Expected time to an answer, for choosing between targets.
-  [[nodiscard]] Duration ExpectedLatency(Duration aTypical,
-                                         Instant aNow) const;
+  [[nodiscard]] Duration ExpectedLatency(Duration aTypical, Instant aNow) const;
   /// Estimated share of attempts that fail, 0 to 1.
   [[nodiscard]] double FailureShare(Instant aNow) const;
 
--- a/Libraries/LibForward/TargetTable.cpp
+++ b/Libraries/LibForward/TargetTable.cpp
@@ -62,13 +62,13 @@
 TargetTable::Index(TargetRecord* aRecord)
 {
   std::vector<TargetRecord*>& targets = mServices[aRecord->Listed().mService];
-  const auto place = std::lower_bound(
-    targets.begin(),
-    targets.end(),
-    aRecord,
-    [](const TargetRecord* aOne, const TargetRecord* aOther) {
-      return aOne->Listed().mName < aOther->Listed().mName;
-    });
+  const auto place =
+    std::lower_bound(targets.begin(),
+                     targets.end(),
+                     aRecord,
+                     [](const TargetRecord* aOne, const TargetRecord* aOther) {
+                       return aOne->Listed().mName < aOther->Listed().mName;
+                     });
   targets.insert(place, aRecord);
 }
 
--- a/Libraries/LibGossip/GossipTable.cpp
+++ b/Libraries/LibGossip/GossipTable.cpp
@@ -62,8 +62,9 @@
   // the fanout.
   const double nodes = static_cast<double>(mPeers.size() + 1);
   const double hops =
-    std::max(1.0, std::ceil(std::log(nodes) /
-                            std::log(static_cast<double>(mSettings.mFanout))));
+    std::max(1.0,
+             std::ceil(std::log(nodes) /
+                       std::log(static_cast<double>(mSettings.mFanout))));
   return kDirectSilence + static_cast<int>(hops - 1) * mSettings.mPeriod;
 }
 
@@ -179,9 +180,8 @@
       continue;
     }
     const NodeNews& known = found->second.mNews;
-    const bool newer =
-      std::pair(news.mIdentity.mIncarnation, news.mCount) >
-      std::pair(known.mIdentity.mIncarnation, known.mCount);
+    const bool newer = std::pair(news.mIdentity.mIncarnation, news.mCount) >
+                       std::pair(known.mIdentity.mIncarnation, known.mCount);
     if (newer) {
       found->second = Peer{ news, aNow };
     }
--- a/Libraries/LibHttp/HttpClientStream.cpp
+++ b/Libraries/LibHttp/HttpClientStream.cpp
@@ -158,8 +158,7 @@
   if (mExchange.mIdentity.mField.empty()) {
     return false;
   }
-  const std::string* echoed =
-    mReader.Fields().Find(mExchange.mIdentity.mField);
+  const std::string* echoed = mReader.Fields().Find(mExchange.mIdentity.mField);
   return echoed != nullptr && *echoed != mExchange.mIdentity.mValue;
 }
 
--- a/Libraries/LibHttp/HttpFields.cpp
+++ b/Libraries/LibHttp/HttpFields.cpp
@@ -9,9 +9,15 @@
 namespace {
 
 constexpr std::string_view kHopByHop[] = {
-  "Connection",          "Keep-Alive",       "Proxy-Authenticate",
-  "Proxy-Authorization", "Proxy-Connection", "TE",
-  "Trailer",             "Transfer-Encoding", "Upgrade",
+  "Connection",
+  "Keep-Alive",
+  "Proxy-Authenticate",
+  "Proxy-Authorization",
+  "Proxy-Connection",
+  "TE",
+  "Trailer",
+  "Transfer-Encoding",
+  "Upgrade",
   "Content-Length",
 };
 
@@ -44,10 +50,10 @@
 SameFieldName(std::string_view aOne, std::string_view aOther)
 {
   return aOne.size() == aOther.size() &&
-         std::equal(
-           aOne.begin(), aOne.end(), aOther.begin(), [](char a, char b) {
-             return Lower(a) == Lower(b);
-           });
+         std::equal(aOne.begin(),
+                    aOne.end(),
+                    aOther.begin(),
+                    [](char a, char b) { return Lower(a) == Lower(b); });
 }
 
 void
--- a/Libraries/LibHttp/HttpListener.cpp
+++ b/Libraries/LibHttp/HttpListener.cpp
@@ -66,11 +66,9 @@
 {
   std::unique_ptr<HttpServerConnection> connection =
     std::make_unique<HttpServerConnection>(
-      mLoop,
-      aSocket,
-      mLimits,
-      mHandler,
-      [this](HttpServerConnection* aEnded) { mConnections.erase(aEnded); });
+      mLoop, aSocket, mLimits, mHandler, [this](HttpServerConnection* aEnded) {
+        mConnections.erase(aEnded);
+      });
   HttpServerConnection* key = connection.get();
   mConnections.emplace(key, std::move(connection));
 }
--- a/Libraries/LibHttp/HttpText.cpp
+++ b/Libraries/LibHttp/HttpText.cpp
@@ -38,8 +38,8 @@
   if (aCharacter >= '0' && aCharacter <= '9') {
     return aCharacter - '0';
   }
-  const char lower = static_cast<char>(
-    std::tolower(static_cast<unsigned char>(aCharacter)));
+  const char lower =
+    static_cast<char>(std::tolower(static_cast<unsigned char>(aCharacter)));
   return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
 }
 
@@ -52,8 +52,8 @@
                         HexValue(aText[i + 1]) >= 0 &&
                         HexValue(aText[i + 2]) >= 0;
     if (escape) {
-      text += static_cast<char>(HexValue(aText[i + 1]) * 16 +
-                                HexValue(aText[i + 2]));
+      text +=
+        static_cast<char>(HexValue(aText[i + 1]) * 16 + HexValue(aText[i + 2]));
       i += 2;
     } else {
       text += aText[i] == '+' ? ' ' : aText[i];
--- a/Libraries/LibHttp/MessageReader.cpp
+++ b/Libraries/LibHttp/MessageReader.cpp
@@ -49,8 +49,8 @@
     mKeepsAlive = false;
   }
   if (problem != HPE_OK && problem != HPE_PAUSED) {
-    const bool limit = mState == State::HeadersTooLarge ||
-                       mState == State::BodyTooLarge;
+    const bool limit =
+      mState == State::HeadersTooLarge || mState == State::BodyTooLarge;
     if (problem == HPE_HEADER_OVERFLOW) {
       mState = State::HeadersTooLarge;
     } else if (!limit) {
--- a/Libraries/LibRouting/Route.cpp
+++ b/Libraries/LibRouting/Route.cpp
@@ -17,7 +17,8 @@
 {
   const double least =
     std::ceil(mLeastCoverage * static_cast<double>(mShards.size()) - kRounding);
-  return std::max<std::size_t>(1, static_cast<std::size_t>(std::max(least, 0.0)));
+  return std::max<std::size_t>(1,
+                               static_cast<std::size_t>(std::max(least, 0.0)));
 }
 
 } // namespace verbenachute
--- a/Libraries/LibRouting/ServingPlan.cpp
+++ b/Libraries/LibRouting/ServingPlan.cpp
@@ -46,7 +46,8 @@
     if (slash == std::string_view::npos) {
       return nullptr;
     }
-    const auto found = host->second.find(std::string(path.substr(0, slash + 1)));
+    const auto found =
+      host->second.find(std::string(path.substr(0, slash + 1)));
     if (found != host->second.end()) {
       return &mContent.mRoutes[found->second];
     }
--- a/Libraries/LibStore/StoreFollower.cpp
+++ b/Libraries/LibStore/StoreFollower.cpp
@@ -41,8 +41,8 @@
   mLoaded.insert(mLoaded.end(), aPage.mItems.begin(), aPage.mItems.end());
   // Pages are no snapshot: what changed after the earliest of them is learnt
   // again from the watch.
-  mLoadedAt = mLoadedAt.has_value() ? std::min(*mLoadedAt, aPage.mAt)
-                                    : aPage.mAt;
+  mLoadedAt =
+    mLoadedAt.has_value() ? std::min(*mLoadedAt, aPage.mAt) : aPage.mAt;
   if (aPage.mMore && !aPage.mItems.empty()) {
     mAfter = aPage.mItems.back().mKey;
     return {};
--- a/Libraries/LibStore/StoreMirror.cpp
+++ b/Libraries/LibStore/StoreMirror.cpp
@@ -13,8 +13,7 @@
     return;
   }
   mItems[aItem.mKey] = aItem;
-  aChanges->push_back(
-    StoreChange{ aItem.mKey, aItem.mValue, aItem.mRevision });
+  aChanges->push_back(StoreChange{ aItem.mKey, aItem.mValue, aItem.mRevision });
 }
 
 StoreMirror::Changes
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -204,23 +204,20 @@
   , mSettingsWatch(*mLoop,
                    aCommandLine.mSettingsFile,
                    [this]() { OnSettingsChanged(); })
-  , mEngineTimer(*mLoop,
-                 [this]() { Perform(mEngine.OnTime(mLoop->Now())); })
+  , mEngineTimer(*mLoop, [this]() { Perform(mEngine.OnTime(mLoop->Now())); })
   , mGossipTimer(*mLoop, [this]() { OnGossipTick(); })
   , mDepartureTimer(*mLoop, [this]() { OnDepartureTick(); })
-  , mIdleTimer(*mLoop,
-               [this]() {
-                 mPool.CloseIdle();
-                 mKnowledge.OnTime(mLoop->Now());
-                 mLogger.ReportSuppressed();
-                 mIdleTimer.Start(kIdleCheckPause);
-               })
+  , mIdleTimer(*mLoop, [this]() {
+    mPool.CloseIdle();
+    mKnowledge.OnTime(mLoop->Now());
+    mLogger.ReportSuppressed();
+    mIdleTimer.Start(kIdleCheckPause);
+  })
 {
   mEngine.SetNodes({ mSelf.mName }, mSelf.mName);
   for (const SocketAddress& seed : aSettings.Seeds()) {
     // Seeds name another port of the same nodes; ports are alike on all.
-    mGossip.AddSeed(
-      SocketAddress{ seed.mHost, aSettings.PeerAddress().mPort });
+    mGossip.AddSeed(SocketAddress{ seed.mHost, aSettings.PeerAddress().mPort });
   }
   mGossipPort->SetReceiver(
     [this](const GossipMessage& aMessage) { OnGossip(aMessage); });
@@ -287,9 +284,8 @@
 AfterResponse
 EntryNode::Parts::AfterThis() const
 {
-  return mDeparture.Phase() == DeparturePhase::Serving
-           ? AfterResponse::KeepOpen
-           : AfterResponse::Close;
+  return mDeparture.Phase() == DeparturePhase::Serving ? AfterResponse::KeepOpen
+                                                       : AfterResponse::Close;
 }
 
 void
@@ -356,10 +352,10 @@
   }
   HttpFields fields;
   fields.Add("Content-Type", "application/json");
-  aCall->Respond(kOk,
-                 fields,
-                 platform::EncodeCopy(follower.Mirror().Items(),
-                                      follower.Mirror().At()));
+  aCall->Respond(
+    kOk,
+    fields,
+    platform::EncodeCopy(follower.Mirror().Items(), follower.Mirror().At()));
 }
 
 void
@@ -510,30 +506,28 @@
   const ForwardSummary& summary = aAction.mSummary;
   std::optional<EventNumber> number;
   std::string reason;
-  std::visit(
-    Overloaded{
-      [&](const RelayedOutcome&) {
-        if (summary.mElapsed > summary.mObjective) {
-          number = EventNumber::RequestLate;
-        }
-      },
-      [&](const GatheredOutcome& aGathered) {
-        if (summary.mElapsed > summary.mObjective) {
-          number = EventNumber::RequestLate;
-        } else if (aGathered.mMissing > 0) {
-          number = EventNumber::QueryPartial;
-        }
-      },
-      [&](const RefusedOutcome& aRefused) {
-        number = EventNumber::QueryRefused;
-        reason = RefusalReasonName(aRefused.mReason);
-      },
-      [&](const FailedOutcome& aFailed) {
-        number = EventNumber::RequestFailed;
-        reason = FailureReasonName(aFailed.mReason);
-      },
-      [](const NoRouteOutcome&) {} },
-    aAction.mOutcome);
+  std::visit(Overloaded{ [&](const RelayedOutcome&) {
+                          if (summary.mElapsed > summary.mObjective) {
+                            number = EventNumber::RequestLate;
+                          }
+                        },
+                         [&](const GatheredOutcome& aGathered) {
+                           if (summary.mElapsed > summary.mObjective) {
+                             number = EventNumber::RequestLate;
+                           } else if (aGathered.mMissing > 0) {
+                             number = EventNumber::QueryPartial;
+                           }
+                         },
+                         [&](const RefusedOutcome& aRefused) {
+                           number = EventNumber::QueryRefused;
+                           reason = RefusalReasonName(aRefused.mReason);
+                         },
+                         [&](const FailedOutcome& aFailed) {
+                           number = EventNumber::RequestFailed;
+                           reason = FailureReasonName(aFailed.mReason);
+                         },
+                         [](const NoRouteOutcome&) {} },
+             aAction.mOutcome);
   if (!number.has_value()) {
     return;
   }
--- a/Services/verbenachuted/Flags.cpp
+++ b/Services/verbenachuted/Flags.cpp
@@ -94,8 +94,8 @@
                   "",
                   std::string("'") + rest[1] + "' is no flag" };
   }
-  Result<RawSettings> settings = ReadEnvironmentSettings(
-    aEnvironment, platform::kSettingsPathVariable);
+  Result<RawSettings> settings =
+    ReadEnvironmentSettings(aEnvironment, platform::kSettingsPathVariable);
   if (IsError(settings)) {
     return ErrorOf(settings);
   }
--- a/Services/verbenachuted/GossipPort.cpp
+++ b/Services/verbenachuted/GossipPort.cpp
@@ -25,13 +25,11 @@
 GossipPort::Create(EventLoop& aLoop, const SocketAddress& aAddress)
 {
   std::unique_ptr<GossipPort> port(new GossipPort());
-  port->mSocket =
-    socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  port->mSocket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const sockaddr_in address = SocketAddressOf(aAddress);
-  if (port->mSocket < 0 ||
-      bind(port->mSocket,
-           reinterpret_cast<const sockaddr*>(&address),
-           sizeof(address)) != 0) {
+  if (port->mSocket < 0 || bind(port->mSocket,
+                                reinterpret_cast<const sockaddr*>(&address),
+                                sizeof(address)) != 0) {
     return Error{ Step::Settings,
                   ErrorCode::Unavailable,
                   SocketAddressText(aAddress),
--- a/Services/verbenachuted/SettingsWatch.cpp
+++ b/Services/verbenachuted/SettingsWatch.cpp
@@ -29,7 +29,8 @@
 SettingsWatch::Stamp
 SettingsWatch::Look() const
 {
-  struct stat status{};
+  struct stat status
+  {};
   if (stat(mPath.c_str(), &status) != 0) {
     return Stamp();
   }
--- a/Services/verbenachuted/StoreLink.cpp
+++ b/Services/verbenachuted/StoreLink.cpp
@@ -98,15 +98,14 @@
   HttpClientStream::Exchange exchange;
   exchange.mRequest = std::move(aRequest);
   exchange.mTimeout = aTimeout;
-  (*aStream)->Send(std::move(exchange),
-                   [this, done = std::move(aDone)](StreamOutcome aOutcome) {
-                     // From the loop, since the next call may replace the
-                     // stream that calls this.
-                     mDependencies.mLoop.Defer(
-                       [done, outcome = std::move(aOutcome)]() {
-                         done(outcome);
-                       });
-                   });
+  (*aStream)->Send(
+    std::move(exchange),
+    [this, done = std::move(aDone)](StreamOutcome aOutcome) {
+      // From the loop, since the next call may replace the
+      // stream that calls this.
+      mDependencies.mLoop.Defer(
+        [done, outcome = std::move(aOutcome)]() { done(outcome); });
+    });
 }
 
 void
@@ -245,8 +244,7 @@
   }
   Call(&mWriteStream,
        mStore,
-       platform::WriteKeyCall(
-         mHost, mOwnKey, mOwnValue, std::nullopt, mLease),
+       platform::WriteKeyCall(mHost, mOwnKey, mOwnValue, std::nullopt, mLease),
        kCallTimeout,
        [this](const StreamOutcome& aOutcome) {
          const platform::StoreResult<StoreRevision> written =
--- a/Services/verbenachuted/TargetPool.cpp
+++ b/Services/verbenachuted/TargetPool.cpp
@@ -48,13 +48,12 @@
     if (connection->mAttempt.has_value()) {
       continue;
     }
-    if (connection->mStream->IsBroken() ||
-        !IsFit(*connection->mStream, now)) {
+    if (connection->mStream->IsBroken() || !IsFit(*connection->mStream, now)) {
       Drop(aAction.mAddress, connection);
       continue;
     }
-    const bool fresh = idempotent || now - connection->mStream->IdleSince() <
-                                       kFreshEnough;
+    const bool fresh =
+      idempotent || now - connection->mStream->IdleSince() < kFreshEnough;
     if (fresh && (!best || connection->mStream->IdleSince() >
                              best->mStream->IdleSince())) {
       best = connection;
@@ -88,9 +87,8 @@
   const std::shared_ptr<Connection> connection = TakeConnection(aAction);
   const AttemptId attempt = aAction.mAttempt;
   if (!connection) {
-    mLoop.Defer([this, attempt]() {
-      mAttemptFailed(attempt, AttemptFailure::NotSent);
-    });
+    mLoop.Defer(
+      [this, attempt]() { mAttemptFailed(attempt, AttemptFailure::NotSent); });
     return;
   }
   connection->mAttempt = attempt;
@@ -121,9 +119,9 @@
     mAttemptFailed(aAttempt, platform::ReadTargetFailure(*failure));
     return;
   }
-  mReplyArrived(aAttempt,
-                platform::ReadTargetResponse(
-                  std::move(std::get<HttpResponse>(aOutcome))));
+  mReplyArrived(
+    aAttempt,
+    platform::ReadTargetResponse(std::move(std::get<HttpResponse>(aOutcome))));
 }
 
 void
