--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -66,6 +66,9 @@
   if (std::find(mNodes.begin(), mNodes.end(), aSelf) == mNodes.end()) {
     mNodes.push_back(aSelf);
   }
+  std::sort(mNodes.begin(), mNodes.end());
+  mPlace = static_cast<std::size_t>(
+    std::lower_bound(mNodes.begin(), mNodes.end(), aSelf) - mNodes.begin());
 }
 
 ForwardActions
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -171,6 +171,11 @@
                                 const ServiceTerms* aTerms,
                                 Instant aNow);
   [[nodiscard]] std::uint32_t ConnectionShare(const ServiceTerms* aTerms) const;
+  /// Whether this node may connect to the target at that place of its service.
+  [[nodiscard]] bool MayConnect(const ServiceName& aService,
+                                std::size_t aPlace,
+                                std::size_t aTargets,
+                                const ServiceTerms* aTerms) const;
   void ServeWaiting(const ServiceName& aService, Instant aNow);
 
   // Outcomes.
@@ -193,7 +198,10 @@
   ForwardSettings mSettings;
   ServingPlanPointer mPlan;
   Admittance mAdmittance;
+  /// Sorted by name, this node included.
   std::vector<NodeName> mNodes;
+  /// Place of this node among them.
+  std::size_t mPlace = 0;
   NodeName mSelf;
   TargetTable mTargets;
   Requests mRequests;
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -43,6 +43,29 @@
   return std::max(1U, static_cast<std::uint32_t>(share));
 }
 
+bool
+ForwardEngine::MayConnect(const ServiceName& aService,
+                          std::size_t aPlace,
+                          std::size_t aTargets,
+                          const ServiceTerms* aTerms) const
+{
+  if (aTerms == nullptr) {
+    return true;
+  }
+  const double share = kConnectionsUsed * aTerms->mMaximumConnections /
+                       static_cast<double>(mNodes.size());
+  if (share >= 1) {
+    return true;
+  }
+  // There are more nodes than connections: each node uses only some of the
+  // targets, one after the other in a circle from a place of its own, so that
+  // all targets get the same number of nodes.
+  const std::size_t used = std::max<std::size_t>(
+    1, static_cast<std::size_t>(share * static_cast<double>(aTargets)));
+  const std::size_t start = (mPlace + StableHash(aService.value())) % aTargets;
+  return (aPlace + aTargets - start) % aTargets < used;
+}
+
 bool
 ForwardEngine::ColdAllows(TargetRecord* aTarget,
                           const ServiceTerms* aTerms,
@@ -86,12 +109,15 @@
   std::uniform_real_distribution<double> noise(1, 1 + kChoiceNoise);
   Choice choice;
   double best = 0;
-  for (TargetRecord* target : mTargets.Of(aPart.mService)) {
+  const std::vector<TargetRecord*>& targets = mTargets.Of(aPart.mService);
+  for (std::size_t place = 0; place < targets.size(); ++place) {
+    TargetRecord* target = targets[place];
     const TargetName& name = target->Listed().mName;
     const bool tried =
       std::find(aPart.mTried.begin(), aPart.mTried.end(), name) !=
       aPart.mTried.end();
-    if (tried || !IsOpen(*target) || target->IsDown(aNow)) {
+    if (tried || !IsOpen(*target) || target->IsDown(aNow) ||
+        !MayConnect(aPart.mService, place, targets.size(), terms)) {
       continue;
     }
     if (target->InFlight() >= share) {
--- a/Libraries/LibGossip/GossipTable.cpp
+++ b/Libraries/LibGossip/GossipTable.cpp
@@ -16,6 +16,8 @@
 constexpr int kRoundsPerHop = 3;
 // A silent node is forgotten after this time.
 constexpr Duration kForget = seconds(120);
+// How long a change of a node is told to everybody.
+constexpr Duration kPressing = milliseconds(1200);
 // Rounds in which a strike is sent.
 constexpr unsigned kStrikeRounds = 6;
 constexpr std::size_t kMostStrikes = 64;
@@ -106,8 +108,14 @@
   return living;
 }
 
+bool
+GossipTable::IsPressing(const Peer& aPeer, Instant aNow)
+{
+  return aNow - aPeer.mChanged < kPressing;
+}
+
 GossipMessage
-GossipTable::Message()
+GossipTable::Message(Instant aNow)
 {
   GossipMessage message;
   message.mNews.push_back(mSelf);
@@ -117,7 +125,19 @@
     peers.push_back(&entry.second);
   }
   std::shuffle(peers.begin(), peers.end(), mRandom);
-  peers.resize(std::min(peers.size(), mSettings.mEntries));
+  // Where each node hears all others itself, it needs to be told only of
+  // those that have just come, gone or changed; one more lets a node that
+  // started late find the rest.
+  const bool direct = peers.size() <= mSettings.mFanout;
+  std::stable_partition(peers.begin(), peers.end(), [&](const Peer* aPeer) {
+    return IsPressing(*aPeer, aNow);
+  });
+  const std::size_t pressing = static_cast<std::size_t>(
+    std::count_if(peers.begin(), peers.end(), [&](const Peer* aPeer) {
+      return IsPressing(*aPeer, aNow);
+    }));
+  const std::size_t wanted = direct ? pressing + 1 : mSettings.mEntries;
+  peers.resize(std::min({ peers.size(), wanted, mSettings.mEntries }));
   for (const Peer* peer : peers) {
     message.mNews.push_back(peer->mNews);
   }
@@ -137,7 +157,7 @@
   });
   std::vector<Datagram> datagrams;
   for (const SocketAddress& receiver : Receivers(aNow)) {
-    datagrams.push_back(Datagram{ receiver, Message() });
+    datagrams.push_back(Datagram{ receiver, Message(aNow) });
   }
   for (auto strike = mStrikes.begin(); strike != mStrikes.end();) {
     strike = --strike->second == 0 ? mStrikes.erase(strike) : std::next(strike);
@@ -153,7 +173,7 @@
   for (const auto& entry : mPeers) {
     if (IsHeard(entry.second, aNow)) {
       datagrams.push_back(
-        Datagram{ entry.second.mNews.mPeerAddress, Message() });
+        Datagram{ entry.second.mNews.mPeerAddress, Message(aNow) });
     }
   }
   return datagrams;
@@ -180,14 +200,17 @@
     }
     const auto found = mPeers.find(name);
     if (found == mPeers.end()) {
-      mPeers.emplace(name, Peer{ news, aNow });
+      mPeers.emplace(name, Peer{ news, aNow, aNow });
       continue;
     }
     const NodeNews& known = found->second.mNews;
     const bool newer = std::pair(news.mIdentity.mIncarnation, news.mCount) >
                        std::pair(known.mIdentity.mIncarnation, known.mCount);
     if (newer) {
-      found->second = Peer{ news, aNow };
+      const bool changed =
+        news.mIdentity != known.mIdentity || news.mService != known.mService;
+      found->second =
+        Peer{ news, aNow, changed ? aNow : found->second.mChanged };
     }
   }
   std::vector<PoisonStrike> fresh;
--- a/Libraries/LibGossip/GossipTable.h
+++ b/Libraries/LibGossip/GossipTable.h
@@ -66,10 +66,13 @@
   {
     NodeNews mNews;
     Instant mHeard;
+    /// When its life or its service changed last.
+    Instant mChanged;
   };
 
   void Outlive(Incarnation aHeard);
-  [[nodiscard]] GossipMessage Message();
+  [[nodiscard]] GossipMessage Message(Instant aNow);
+  [[nodiscard]] static bool IsPressing(const Peer& aPeer, Instant aNow);
   [[nodiscard]] std::vector<SocketAddress> Receivers(Instant aNow);
   [[nodiscard]] Duration SilenceLimit() const;
   [[nodiscard]] bool IsHeard(const Peer& aPeer, Instant aNow) const;
--- a/Tests/LibForward/TestForwardEngine.cpp
+++ b/Tests/LibForward/TestForwardEngine.cpp
@@ -3,6 +3,7 @@
 #include <LibForward/RecordMerger.h>
 
 #include <doctest/doctest.h>
+#include <map>
 #include <set>
 
 namespace verbenachute {
@@ -346,6 +347,48 @@
         RefusalReason::Poisonous);
 }
 
+TEST_CASE("More nodes than connections: no target is over its cap, every "
+          "node reaches every shard")
+{
+  // The pattern of the grown deployments: 83 nodes, 3 targets a shard with 64
+  // connections each.
+  constexpr std::size_t kNodes = 83;
+  constexpr std::size_t kCap = 64;
+  std::vector<NodeName> names;
+  for (std::size_t i = 0; i < kNodes; ++i) {
+    names.emplace_back("n" + std::to_string(i));
+  }
+  std::map<TargetName, std::size_t> connections;
+  for (const NodeName& name : names) {
+    ForwardRig rig;
+    rig.mContent.mVersion = PlanVersion(2);
+    for (ServiceTerms& terms : rig.mContent.mServices) {
+      terms.mMaximumConnections = kCap;
+    }
+    rig.mEngine.SetPlan(std::make_shared<const ServingPlan>(rig.mContent));
+    rig.mEngine.SetNodes(names, name);
+    for (const char* target : { "single-0", "single-1", "single-2" }) {
+      rig.ListTarget(target, "single");
+    }
+    std::set<TargetName> used;
+    for (int i = 0; i < 40; ++i) {
+      rig.Submit("/single/1");
+    }
+    for (const SendAction& send : rig.mSent) {
+      CHECK(send.mConnections == 1);
+      used.insert(send.mTarget);
+    }
+    CHECK(used.size() == 2);
+    for (const TargetName& target : used) {
+      ++connections[target];
+    }
+  }
+  CHECK(connections.size() == 3);
+  for (const auto& entry : connections) {
+    CHECK(entry.second <= kCap);
+  }
+}
+
 TEST_CASE("A cold target gets no more than it bears, over all nodes")
 {
   // The pattern of a failure domain that comes back: all of its targets are
--- a/Tests/LibGossip/TestGossipTable.cpp
+++ b/Tests/LibGossip/TestGossipTable.cpp
@@ -48,7 +48,7 @@
   void Pass(Duration aTime)
   {
     for (const Instant end = mNow + aTime; mNow < end;
-         mNow += milliseconds(250)) {
+         mNow += GossipTable::Settings().mPeriod) {
       std::vector<GossipTable::Datagram> sent;
       for (auto& table : mTables) {
         if (!mDown.contains(table.first)) {
@@ -148,6 +148,16 @@
   CHECK(fleet.At(2).Self().mIdentity.mIncarnation > Incarnation(100));
 }
 
+TEST_CASE("Where all nodes hear each other, a heartbeat stays small")
+{
+  // The pattern of a calm day: bytes between failure domains are priced.
+  Fleet fleet(9);
+  fleet.Pass(seconds(5));
+  fleet.mLargest = 0;
+  fleet.Pass(seconds(5));
+  CHECK(fleet.mLargest < 250);
+}
+
 TEST_CASE("Strikes reach all nodes once")
 {
   Fleet fleet(8);
