--- a/Libraries/LibForward/ForwardAction.cpp
+++ b/Libraries/LibForward/ForwardAction.cpp
@@ -4,6 +4,12 @@
 
 namespace verbenachute {
 
+void
+ForwardSummary::AddMissing(const ServiceName& aService)
+{
+  mMissing += (mMissing.empty() ? "" : " ") + aService.value();
+}
+
 const char*
 RefusalReasonName(RefusalReason aReason)
 {
--- a/Libraries/LibForward/ForwardAction.h
+++ b/Libraries/LibForward/ForwardAction.h
@@ -99,6 +99,8 @@
   std::uint32_t mUnpaid = 0;
   /// Services of the parts that are missing, separated by spaces.
   std::string mMissing;
+
+  void AddMissing(const ServiceName& aService);
 };
 
 /// Send a request to a target.
--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -17,6 +17,8 @@
 // An attempt that lost the race to another may end by itself for this long;
 // its connection stays in use then. After that the target is spared the work.
 constexpr Duration kLeftOverTime = milliseconds(300);
+// Each step of priority leaves one of these parts of the room to those above.
+constexpr std::size_t kRoomSteps = 8;
 // When a refused caller may come back.
 constexpr Duration kRetryAfterNoPlan = milliseconds(500);
 constexpr Duration kRetryAfterNoTarget = milliseconds(250);
@@ -134,7 +136,8 @@
                   request.mRequest->mTarget + '\n' + request.mRequest->mBody);
   SetTimes(&request, aNow);
   MakeParts(&request, aNow);
-  const std::optional<RefusedOutcome> problem = AdmissionProblem(request, aNow);
+  const std::optional<RefusedOutcome> problem =
+    AdmissionProblem(&request, aNow);
   if (problem.has_value()) {
     AnswerAtOnce(aNumber, *problem, request.mSummary);
     return TakeActions();
@@ -197,43 +200,47 @@
   }
 }
 
-std::size_t
-ForwardEngine::ServiceableParts(const Request& aRequest, Instant aNow) const
+bool
+ForwardEngine::IsServiceable(const ServiceName& aService, Instant aNow) const
 {
-  return static_cast<std::size_t>(std::count_if(
-    aRequest.mParts.begin(), aRequest.mParts.end(), [&](const Part& aPart) {
-      const std::vector<TargetRecord*>& targets = mTargets.Of(aPart.mService);
-      return std::any_of(
-        targets.begin(), targets.end(), [&](const TargetRecord* aTarget) {
-          return IsOpen(*aTarget) && !aTarget->IsDown(aNow);
-        });
-    }));
+  const std::vector<TargetRecord*>& targets = mTargets.Of(aService);
+  return std::any_of(
+    targets.begin(), targets.end(), [&](const TargetRecord* aTarget) {
+      return IsOpen(*aTarget) && !aTarget->IsDown(aNow);
+    });
 }
 
 std::optional<RefusedOutcome>
-ForwardEngine::AdmissionProblem(const Request& aRequest, Instant aNow)
+ForwardEngine::AdmissionProblem(Request* aRequest, Instant aNow)
 {
-  if (!LeavesTime(aRequest, aNow)) {
+  if (!LeavesTime(*aRequest, aNow)) {
     return RefusedOutcome{ RefusalReason::TooLate, Duration(0) };
   }
-  if (mPoison.IsPoisonous(aRequest.mFingerprint, aNow)) {
+  if (mPoison.IsPoisonous(aRequest->mFingerprint, aNow)) {
     return RefusedOutcome{ RefusalReason::Poisonous, kRetryAfterPoison };
   }
   // Less urgent requests leave room for the more urgent ones.
   const std::size_t room =
-    aRequest.mRoute->mPriority == 0
-      ? mSettings.mMaximumRunning
-      : mSettings.mMaximumRunning -
-          mSettings.mMaximumRunning / 8 *
-            std::min<std::size_t>(aRequest.mRoute->mPriority, 4);
+    mSettings.mMaximumRunning -
+    mSettings.mMaximumRunning / kRoomSteps *
+      std::min<std::size_t>(aRequest->mRoute->mPriority, kRoomSteps / 2);
   if (mRequests.size() >= room) {
     return RefusedOutcome{ RefusalReason::Overloaded, kRetryAfterOverload };
   }
+  std::size_t serviceable = 0;
+  for (const Part& part : aRequest->mParts) {
+    if (IsServiceable(part.mService, aNow)) {
+      ++serviceable;
+    } else {
+      aRequest->mSummary.AddMissing(part.mService);
+    }
+  }
   const std::size_t least =
-    aRequest.mShards != nullptr ? aRequest.mShards->LeastParts() : 1;
-  if (ServiceableParts(aRequest, aNow) < least) {
+    aRequest->mShards != nullptr ? aRequest->mShards->LeastParts() : 1;
+  if (serviceable < least) {
     return RefusedOutcome{ RefusalReason::NoTarget, kRetryAfterNoTarget };
   }
+  aRequest->mSummary.mMissing.clear();
   return std::nullopt;
 }
 
@@ -480,8 +487,7 @@
       Abandon(attempt, aNow);
     }
     if (part.mState != PartState::Done) {
-      request.mSummary.mMissing +=
-        (request.mSummary.mMissing.empty() ? "" : " ") + part.mService.value();
+      request.mSummary.AddMissing(part.mService);
     }
   }
   // A request that lost all its connections and got no answer at all may be
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -136,12 +136,12 @@
                     ForwardOutcome aOutcome,
                     ForwardSummary aSummary);
   [[nodiscard]] std::optional<RefusedOutcome> AdmissionProblem(
-    const Request& aRequest,
+    Request* aRequest,
     Instant aNow);
   void SetTimes(Request* aRequest, Instant aNow);
   void MakeParts(Request* aRequest, Instant aNow);
-  [[nodiscard]] std::size_t ServiceableParts(const Request& aRequest,
-                                             Instant aNow) const;
+  [[nodiscard]] bool IsServiceable(const ServiceName& aService,
+                                   Instant aNow) const;
 
   // Parts.
   void StartPart(RequestNumber aNumber,
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -15,6 +15,8 @@
 // Expected latencies that differ by less than this share are taken as equal,
 // so that nodes with the same knowledge do not all choose the same target.
 constexpr double kChoiceNoise = 0.12;
+// A suspect target comes after all others.
+constexpr double kSuspectFactor = 1000;
 // Of the connections that a target accepts, the part that is shared out; the
 // rest is for nodes that are just joining.
 constexpr double kConnectionsUsed = 0.95;
@@ -120,12 +122,16 @@
         !MayConnect(aPart.mService, place, targets.size(), terms)) {
       continue;
     }
-    if (target->InFlight() >= share) {
+    const bool suspect = target->IsSuspect(aNow);
+    if (target->InFlight() >= (suspect ? 1 : share)) {
       choice.mBusy = true;
       continue;
     }
     double cost =
       static_cast<double>(target->ExpectedLatency(typical, aNow).count());
+    if (suspect) {
+      cost *= kSuspectFactor;
+    }
     if (target->Listed().mDomain != mSettings.mDomain) {
       cost += static_cast<double>(mSettings.mDomainRoundTrip.count());
     }
--- a/Libraries/LibForward/TargetRecord.cpp
+++ b/Libraries/LibForward/TargetRecord.cpp
@@ -20,8 +20,8 @@
 // Wait before the next trial of a target that does not answer.
 constexpr Duration kFirstBackOff = milliseconds(250);
 constexpr Duration kLongestBackOff = milliseconds(1500);
-// Failures in a row after which a target counts as down.
-constexpr std::uint32_t kFailuresToDown = 3;
+// Failures in a row after which a target is suspected.
+constexpr std::uint32_t kFailuresToSuspect = 3;
 // An attempt counts as stalled when it has taken this much longer than usual.
 constexpr double kStallFactor = 1.2;
 // Extra wait to be expected of a stalled target: half of a pause of 120 ms,
@@ -49,6 +49,7 @@
   mLoad = ReportedLoad{ 0, 0, std::max(mListed.mSlots, 1U) };
   mLoadReported = aNow;
   mDownUntil = aNow;
+  mSuspectUntil = aNow;
   mColdUntil = aNow + mListed.mColdFor;
   mColdTokens = 1;
   mColdRefilled = aNow;
@@ -103,6 +104,7 @@
     return;
   }
   mDownUntil = aNow;
+  mSuspectUntil = aNow;
   mFailuresInRow = 0;
   if (aReply.mMeaning != ReplyMeaning::Answered) {
     NoteFailure(kSampleWeight, aNow);
@@ -130,14 +132,14 @@
   mLearnt = aNow;
 }
 
-void
-TargetRecord::BackOff(Instant aNow)
+Duration
+TargetRecord::BackOff() const
 {
   Duration wait = kFirstBackOff;
-  for (std::uint32_t i = kFailuresToDown; i < mFailuresInRow; ++i) {
+  for (std::uint32_t i = kFailuresToSuspect; i < mFailuresInRow; ++i) {
     wait = std::min(wait * 2, kLongestBackOff);
   }
-  mDownUntil = aNow + wait;
+  return wait;
 }
 
 void
@@ -148,9 +150,11 @@
   mInFlight.erase(aAttempt);
   ++mFailuresInRow;
   NoteFailure(kSampleWeight, aNow);
-  const bool unreachable = aFailure == AttemptFailure::NotSent;
-  if (unreachable || mFailuresInRow >= kFailuresToDown) {
-    BackOff(aNow);
+  if (aFailure == AttemptFailure::NotSent) {
+    mDownUntil = aNow + BackOff();
+  }
+  if (mFailuresInRow >= kFailuresToSuspect) {
+    mSuspectUntil = aNow + BackOff();
   }
 }
 
@@ -177,8 +181,8 @@
   mFailure = Faded(mFailure, 0, aNow);
   mSlowness = slowness + kSampleWeight * (std::max(ratio, slowness) - slowness);
   mLearnt = aNow;
-  if (mFailuresInRow >= kFailuresToDown) {
-    BackOff(aNow);
+  if (mFailuresInRow >= kFailuresToSuspect) {
+    mSuspectUntil = aNow + BackOff();
   }
 }
 
@@ -188,11 +192,17 @@
   return aNow < mDownUntil;
 }
 
+bool
+TargetRecord::IsSuspect(Instant aNow) const
+{
+  return aNow < mSuspectUntil;
+}
+
 void
 TargetRecord::BeginTrial(Instant aNow)
 {
-  if (mFailuresInRow >= kFailuresToDown) {
-    BackOff(aNow);
+  if (mFailuresInRow >= kFailuresToSuspect) {
+    mSuspectUntil = aNow + BackOff();
   }
 }
 
--- a/Libraries/LibForward/TargetRecord.h
+++ b/Libraries/LibForward/TargetRecord.h
@@ -30,9 +30,12 @@
   void OnAbandoned(AttemptId aAttempt, Duration aTypical, Instant aNow);
 
   [[nodiscard]] std::size_t InFlight() const { return mInFlight.size(); }
-  /// No attempt is to be sent now: it does not answer, or its address belongs
-  /// to another target.
+  /// No attempt is to be sent now: nothing listens there, or its address
+  /// belongs to another target.
   [[nodiscard]] bool IsDown(Instant aNow) const;
+  /// It has not answered its last attempts; it is asked only where no other
+  /// target is left, one attempt at a time.
+  [[nodiscard]] bool IsSuspect(Instant aNow) const;
   /// An attempt takes longer than usual and nothing has come back since.
   [[nodiscard]] bool IsStalled(Instant aNow) const;
   [[nodiscard]] bool IsCold(Instant aNow) const { return aNow < mColdUntil; }
@@ -58,7 +61,7 @@
 
   void Forget(Instant aNow);
   void NoteFailure(double aWeight, Instant aNow);
-  void BackOff(Instant aNow);
+  [[nodiscard]] Duration BackOff() const;
   [[nodiscard]] double Faded(double aValue, double aRest, Instant aNow) const;
 
   ListedTarget mListed;
@@ -71,6 +74,7 @@
   Instant mLoadReported;
   std::uint32_t mFailuresInRow = 0;
   Instant mDownUntil;
+  Instant mSuspectUntil;
   Instant mColdUntil;
   double mColdTokens = 1;
   Instant mColdRefilled;
--- a/Tests/LibForward/TestForwardEngine.cpp
+++ b/Tests/LibForward/TestForwardEngine.cpp
@@ -301,6 +301,24 @@
   CHECK(rig.AnswerOf(requests.back())->mSummary.mElapsed <= milliseconds(25));
 }
 
+TEST_CASE("The only target of a shard that was late is still asked")
+{
+  // The pattern of a zone that is cut off: the other zone's targets carry
+  // everything and answer late, but they do answer.
+  ForwardRig rig(1, 1.0);
+  rig.ListTarget("s0-0", "s0");
+  rig.mEngine.SetNodes(std::vector<NodeName>(8, NodeName("n")), NodeName("n"));
+  for (int i = 0; i < 5; ++i) {
+    const RequestNumber late = rig.Submit("/gather/1", milliseconds(150));
+    rig.Pass(milliseconds(600));
+    CHECK(rig.OutcomeOf<FailedOutcome>(late) != nullptr);
+  }
+  const RequestNumber query = rig.Submit("/gather/1");
+  REQUIRE(!rig.Open().empty());
+  rig.Answer(rig.Open().back().mAttempt);
+  CHECK(rig.OutcomeOf<GatheredOutcome>(query) != nullptr);
+}
+
 TEST_CASE("A query that crashes its targets is refused after a few")
 {
   ForwardRig rig(1, 1.0);
