--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -29,7 +29,7 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr Duration kDeparturePause = milliseconds(50);
-constexpr Duration kIdleCheckPause = seconds(1);
+constexpr Duration kIdleCheckPause = milliseconds(500);
 // Addresses in one answer of the directory.
 constexpr std::size_t kMostAddresses = 64;
 constexpr unsigned kLifeShift = 20;
--- a/Services/verbenachuted/TargetPool.cpp
+++ b/Services/verbenachuted/TargetPool.cpp
@@ -2,6 +2,8 @@
 
 #include <platform/RequestWire.h>
 
+#include <LibForward/ConnectionUpkeep.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -9,20 +11,14 @@
 
 namespace {
 
-// A connection is not used in the last part of the time for which the target
-// keeps it, so that the target does not close it under a request.
-constexpr Duration kKeepMargin = milliseconds(700);
 // A request that must not run twice takes a new connection rather than one
 // that may have been closed meanwhile.
 constexpr Duration kFreshEnough = milliseconds(1500);
-constexpr Duration kLongestIdle = seconds(30);
 
-bool
-IsFit(const HttpClientStream& aStream, Instant aNow)
+IdleConnection
+IdleStateOf(const HttpClientStream& aStream, Instant aNow)
 {
-  const Duration idle = aNow - aStream.IdleSince();
-  const Duration kept = std::min(aStream.KeptFor(), kLongestIdle);
-  return idle < kept - std::min(kKeepMargin, kept / 3);
+  return IdleConnection{ aNow - aStream.IdleSince(), aStream.KeptFor() };
 }
 
 } // namespace
@@ -48,7 +44,8 @@
     if (connection->mAttempt.has_value()) {
       continue;
     }
-    if (connection->mStream->IsBroken() || !IsFit(*connection->mStream, now)) {
+    if (connection->mStream->IsBroken() ||
+        !IsFitForUse(IdleStateOf(*connection->mStream, now))) {
       Drop(aAction.mAddress, connection);
       continue;
     }
@@ -161,17 +158,26 @@
 TargetPool::CloseIdle()
 {
   const Instant now = mLoop.Now();
-  std::vector<std::pair<SocketAddress, std::shared_ptr<Connection>>> unfit;
+  std::vector<std::pair<SocketAddress, std::shared_ptr<Connection>>> surplus;
   for (const auto& entry : mConnections) {
+    Connections idle;
+    std::vector<IdleConnection> states;
     for (const std::shared_ptr<Connection>& connection : entry.second) {
-      const bool idle = !connection->mAttempt.has_value();
-      if (idle && (connection->mStream->IsBroken() ||
-                   !IsFit(*connection->mStream, now))) {
-        unfit.emplace_back(entry.first, connection);
+      if (connection->mAttempt.has_value()) {
+        continue;
+      }
+      if (connection->mStream->IsBroken()) {
+        surplus.emplace_back(entry.first, connection);
+        continue;
       }
+      idle.push_back(connection);
+      states.push_back(IdleStateOf(*connection->mStream, now));
+    }
+    for (const std::size_t place : SurplusConnections(states)) {
+      surplus.emplace_back(entry.first, idle[place]);
     }
   }
-  for (const auto& entry : unfit) {
+  for (const auto& entry : surplus) {
     Drop(entry.first, entry.second);
   }
 }
--- a/Services/verbenachuted/TargetPool.h
+++ b/Services/verbenachuted/TargetPool.h
@@ -29,7 +29,7 @@
   void Send(const SendAction& aAction);
   /// Closes the connection on which the attempt runs.
   void Cancel(AttemptId aAttempt);
-  /// Closes connections that have been idle for long.
+  /// Closes idle connections that are not worth keeping.
   void CloseIdle();
 
   [[nodiscard]] std::size_t ConnectionCount() const;
