--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -61,11 +61,12 @@
 }
 
 void
-ForwardEngine::SetNodes(std::vector<NodeName> aNodes, const NodeName& aSelf)
+ForwardEngine::SetNodes(std::vector<NodeName> aSenders, const NodeName& aSelf)
 {
-  mNodes = std::move(aNodes);
+  mNodes = std::move(aSenders);
   mSelf = aSelf;
-  if (std::find(mNodes.begin(), mNodes.end(), aSelf) == mNodes.end()) {
+  mSender = std::find(mNodes.begin(), mNodes.end(), aSelf) != mNodes.end();
+  if (!mSender) {
     mNodes.push_back(aSelf);
   }
   std::sort(mNodes.begin(), mNodes.end());
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -34,8 +34,9 @@
   [[nodiscard]] const ServingPlanPointer& Plan() const { return mPlan; }
   void SetExtraLimits(const ExtraLimits& aLimits);
   void SetAdmittance(Admittance aAdmittance);
-  /// The nodes that may be sending at the same time, this one included.
-  void SetNodes(std::vector<NodeName> aNodes, const NodeName& aSelf);
+  /// The nodes that callers are sent to, now or lately, and this one. If this
+  /// one is not among them it gets no share of what they share out.
+  void SetNodes(std::vector<NodeName> aSenders, const NodeName& aSelf);
   [[nodiscard]] TargetTable& Targets() { return mTargets; }
   [[nodiscard]] const TargetTable& Targets() const { return mTargets; }
 
@@ -162,6 +163,10 @@
                  Request* aRequest,
                  std::size_t aPart,
                  Instant aNow);
+  /// Takes an extra attempt from the budget of the service.
+  [[nodiscard]] bool Pays(const ServiceName& aService,
+                          ExtraUse aUse,
+                          Instant aNow);
   [[nodiscard]] static bool LeavesTime(const Request& aRequest, Instant aNow);
   [[nodiscard]] Choice ChooseTarget(const Request& aRequest,
                                     const Part& aPart,
@@ -202,6 +207,8 @@
   std::vector<NodeName> mNodes;
   /// Place of this node among them.
   std::size_t mPlace = 0;
+  /// Whether callers are sent to this node.
+  bool mSender = true;
   NodeName mSelf;
   TargetTable mTargets;
   Requests mRequests;
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -37,7 +37,7 @@
 std::uint32_t
 ForwardEngine::ConnectionShare(const ServiceTerms* aTerms) const
 {
-  if (aTerms == nullptr) {
+  if (aTerms == nullptr || !mSender) {
     return 1;
   }
   const double share = kConnectionsUsed * aTerms->mMaximumConnections /
@@ -51,7 +51,7 @@
                           std::size_t aTargets,
                           const ServiceTerms* aTerms) const
 {
-  if (aTerms == nullptr) {
+  if (aTerms == nullptr || !mSender) {
     return true;
   }
   const double share = kConnectionsUsed * aTerms->mMaximumConnections /
@@ -94,6 +94,12 @@
   return before < senders && aTarget->TakeColdSend(rate, aNow);
 }
 
+bool
+ForwardEngine::Pays(const ServiceName& aService, ExtraUse aUse, Instant aNow)
+{
+  return mSender && StateOf(aService).mBudget->Take(aUse, mNodes.size(), aNow);
+}
+
 bool
 ForwardEngine::LeavesTime(const Request& aRequest, Instant aNow)
 {
@@ -229,8 +235,7 @@
   if (choice.mTarget == nullptr || choice.mTarget->IsStalled(aNow)) {
     return;
   }
-  if (!StateOf(part.mService)
-         .mBudget->Take(ExtraUse::Hedge, mNodes.size(), aNow)) {
+  if (!Pays(part.mService, ExtraUse::Hedge, aNow)) {
     ++aRequest->mSummary.mUnpaid;
     return;
   }
@@ -260,8 +265,7 @@
     part.mState = PartState::Failed;
     return;
   }
-  if (!StateOf(part.mService)
-         .mBudget->Take(ExtraUse::Retry, mNodes.size(), aNow)) {
+  if (!Pays(part.mService, ExtraUse::Retry, aNow)) {
     ++aRequest->mSummary.mUnpaid;
     part.mState = PartState::Failed;
     return;
--- a/Libraries/LibGossip/GossipCodec.cpp
+++ b/Libraries/LibGossip/GossipCodec.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t kNewsFields = 10;
+constexpr std::size_t kNewsFields = 13;
 constexpr std::size_t kStrikeFields = 2;
 // A datagram holds a few dozen entries at most.
 constexpr std::size_t kMostEntries = 256;
@@ -24,8 +24,11 @@
   aWriter->Number(aNews.mPeerAddress.mPort);
   aWriter->Id(aNews.mDomain);
   aWriter->Enumerator(aNews.mService);
+  aWriter->Enumerator(aNews.mReach);
   aWriter->Id(aNews.mStore);
   aWriter->Id(aNews.mPlan);
+  aWriter->Number(aNews.mPower);
+  aWriter->Number(aNews.mUsed);
 }
 
 NodeNews
@@ -41,8 +44,11 @@
   news.mPeerAddress.mPort = aReader.Number<std::uint16_t>();
   news.mDomain = aReader.Id<FailureDomain>();
   news.mService = aReader.Enumerator(NodeService::Leaving);
+  news.mReach = aReader.Enumerator(NodeReach::All);
   news.mStore = aReader.Id<StoreRevision>();
   news.mPlan = aReader.Id<PlanVersion>();
+  news.mPower = aReader.Number<std::uint32_t>();
+  news.mUsed = aReader.Number<std::uint32_t>();
   return news;
 }
 
--- a/Libraries/LibGossip/GossipTable.cpp
+++ b/Libraries/LibGossip/GossipTable.cpp
@@ -1,7 +1,6 @@
 #include <LibGossip/GossipTable.h>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace verbenachute {
@@ -11,11 +10,13 @@
 // Silence after which a node that is heard directly is not offered any more:
 // three rounds and what a busy processor may hold back.
 constexpr Duration kDirectSilence = milliseconds(1000);
-// Rounds until news has passed through one more node in most cases: a message
-// holds only some of the entries.
-constexpr int kRoundsPerHop = 3;
 // A silent node is forgotten after this time.
 constexpr Duration kForget = seconds(120);
+// Messages of a node that rests between them that may be lost in a row, and
+// one for its way over another node.
+constexpr int kRestsMissed = 3;
+// A silent node is still sent to for this time.
+constexpr Duration kSentOn = seconds(20);
 // How long a change of a node is told to everybody.
 constexpr Duration kPressing = milliseconds(1200);
 // Rounds in which a strike is sent.
@@ -60,52 +61,67 @@
   }
 }
 
+void
+GossipTable::SetReach(NodeReach aReach)
+{
+  mSelf.mReach = IsSmall() ? NodeReach::All : aReach;
+}
+
+bool
+GossipTable::IsSmall() const
+{
+  return mPeers.size() <= mSettings.mDirect;
+}
+
 Duration
-GossipTable::SilenceLimit() const
+GossipTable::SilenceLimit(const Peer& aPeer) const
 {
-  // News passes through one more node each time that the fleet is larger by
-  // the fanout.
-  const double nodes = static_cast<double>(mPeers.size() + 1);
-  const double hops =
-    std::max(1.0,
-             std::ceil(std::log(nodes) /
-                       std::log(static_cast<double>(mSettings.mFanout))));
-  return kDirectSilence +
-         static_cast<int>(hops - 1) * kRoundsPerHop * mSettings.mPeriod;
+  if (aPeer.mNews.mReach == NodeReach::All) {
+    return kDirectSilence;
+  }
+  return kDirectSilence + kRestsMissed * mSettings.mRest * mSettings.mPeriod;
 }
 
 bool
 GossipTable::IsHeard(const Peer& aPeer, Instant aNow) const
 {
-  return aNow - aPeer.mHeard <= SilenceLimit();
+  return aNow - aPeer.mHeard <= SilenceLimit(aPeer);
 }
 
 std::vector<SocketAddress>
 GossipTable::Receivers(Instant aNow)
 {
-  std::vector<SocketAddress> living;
+  std::vector<SocketAddress> carriers;
+  std::vector<SocketAddress> known;
   std::vector<SocketAddress> others(mSeeds.begin(), mSeeds.end());
   for (const auto& entry : mPeers) {
-    if (IsHeard(entry.second, aNow)) {
-      living.push_back(entry.second.mNews.mPeerAddress);
+    const NodeNews& news = entry.second.mNews;
+    if (IsHeard(entry.second, aNow) && news.mReach == NodeReach::All) {
+      carriers.push_back(news.mPeerAddress);
+    }
+    if (aNow - entry.second.mHeard < kSentOn) {
+      known.push_back(news.mPeerAddress);
     } else {
-      others.push_back(entry.second.mNews.mPeerAddress);
+      others.push_back(news.mPeerAddress);
     }
   }
   std::erase_if(others, [&](const SocketAddress& aAddress) {
-    return std::find(living.begin(), living.end(), aAddress) != living.end();
+    return std::find(known.begin(), known.end(), aAddress) != known.end();
   });
-  std::shuffle(living.begin(), living.end(), mRandom);
-  living.resize(std::min(living.size(), mSettings.mFanout));
+  std::shuffle(known.begin(), known.end(), mRandom);
+  if (mSelf.mReach == NodeReach::Some) {
+    std::shuffle(carriers.begin(), carriers.end(), mRandom);
+    carriers.resize(std::min(carriers.size(), mSettings.mFanout));
+    known.resize(std::min<std::size_t>(known.size(), 1));
+    known.insert(known.end(), carriers.begin(), carriers.end());
+  }
   // Nodes that are not heard of may have come back or may only be cut off.
   const std::size_t tries =
-    living.empty() ? others.size() : std::min<std::size_t>(others.size(), 1);
+    known.empty() ? others.size() : std::min<std::size_t>(others.size(), 1);
   std::shuffle(others.begin(), others.end(), mRandom);
-  living.insert(living.end(),
-                others.begin(),
-                others.begin() + static_cast<std::ptrdiff_t>(
-                                   std::min(tries, mSettings.mFanout)));
-  return living;
+  others.resize(tries);
+  known.insert(known.end(), others.begin(), others.end());
+  return known;
 }
 
 bool
@@ -119,26 +135,27 @@
 {
   GossipMessage message;
   message.mNews.push_back(mSelf);
-  std::vector<const Peer*> peers;
-  peers.reserve(mPeers.size());
+  std::vector<const Peer*> pressing;
+  std::vector<const Peer*> relayed;
+  std::vector<const Peer*> rest;
   for (const auto& entry : mPeers) {
-    peers.push_back(&entry.second);
+    const Peer& peer = entry.second;
+    if (IsPressing(peer, aNow)) {
+      pressing.push_back(&peer);
+    } else if (peer.mToRelay && mSelf.mReach == NodeReach::All) {
+      relayed.push_back(&peer);
+    } else {
+      rest.push_back(&peer);
+    }
   }
-  std::shuffle(peers.begin(), peers.end(), mRandom);
-  // Where each node hears all others itself, it needs to be told only of
-  // those that have just come, gone or changed; one more lets a node that
-  // started late find the rest.
-  const bool direct = peers.size() <= mSettings.mFanout;
-  std::stable_partition(peers.begin(), peers.end(), [&](const Peer* aPeer) {
-    return IsPressing(*aPeer, aNow);
-  });
-  const std::size_t pressing = static_cast<std::size_t>(
-    std::count_if(peers.begin(), peers.end(), [&](const Peer* aPeer) {
-      return IsPressing(*aPeer, aNow);
-    }));
-  const std::size_t wanted = direct ? pressing + 1 : mSettings.mEntries;
-  peers.resize(std::min({ peers.size(), wanted, mSettings.mEntries }));
-  for (const Peer* peer : peers) {
+  std::shuffle(pressing.begin(), pressing.end(), mRandom);
+  std::shuffle(rest.begin(), rest.end(), mRandom);
+  // One more, so that a node that started late finds the others.
+  rest.resize(std::min<std::size_t>(rest.size(), 1));
+  pressing.insert(pressing.end(), relayed.begin(), relayed.end());
+  pressing.insert(pressing.end(), rest.begin(), rest.end());
+  pressing.resize(std::min(pressing.size(), mSettings.mEntries));
+  for (const Peer* peer : pressing) {
     message.mNews.push_back(peer->mNews);
   }
   for (const auto& strike : mStrikes) {
@@ -156,8 +173,17 @@
     return aNow - aEntry.second.mHeard > kForget;
   });
   std::vector<Datagram> datagrams;
+  const bool rests =
+    mSelf.mReach == NodeReach::Some && ++mRounds % mSettings.mRest != 0;
+  if (rests) {
+    return datagrams;
+  }
+  const GossipMessage message = Message(aNow);
   for (const SocketAddress& receiver : Receivers(aNow)) {
-    datagrams.push_back(Datagram{ receiver, Message(aNow) });
+    datagrams.push_back(Datagram{ receiver, message });
+  }
+  for (auto& entry : mPeers) {
+    entry.second.mToRelay = false;
   }
   for (auto strike = mStrikes.begin(); strike != mStrikes.end();) {
     strike = --strike->second == 0 ? mStrikes.erase(strike) : std::next(strike);
@@ -170,10 +196,10 @@
 {
   ++mSelf.mCount;
   std::vector<Datagram> datagrams;
+  const GossipMessage message = Message(aNow);
   for (const auto& entry : mPeers) {
     if (IsHeard(entry.second, aNow)) {
-      datagrams.push_back(
-        Datagram{ entry.second.mNews.mPeerAddress, Message(aNow) });
+      datagrams.push_back(Datagram{ entry.second.mNews.mPeerAddress, message });
     }
   }
   return datagrams;
@@ -192,7 +218,9 @@
 std::vector<PoisonStrike>
 GossipTable::Receive(const GossipMessage& aMessage, Instant aNow)
 {
-  for (const NodeNews& news : aMessage.mNews) {
+  for (std::size_t i = 0; i < aMessage.mNews.size(); ++i) {
+    const NodeNews& news = aMessage.mNews[i];
+    const bool fromItself = i == 0;
     const NodeName& name = news.mIdentity.mName;
     if (name == mSelf.mIdentity.mName) {
       Outlive(news.mIdentity.mIncarnation);
@@ -200,17 +228,20 @@
     }
     const auto found = mPeers.find(name);
     if (found == mPeers.end()) {
-      mPeers.emplace(name, Peer{ news, aNow, aNow });
+      mPeers.emplace(name, Peer{ news, aNow, aNow, fromItself });
       continue;
     }
     const NodeNews& known = found->second.mNews;
     const bool newer = std::pair(news.mIdentity.mIncarnation, news.mCount) >
                        std::pair(known.mIdentity.mIncarnation, known.mCount);
     if (newer) {
-      const bool changed =
-        news.mIdentity != known.mIdentity || news.mService != known.mService;
-      found->second =
-        Peer{ news, aNow, changed ? aNow : found->second.mChanged };
+      const bool changed = news.mIdentity != known.mIdentity ||
+                           news.mService != known.mService ||
+                           news.mReach != known.mReach;
+      found->second = Peer{ news,
+                            aNow,
+                            changed ? aNow : found->second.mChanged,
+                            fromItself && news.mReach == NodeReach::Some };
     }
   }
   std::vector<PoisonStrike> fresh;
--- a/Libraries/LibGossip/GossipTable.h
+++ b/Libraries/LibGossip/GossipTable.h
@@ -19,10 +19,14 @@
   {
     /// Pause between two rounds.
     Duration mPeriod = milliseconds(250);
-    /// Nodes that each round sends to.
-    std::size_t mFanout = 8;
-    /// Entries in one datagram; about 80 bytes each.
-    std::size_t mEntries = 14;
+    /// Rounds from one message to the next of a node that does not reach all.
+    unsigned mRest = 7;
+    /// Nodes that reach all to which it sends; they pass its news on.
+    std::size_t mFanout = 1;
+    /// Entries of other nodes in one datagram; about 85 bytes each.
+    std::size_t mEntries = 12;
+    /// Up to this many peers each node sends to all of them.
+    std::size_t mDirect = 12;
     std::uint64_t mSeed = 1;
   };
 
@@ -38,6 +42,11 @@
   /// An address where a node may be, from the settings or from the store.
   void AddSeed(const SocketAddress& aAddress);
   void SetService(NodeService aService);
+  /// A node that carries callers reaches all others itself; in a small fleet
+  /// every node does.
+  void SetReach(NodeReach aReach);
+  /// What this node uses of its processor, in thousandths of a core.
+  void SetUsed(std::uint32_t aThousandths) { mSelf.mUsed = aThousandths; }
   void SetKnowledge(StoreRevision aStore, PlanVersion aPlan);
   /// Spreads a strike in the next rounds.
   void AddStrike(const PoisonStrike& aStrike);
@@ -68,13 +77,16 @@
     Instant mHeard;
     /// When its life or its service changed last.
     Instant mChanged;
+    /// It was heard itself and waits to be passed on.
+    bool mToRelay = false;
   };
 
   void Outlive(Incarnation aHeard);
   [[nodiscard]] GossipMessage Message(Instant aNow);
   [[nodiscard]] static bool IsPressing(const Peer& aPeer, Instant aNow);
   [[nodiscard]] std::vector<SocketAddress> Receivers(Instant aNow);
-  [[nodiscard]] Duration SilenceLimit() const;
+  [[nodiscard]] bool IsSmall() const;
+  [[nodiscard]] Duration SilenceLimit(const Peer& aPeer) const;
   [[nodiscard]] bool IsHeard(const Peer& aPeer, Instant aNow) const;
 
   Settings mSettings;
@@ -83,6 +95,7 @@
   std::set<SocketAddress> mSeeds;
   /// Strikes and the rounds for which they are still sent.
   std::map<std::pair<Fingerprint, TargetName>, unsigned> mStrikes;
+  unsigned mRounds = 0;
   std::minstd_rand mRandom;
 };
 
--- a/Libraries/LibGossip/NodeNews.h
+++ b/Libraries/LibGossip/NodeNews.h
@@ -21,6 +21,15 @@
   Leaving,
 };
 
+/// To whom a node sends its news itself.
+enum class NodeReach
+{
+  /// To a few nodes at a time, which pass it on.
+  Some,
+  /// To all nodes, each round: its silence is noticed soon.
+  All,
+};
+
 /// What a node says of itself. A higher count of the same life is newer.
 struct NodeNews
 {
@@ -30,9 +39,14 @@
   SocketAddress mPeerAddress;
   FailureDomain mDomain;
   NodeService mService = NodeService::Starting;
+  NodeReach mReach = NodeReach::All;
   /// Changes of the store that it knows.
   StoreRevision mStore;
   PlanVersion mPlan;
+  /// Processor that the node may use, in thousandths of a core.
+  std::uint32_t mPower = 0;
+  /// What it uses of that, in thousandths of a core.
+  std::uint32_t mUsed = 0;
 
   friend bool operator==(const NodeNews&, const NodeNews&) = default;
 };
--- a/Libraries/LibHttp/HttpFields.cpp
+++ b/Libraries/LibHttp/HttpFields.cpp
@@ -53,7 +53,9 @@
          std::equal(aOne.begin(),
                     aOne.end(),
                     aOther.begin(),
-                    [](char a, char b) { return Lower(a) == Lower(b); });
+                    [](char aLeft, char aRight) {
+                      return Lower(aLeft) == Lower(aRight);
+                    });
 }
 
 void
--- a/Libraries/LibRouting/ServingPlan.cpp
+++ b/Libraries/LibRouting/ServingPlan.cpp
@@ -12,9 +12,10 @@
 PlainHost(std::string_view aHost)
 {
   std::string host(aHost.substr(0, aHost.find(':')));
-  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
+  std::transform(
+    host.begin(), host.end(), host.begin(), [](unsigned char aCharacter) {
+      return static_cast<char>(std::tolower(aCharacter));
+    });
   return host;
 }
 
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -208,6 +208,10 @@
   settings.mRetryWindow = reader.Seconds("retry_window_s", 1, 3600);
   settings.mRetrySlack = reader.Decimal("retry_slack", 0, 1'000'000);
   settings.mGrace = reader.Seconds("grace_s", 0.5, 3600);
+  settings.mProcessorPower = static_cast<std::uint32_t>(
+    std::max(1.0,
+             1000 * reader.Decimal("processor_share", 0.001, 1000) *
+               reader.Decimal("processor_speed", 0.001, 1000)));
   settings.mPartialAnswers =
     reader.OneOf("partial_answers", { "at_objective", "last" });
   reader.RefuseUnknown();
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -80,6 +80,8 @@
   [[nodiscard]] double RetrySlack() const { return mRetrySlack; }
   /// Time from SIGTERM until the process is ended by force.
   [[nodiscard]] Duration Grace() const { return mGrace; }
+  /// Processor of this VM in thousandths of a plain core; at least 1.
+  [[nodiscard]] std::uint32_t ProcessorPower() const { return mProcessorPower; }
   /// "at_objective" or "last".
   [[nodiscard]] const std::string& PartialAnswersName() const
   {
@@ -110,6 +112,7 @@
   Duration mRetryWindow{ 0 };
   double mRetrySlack = 0;
   Duration mGrace{ 0 };
+  std::uint32_t mProcessorPower = 1;
   std::string mPartialAnswers;
 };
 
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -1,6 +1,7 @@
 #include "EntryNode.h"
 
 #include "GossipPort.h"
+#include "ProcessorMeter.h"
 #include "SettingsWatch.h"
 #include "StoreLink.h"
 #include "TargetPool.h"
@@ -13,6 +14,7 @@
 #include <LibCore/Verify.h>
 #include <LibEntry/EntryKnowledge.h>
 #include <LibEntry/NodeDeparture.h>
+#include <LibEntry/OfferPolicy.h>
 #include <LibHttp/HttpListener.h>
 #include <LibObservation/BoostLogger.h>
 #include <LibObservation/MetricsRegistry.h>
@@ -71,6 +73,7 @@
   news.mCallerAddress = aSettings.CallerAddress();
   news.mPeerAddress = aSettings.PeerAddress();
   news.mDomain = aSettings.HomeDomain();
+  news.mPower = aSettings.ProcessorPower();
   return news;
 }
 
@@ -137,6 +140,8 @@
   void Answer(const AnswerAction& aAction);
   void LogOutcome(const AnswerAction& aAction, const CallerRequest& aRequest);
   void ScheduleEngine();
+  /// Takes note of the nodes that callers are sent to.
+  void NoteCarriers(Instant aNow);
   void UpdateService();
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] AfterResponse AfterThis() const;
@@ -153,6 +158,8 @@
   std::unique_ptr<GossipPort> mGossipPort;
   TargetPool mPool;
   StoreLink mStore;
+  SenderWatch mSenders;
+  ProcessorMeter mProcessor;
   NodeDeparture mDeparture;
   SettingsWatch mSettingsWatch;
   Timer mEngineTimer;
@@ -314,7 +321,8 @@
     return;
   }
   std::vector<SocketAddress> addresses;
-  for (const NodeNews& node : mGossip.Offered(mLoop->Now())) {
+  for (const NodeNews& node :
+       OfferPolicy::Choose(mGossip.Offered(mLoop->Now()))) {
     addresses.push_back(node.mCallerAddress);
   }
   addresses.resize(std::min(addresses.size(), kMostAddresses));
@@ -375,11 +383,30 @@
 {
   const Instant now = mLoop->Now();
   UpdateService();
+  mGossip.SetUsed(mProcessor.Used(now));
   mGossipPort->Send(mGossip.Round(now));
-  mEngine.SetNodes(mGossip.MayLive(now), mSelf.mName);
+  NoteCarriers(now);
+  mEngine.SetNodes(mSenders.Senders(now), mSelf.mName);
   mGossipTimer.Start(GossipTable::Settings().mPeriod);
 }
 
+void
+EntryNode::Parts::NoteCarriers(Instant aNow)
+{
+  const std::vector<NodeNews> carriers =
+    OfferPolicy::Choose(mGossip.Offered(aNow));
+  mSenders.OnNamed(carriers, aNow);
+  const bool carries =
+    std::any_of(carriers.begin(), carriers.end(), [&](const NodeNews& aNode) {
+      return aNode.mIdentity.mName == mSelf.mName;
+    });
+  const NodeReach before = mGossip.Self().mReach;
+  mGossip.SetReach(carries ? NodeReach::All : NodeReach::Some);
+  if (mGossip.Self().mReach != before) {
+    mGossipPort->Send(mGossip.Announce(aNow));
+  }
+}
+
 void
 EntryNode::Parts::UpdateService()
 {
--- a/Services/verbenachuted/TargetPool.cpp
+++ b/Services/verbenachuted/TargetPool.cpp
@@ -129,7 +129,9 @@
   if (found == mConnections.end()) {
     return;
   }
-  std::shared_ptr<Connection> kept = aConnection;
+  // A copy, since the caller's may be the element that is erased.
+  // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
+  const std::shared_ptr<Connection> kept = aConnection;
   std::erase(found->second, kept);
   if (found->second.empty()) {
     mConnections.erase(found);
--- /dev/null
+++ b/Tests/LibEntry/TestOfferPolicy.cpp
@@ -0,0 +1,74 @@
+#include <LibEntry/OfferPolicy.h>
+
+#include <doctest/doctest.h>
+#include <set>
+
+namespace verbenachute {
+
+namespace {
+
+std::vector<NodeNews>
+Fleet(std::size_t aStrong, std::size_t aWeak)
+{
+  std::vector<NodeNews> fleet;
+  for (std::size_t i = 0; i < aStrong + aWeak; ++i) {
+    NodeNews node;
+    node.mIdentity.mName = NodeName("n" + std::to_string(i));
+    node.mDomain = FailureDomain("d" + std::to_string(i % 4));
+    node.mPower = i < aStrong ? 500 : 120;
+    fleet.push_back(node);
+  }
+  return fleet;
+}
+
+} // namespace
+
+TEST_CASE("A small fleet names all its nodes")
+{
+  CHECK(OfferPolicy::Choose(Fleet(2, 10)).size() == 12);
+  CHECK(OfferPolicy::Choose({}).empty());
+}
+
+TEST_CASE("A large fleet lets its strongest nodes carry little load")
+{
+  // The pattern of the grown deployments: 8 nodes of half a core and 75 of an
+  // eighth, with 17 to 56 queries a second to 90 shards each.
+  std::set<FailureDomain> domains;
+  const std::vector<NodeNews> named = OfferPolicy::Choose(Fleet(8, 75));
+  CHECK(named.size() == 8);
+  for (const NodeNews& node : named) {
+    CHECK(node.mPower == 500);
+    domains.insert(node.mDomain);
+  }
+  CHECK(domains.size() == 4);
+  CHECK(OfferPolicy::Choose(Fleet(0, 75)).size() == OfferPolicy::kCarriers);
+}
+
+TEST_CASE("More nodes are named when the load grows")
+{
+  std::vector<NodeNews> fleet = Fleet(8, 75);
+  for (std::size_t i = 0; i < 8; ++i) {
+    fleet[i].mUsed = 300;
+  }
+  const std::vector<NodeNews> named = OfferPolicy::Choose(fleet);
+  std::uint64_t power = 0;
+  for (const NodeNews& node : named) {
+    power += node.mPower;
+  }
+  CHECK(power * 30 >= 8 * 300 * 100);
+  for (NodeNews& node : fleet) {
+    node.mUsed = 500;
+  }
+  CHECK(OfferPolicy::Choose(fleet).size() == fleet.size());
+}
+
+TEST_CASE("Nodes that were named lately count as senders")
+{
+  const Instant now{ seconds(100) };
+  SenderWatch watch;
+  watch.OnNamed(Fleet(2, 0), now);
+  CHECK(watch.Senders(now + seconds(10)).size() == 2);
+  CHECK(watch.Senders(now + seconds(12)).empty());
+}
+
+} // namespace verbenachute
