LibEntry: Estimate the load of a node from the attempts that it sends

Cause: all 83 nodes named themselves, since the clock of processor time told 995 thousandths of a core on each idle node.

--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -1,7 +1,6 @@
 #include "EntryNode.h"
 
 #include "GossipPort.h"
-#include "ProcessorMeter.h"
 #include "SettingsWatch.h"
 #include "StoreLink.h"
 #include "TargetPool.h"
@@ -13,6 +12,7 @@
 #include <LibCore/SocketAddressText.h>
 #include <LibCore/Verify.h>
 #include <LibEntry/EntryKnowledge.h>
+#include <LibEntry/LoadMeter.h>
 #include <LibEntry/NodeDeparture.h>
 #include <LibEntry/OfferPolicy.h>
 #include <LibHttp/HttpListener.h>
@@ -159,7 +159,7 @@
   TargetPool mPool;
   StoreLink mStore;
   SenderWatch mSenders;
-  ProcessorMeter mProcessor;
+  LoadMeter mLoad;
   NodeDeparture mDeparture;
   SettingsWatch mSettingsWatch;
   Timer mEngineTimer;
@@ -383,7 +383,7 @@
 {
   const Instant now = mLoop->Now();
   UpdateService();
-  mGossip.SetUsed(mProcessor.Used(now));
+  mGossip.SetUsed(mLoad.Used(now));
   mGossipPort->Send(mGossip.Round(now));
   NoteCarriers(now);
   mEngine.SetNodes(mSenders.Senders(now), mSelf.mName);
@@ -490,7 +490,10 @@
   for (ForwardAction& action : aActions) {
     std::visit(
       Overloaded{
-        [this](const SendAction& aSend) { mPool.Send(aSend); },
+        [this](const SendAction& aSend) {
+          mLoad.OnSent();
+          mPool.Send(aSend);
+        },
         [this](const CancelAction& aCancel) { mPool.Cancel(aCancel.mAttempt); },
         [this](const AnswerAction& aAnswer) { Answer(aAnswer); } },
       action);
--- a/Tests/LibEntry/TestOfferPolicy.cpp
+++ b/Tests/LibEntry/TestOfferPolicy.cpp
@@ -1,3 +1,4 @@
+#include <LibEntry/LoadMeter.h>
 #include <LibEntry/OfferPolicy.h>
 
 #include <doctest/doctest.h>
@@ -62,6 +63,29 @@
   CHECK(OfferPolicy::Choose(fleet).size() == fleet.size());
 }
 
+TEST_CASE("A node's load follows the attempts that it sends")
+{
+  LoadMeter meter;
+  Instant now{ seconds(100) };
+  CHECK(meter.Used(now) == 0);
+  std::uint32_t used = 0;
+  for (int i = 0; i < 40; ++i) {
+    for (int sent = 0; sent < 250; ++sent) {
+      meter.OnSent();
+    }
+    now += milliseconds(250);
+    used = meter.Used(now);
+  }
+  // 1,000 attempts a second of 75 us each.
+  CHECK(used >= 74);
+  CHECK(used <= 75);
+  for (int i = 0; i < 40; ++i) {
+    now += milliseconds(250);
+    used = meter.Used(now);
+  }
+  CHECK(used == 0);
+}
+
 TEST_CASE("Nodes that were named lately count as senders")
 {
   const Instant now{ seconds(100) };
