--- a/Libraries/LibGossip/GossipCodec.cpp
+++ b/Libraries/LibGossip/GossipCodec.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr std::size_t kNewsFields = 13;
+constexpr std::size_t kNewsFields = 14;
+constexpr std::uint32_t kNoAge = 0xffffffff;
 constexpr std::size_t kStrikeFields = 2;
 // A datagram holds a few dozen entries at most.
 constexpr std::size_t kMostEntries = 256;
@@ -26,6 +27,7 @@
   aWriter->Enumerator(aNews.mService);
   aWriter->Enumerator(aNews.mReach);
   aWriter->Id(aNews.mStore);
+  aWriter->Number(aNews.mStoreAge.value_or(kNoAge));
   aWriter->Id(aNews.mPlan);
   aWriter->Number(aNews.mPower);
   aWriter->Number(aNews.mUsed);
@@ -46,6 +48,10 @@
   news.mService = aReader.Enumerator(NodeService::Leaving);
   news.mReach = aReader.Enumerator(NodeReach::All);
   news.mStore = aReader.Id<StoreRevision>();
+  const std::uint32_t age = aReader.Number<std::uint32_t>();
+  if (age != kNoAge) {
+    news.mStoreAge = age;
+  }
   news.mPlan = aReader.Id<PlanVersion>();
   news.mPower = aReader.Number<std::uint32_t>();
   news.mUsed = aReader.Number<std::uint32_t>();
--- a/Libraries/LibGossip/GossipTable.cpp
+++ b/Libraries/LibGossip/GossipTable.cpp
@@ -20,6 +20,8 @@
 // How long a change of a node is told to everybody.
 constexpr Duration kPressing = milliseconds(1200);
 // Rounds in which a strike is sent.
+// Ages beyond a day are all alike.
+constexpr milliseconds::rep kOldest = 86'400'000;
 constexpr unsigned kStrikeRounds = 6;
 constexpr std::size_t kMostStrikes = 64;
 
@@ -47,9 +49,16 @@
 }
 
 void
-GossipTable::SetKnowledge(StoreRevision aStore, PlanVersion aPlan)
+GossipTable::SetKnowledge(StoreRevision aStore,
+                          std::optional<Duration> aStoreAge,
+                          PlanVersion aPlan)
 {
   mSelf.mStore = aStore;
+  mSelf.mStoreAge.reset();
+  if (aStoreAge.has_value()) {
+    mSelf.mStoreAge = static_cast<std::uint32_t>(std::min<milliseconds::rep>(
+      std::chrono::duration_cast<milliseconds>(*aStoreAge).count(), kOldest));
+  }
   mSelf.mPlan = aPlan;
 }
 
@@ -288,16 +297,45 @@
 }
 
 const NodeNews*
-GossipTable::BestInformed(Instant aNow) const
+GossipTable::Informed(StoreRevision aNewerThan, Instant aNow)
 {
-  const NodeNews* best = nullptr;
+  // One of them at random, so that a change is fetched from many nodes.
+  const NodeNews* chosen = nullptr;
+  unsigned seen = 0;
   for (const auto& entry : mPeers) {
-    if (IsHeard(entry.second, aNow) &&
-        (best == nullptr || entry.second.mNews.mStore > best->mStore)) {
-      best = &entry.second.mNews;
+    if (!IsHeard(entry.second, aNow) ||
+        entry.second.mNews.mStore <= aNewerThan) {
+      continue;
+    }
+    if (mRandom() % ++seen == 0) {
+      chosen = &entry.second.mNews;
     }
   }
-  return best;
+  return chosen;
+}
+
+std::optional<Duration>
+GossipTable::StoreAge(Instant aNow) const
+{
+  std::optional<Duration> least;
+  for (const auto& entry : mPeers) {
+    if (!entry.second.mNews.mStoreAge.has_value()) {
+      continue;
+    }
+    const Duration age = milliseconds(*entry.second.mNews.mStoreAge) +
+                         (aNow - entry.second.mHeard);
+    least = std::min(least.value_or(age), age);
+  }
+  return least;
+}
+
+std::size_t
+GossipTable::Living(Instant aNow) const
+{
+  return 1 + static_cast<std::size_t>(std::count_if(
+               mPeers.begin(), mPeers.end(), [&](const auto& aEntry) {
+                 return IsHeard(aEntry.second, aNow);
+               }));
 }
 
 } // namespace verbenachute
--- a/Libraries/LibGossip/GossipTable.h
+++ b/Libraries/LibGossip/GossipTable.h
@@ -47,7 +47,9 @@
   void SetReach(NodeReach aReach);
   /// What this node uses of its processor, in thousandths of a core.
   void SetUsed(std::uint32_t aThousandths) { mSelf.mUsed = aThousandths; }
-  void SetKnowledge(StoreRevision aStore, PlanVersion aPlan);
+  void SetKnowledge(StoreRevision aStore,
+                    std::optional<Duration> aStoreAge,
+                    PlanVersion aPlan);
   /// Spreads a strike in the next rounds.
   void AddStrike(const PoisonStrike& aStrike);
 
@@ -63,8 +65,14 @@
   [[nodiscard]] std::vector<NodeNews> Offered(Instant aNow) const;
   /// All that may still be sending: heard of within kMayLive.
   [[nodiscard]] std::vector<NodeName> MayLive(Instant aNow) const;
-  /// The living peer that knows the most changes of the store; null if none.
-  [[nodiscard]] const NodeNews* BestInformed(Instant aNow) const;
+  /// A living peer that knows changes of the store after a revision; null if
+  /// there is none.
+  [[nodiscard]] const NodeNews* Informed(StoreRevision aNewerThan,
+                                         Instant aNow);
+  /// Time since the store is known to have answered some living peer.
+  [[nodiscard]] std::optional<Duration> StoreAge(Instant aNow) const;
+  /// Living nodes, this one included.
+  [[nodiscard]] std::size_t Living(Instant aNow) const;
   [[nodiscard]] const NodeNews& Self() const { return mSelf; }
 
   /// A silent node counts for limits that nodes share for this long.
--- a/Libraries/LibGossip/NodeNews.h
+++ b/Libraries/LibGossip/NodeNews.h
@@ -7,6 +7,7 @@
 #include <LibStore/StoreItem.h>
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace verbenachute {
@@ -42,6 +43,8 @@
   NodeReach mReach = NodeReach::All;
   /// Changes of the store that it knows.
   StoreRevision mStore;
+  /// Milliseconds since the store answered it last; nothing if it has not.
+  std::optional<std::uint32_t> mStoreAge;
   PlanVersion mPlan;
   /// Processor that the node may use, in thousandths of a core.
   std::uint32_t mPower = 0;
--- a/Libraries/LibStore/StoreFollower.cpp
+++ b/Libraries/LibStore/StoreFollower.cpp
@@ -17,6 +17,7 @@
 StoreFollower::OnAnswer(Instant aNow)
 {
   mCallRunning = false;
+  mLastAnswer = aNow;
   mBackoff.OnSuccess();
   if (mFailingSince.has_value()) {
     mFailingSince.reset();
@@ -38,6 +39,11 @@
 {
   OnAnswer(aNow);
   mNextCall = aNow;
+  ++mPages;
+  if (mPhase == Phase::Watching) {
+    // A peer's copy came first.
+    return {};
+  }
   mLoaded.insert(mLoaded.end(), aPage.mItems.begin(), aPage.mItems.end());
   // Pages are no snapshot: what changed after the earliest of them is learnt
   // again from the watch.
@@ -98,6 +104,34 @@
   return changes;
 }
 
+StoreMirror::Changes
+StoreFollower::OnPeerChanges(const StoreChanges& aChanges, Instant aNow)
+{
+  mPeerAsked = false;
+  mNextPeer = aNow + mSettings.mPeerPause;
+  return mMirror.Apply(aChanges);
+}
+
+void
+StoreFollower::SetSource(FollowSource aSource, Instant aNow)
+{
+  if (aSource == FollowSource::Store && mSource == FollowSource::Peers) {
+    mNextCall = aNow;
+  }
+  mSource = aSource;
+}
+
+bool
+StoreFollower::MayCallStore(Instant aNow) const
+{
+  const Duration running = aNow - mStarted.value_or(aNow);
+  if (mSource == FollowSource::Peers) {
+    return !mHasCopy && running >= mSettings.mPeerPatience;
+  }
+  return mSource == FollowSource::Store || mPages < mSettings.mFirstPages ||
+         mHasCopy || running >= mSettings.mUndecided;
+}
+
 void
 StoreFollower::OnPeerFailure(Instant aNow)
 {
@@ -115,7 +149,10 @@
 StoreFollower::Due(Instant aNow)
 {
   std::vector<FollowerCall> calls;
-  if (!mCallRunning && aNow >= mNextCall) {
+  if (!mStarted.has_value()) {
+    mStarted = aNow;
+  }
+  if (!mCallRunning && aNow >= mNextCall && MayCallStore(aNow)) {
     mCallRunning = true;
     if (mPhase == Phase::Loading) {
       calls.emplace_back(ReadPageAction{ mAfter });
@@ -123,25 +160,31 @@
       calls.emplace_back(WatchAction{ mMirror.At(), mSettings.mWatchWait });
     }
   }
-  const bool peerKnowsMore = mPeerRevision > mMirror.At() || !mHasCopy;
-  if (mFailingSince.has_value() && peerKnowsMore && !mPeerAsked &&
-      aNow >= mNextPeer) {
+  if (MayAskPeer() && aNow >= mNextPeer) {
     mPeerAsked = true;
     calls.emplace_back(AskPeerAction{ mMirror.At() });
   }
   return calls;
 }
 
+bool
+StoreFollower::MayAskPeer() const
+{
+  const bool peerKnowsMore = mPeerRevision > mMirror.At() || !mHasCopy;
+  const bool asksPeers =
+    mFailingSince.has_value() || mSource == FollowSource::Peers;
+  return asksPeers && peerKnowsMore && !mPeerAsked;
+}
+
 std::optional<Instant>
-StoreFollower::NextDue() const
+StoreFollower::NextDue(Instant aNow) const
 {
   std::optional<Instant> next;
-  if (!mCallRunning) {
+  if (!mCallRunning && MayCallStore(aNow)) {
     next = mNextCall;
   }
-  if (mFailingSince.has_value() && !mPeerAsked) {
-    const Instant peer = mNextPeer + mSettings.mPeerPause;
-    next = std::min(next.value_or(peer), peer);
+  if (MayAskPeer()) {
+    next = std::min(next.value_or(mNextPeer), mNextPeer);
   }
   return next;
 }
--- a/Libraries/LibStore/StoreFollower.h
+++ b/Libraries/LibStore/StoreFollower.h
@@ -44,6 +44,18 @@
 
 using FollowerCall = std::variant<ReadPageAction, WatchAction, AskPeerAction>;
 
+/// From whom a follower learns.
+enum class FollowSource
+{
+  /// Not known yet: reads the first pages and then waits for a moment.
+  Undecided,
+  /// Watches the store.
+  Store,
+  /// Takes over what other nodes tell, so that the calls to the store do not
+  /// grow with the fleet.
+  Peers,
+};
+
 /// Keeps a mirror up to date: reads everything once, then watches; when the
 /// store does not answer, asks other nodes that know more. It does no I/O.
 class StoreFollower
@@ -59,12 +71,22 @@
     Duration mGather = milliseconds(200);
     Duration mFirstBackOff = milliseconds(150);
     Duration mLongestBackOff = milliseconds(1200);
+    /// Pages that a node reads before it knows its source, and the longest
+    /// time that it then waits.
+    std::size_t mFirstPages = 4;
+    Duration mUndecided = milliseconds(1000);
+    /// Longest time without a copy before the store is read after all.
+    Duration mPeerPatience = milliseconds(2000);
     /// Pause between two questions to peers.
     Duration mPeerPause = milliseconds(300);
   };
 
   explicit StoreFollower(Settings aSettings);
 
+  void SetSource(FollowSource aSource, Instant aNow);
+  /// Longest wait of the next watches.
+  void SetWatchWait(Duration aWait) { mSettings.mWatchWait = aWait; }
+
   [[nodiscard]] StoreMirror::Changes OnPage(const StorePage& aPage,
                                             Instant aNow);
   [[nodiscard]] StoreMirror::Changes OnChanges(const StoreChanges& aChanges,
@@ -75,15 +97,24 @@
     StoreRevision aAt,
     Instant aNow);
   void OnPeerFailure(Instant aNow);
+  /// Changes that a peer gave; they may begin where the mirror ends.
+  [[nodiscard]] StoreMirror::Changes OnPeerChanges(const StoreChanges& aChanges,
+                                                   Instant aNow);
   /// The latest revision that any living peer says it knows.
   void OnPeerRevision(StoreRevision aRevision);
 
   /// The calls that are due. Each is answered by one event above.
   [[nodiscard]] std::vector<FollowerCall> Due(Instant aNow);
   /// When Due has to be asked next without any event; nothing if only an event
-  /// can make a call due.
-  [[nodiscard]] std::optional<Instant> NextDue() const;
+  /// or the end of a wait can make a call due. Ask Due a few times a second
+  /// besides.
+  [[nodiscard]] std::optional<Instant> NextDue(Instant aNow) const;
 
+  /// When the store answered last.
+  [[nodiscard]] std::optional<Instant> LastAnswer() const
+  {
+    return mLastAnswer;
+  }
   [[nodiscard]] const StoreMirror& Mirror() const { return mMirror; }
   /// Whether a whole copy has been read, from the store or from a peer.
   [[nodiscard]] bool HasCopy() const { return mHasCopy; }
@@ -107,11 +138,17 @@
 
   void OnAnswer(Instant aNow);
   void BeginLoading();
+  [[nodiscard]] bool MayCallStore(Instant aNow) const;
+  [[nodiscard]] bool MayAskPeer() const;
 
   Settings mSettings;
   BackoffSchedule mBackoff;
   StoreMirror mMirror;
   Phase mPhase = Phase::Loading;
+  FollowSource mSource = FollowSource::Undecided;
+  std::optional<Instant> mStarted;
+  std::size_t mPages = 0;
+  std::optional<Instant> mLastAnswer;
   bool mHasCopy = false;
   bool mCallRunning = false;
   bool mPeerAsked = false;
--- a/Libraries/LibStore/StoreMirror.cpp
+++ b/Libraries/LibStore/StoreMirror.cpp
@@ -29,6 +29,7 @@
     if (found != mItems.end() && found->second.mRevision < change.mRevision) {
       mItems.erase(found);
       changes.push_back(change);
+      Remember(change);
     }
   }
   mAt = std::max(mAt, aChanges.mAt);
@@ -53,12 +54,49 @@
       continue;
     }
     changes.push_back(StoreChange{ item->first, std::nullopt, aAt });
+    Remember(changes.back());
     item = mItems.erase(item);
   }
+  if (mAt == StoreRevision()) {
+    mRememberedFrom = aAt;
+  }
   mAt = aAt;
   return changes;
 }
 
+void
+StoreMirror::Remember(const StoreChange& aRemoval)
+{
+  mRemovals.push_back(aRemoval);
+  if (mRemovals.size() > kMostRemovals) {
+    mRememberedFrom = std::max(mRememberedFrom, mRemovals.front().mRevision);
+    mRemovals.pop_front();
+  }
+}
+
+std::optional<StoreChanges>
+StoreMirror::Since(StoreRevision aAfter) const
+{
+  if (aAfter < mRememberedFrom) {
+    return std::nullopt;
+  }
+  StoreChanges changes;
+  changes.mAt = mAt;
+  for (const StoreChange& removal : mRemovals) {
+    if (removal.mRevision > aAfter) {
+      changes.mChanges.push_back(removal);
+    }
+  }
+  for (const auto& entry : mItems) {
+    const StoreItem& item = entry.second;
+    if (item.mRevision > aAfter) {
+      changes.mChanges.push_back(
+        StoreChange{ item.mKey, item.mValue, item.mRevision });
+    }
+  }
+  return changes;
+}
+
 std::vector<StoreItem>
 StoreMirror::Items() const
 {
--- a/Libraries/LibStore/StoreMirror.h
+++ b/Libraries/LibStore/StoreMirror.h
@@ -2,7 +2,9 @@
 
 #include <LibStore/StoreItem.h>
 
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,10 @@
   [[nodiscard]] Changes Replace(const std::vector<StoreItem>& aItems,
                                 StoreRevision aAt);
 
+  /// What has changed after a revision, as it holds now; nothing if removals
+  /// since then are not remembered any more.
+  [[nodiscard]] std::optional<StoreChanges> Since(StoreRevision aAfter) const;
+
   /// All changes up to this revision are known.
   [[nodiscard]] StoreRevision At() const { return mAt; }
   [[nodiscard]] std::vector<StoreItem> Items() const;
@@ -31,7 +37,15 @@
 private:
   void Put(const StoreItem& aItem, Changes* aChanges);
 
+  void Remember(const StoreChange& aRemoval);
+
+  /// Removals that are remembered.
+  static constexpr std::size_t kMostRemovals = 1024;
+
   std::map<std::string, StoreItem> mItems;
+  std::deque<StoreChange> mRemovals;
+  /// Removals after this revision are remembered.
+  StoreRevision mRememberedFrom;
   StoreRevision mAt;
 };
 
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -15,11 +15,13 @@
 #include <LibEntry/LoadMeter.h>
 #include <LibEntry/NodeDeparture.h>
 #include <LibEntry/OfferPolicy.h>
+#include <LibEntry/StoreDuty.h>
 #include <LibHttp/HttpListener.h>
 #include <LibObservation/BoostLogger.h>
 #include <LibObservation/MetricsRegistry.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <unordered_map>
 #include <utility>
 
@@ -27,6 +29,7 @@
 
 namespace {
 
+constexpr int kDecimal = 10;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -172,6 +175,7 @@
   std::unique_ptr<HttpListener> mPeerListener;
   std::unordered_map<RequestNumber, OpenCall> mCalls;
   std::uint64_t mNextNumber = 1;
+  Instant mStarted;
 };
 
 EntryNode::Parts::Parts(const CommandLine& aCommandLine,
@@ -199,10 +203,11 @@
            aSettings.PlatformAddress(),
            { *mLoop,
              mLogger,
-             [this]() -> std::optional<SocketAddress> {
-               const NodeNews* best = mGossip.BestInformed(mLoop->Now());
-               return best == nullptr ? std::nullopt
-                                      : std::optional(best->mPeerAddress);
+             [this](StoreRevision aNewerThan) {
+               const NodeNews* peer =
+                 mGossip.Informed(aNewerThan, mLoop->Now());
+               return peer == nullptr ? std::nullopt
+                                      : std::optional(peer->mPeerAddress);
              },
              [this](const StoreMirror::Changes& aChanges) {
                OnKnowledge(aChanges);
@@ -221,6 +226,7 @@
     mIdleTimer.Start(kIdleCheckPause);
   })
 {
+  mStarted = mLoop->Now();
   mEngine.SetNodes({ mSelf.mName }, mSelf.mName);
   for (const SocketAddress& seed : aSettings.Seeds()) {
     // Seeds name another port of the same nodes; ports are alike on all.
@@ -352,18 +358,24 @@
 void
 EntryNode::Parts::OnPeerCall(const CallPointer& aCall)
 {
-  const StoreFollower& follower = mStore.Follower();
-  if (aCall->mTarget != "/copy" || !follower.HasCopy()) {
-    aCall->Respond(
-      aCall->mTarget == "/copy" ? kUnavailable : kNotFound, HttpFields(), "");
+  const StoreMirror& mirror = mStore.Follower().Mirror();
+  const std::string path = aCall->mTarget.substr(0, aCall->mTarget.find('?'));
+  if ((path != "/copy" && path != "/changes") || !mStore.Follower().HasCopy()) {
+    aCall->Respond(kUnavailable, HttpFields(), "");
     return;
   }
+  std::optional<StoreChanges> changes;
+  if (path == "/changes") {
+    changes = mirror.Since(StoreRevision(std::strtoull(
+      QueryParameter(aCall->mTarget, "after").c_str(), nullptr, kDecimal)));
+  }
   HttpFields fields;
   fields.Add("Content-Type", "application/json");
-  aCall->Respond(
-    kOk,
-    fields,
-    platform::EncodeCopy(follower.Mirror().Items(), follower.Mirror().At()));
+  aCall->Respond(kOk,
+                 fields,
+                 changes.has_value()
+                   ? platform::EncodeChanges(*changes)
+                   : platform::EncodeCopy(mirror.Items(), mirror.At()));
 }
 
 void
@@ -396,6 +408,13 @@
   const std::vector<NodeNews> carriers =
     OfferPolicy::Choose(mGossip.Offered(aNow));
   mSenders.OnNamed(carriers, aNow);
+  const StoreDuty::Duty duty =
+    StoreDuty::Decide(StoreDuty::Facts{ mSelf.mName,
+                                        mGossip.Living(aNow),
+                                        carriers,
+                                        mGossip.StoreAge(aNow),
+                                        aNow - mStarted });
+  mStore.SetSource(duty.mSource, duty.mWatchWait);
   const bool carries =
     std::any_of(carriers.begin(), carriers.end(), [&](const NodeNews& aNode) {
       return aNode.mIdentity.mName == mSelf.mName;
@@ -410,7 +429,12 @@
 void
 EntryNode::Parts::UpdateService()
 {
+  std::optional<Duration> storeAge;
+  if (mStore.Follower().LastAnswer().has_value()) {
+    storeAge = mLoop->Now() - *mStore.Follower().LastAnswer();
+  }
   mGossip.SetKnowledge(mStore.Follower().Mirror().At(),
+                       storeAge,
                        mEngine.Plan() ? mEngine.Plan()->Version()
                                       : PlanVersion());
   mGossip.SetService(mDeparture.Phase() != DeparturePhase::Serving
@@ -433,7 +457,8 @@
   if (mEngine.Plan() && mCallerListener) {
     mCallerListener->SetLimits(LimitsOf(mEngine.Plan()->Limits()));
   }
-  if (!wasReady && IsReady()) {
+  // Others may learn of this from here, so they are told at once.
+  if (!aChanges.empty() || (!wasReady && IsReady())) {
     UpdateService();
     mGossipPort->Send(mGossip.Announce(mLoop->Now()));
   }
--- a/Services/verbenachuted/StoreLink.cpp
+++ b/Services/verbenachuted/StoreLink.cpp
@@ -60,11 +60,19 @@
   Register();
 }
 
+void
+StoreLink::SetSource(FollowSource aSource, Duration aWatchWait)
+{
+  mFollower.SetSource(aSource, mDependencies.mLoop.Now());
+  mFollower.SetWatchWait(aWatchWait);
+  Advance();
+}
+
 void
 StoreLink::OnPeerRevision(StoreRevision aRevision)
 {
-  mFollower.OnPeerRevision(aRevision);
-  if (mFollower.FailingSince().has_value()) {
+  if (aRevision > mFollower.Mirror().At()) {
+    mFollower.OnPeerRevision(aRevision);
     Advance();
   }
 }
@@ -76,7 +84,7 @@
   for (const FollowerCall& call : mFollower.Due(now)) {
     std::visit([this](const auto& aAction) { Execute(aAction); }, call);
   }
-  const std::optional<Instant> next = mFollower.NextDue();
+  const std::optional<Instant> next = mFollower.NextDue(now);
   if (next.has_value()) {
     mTimer.Start(*next - now);
   } else {
@@ -182,9 +190,10 @@
 }
 
 void
-StoreLink::Execute(const AskPeerAction&)
+StoreLink::Execute(const AskPeerAction& aAction)
 {
-  const std::optional<SocketAddress> peer = mDependencies.mBestPeer();
+  const std::optional<SocketAddress> peer =
+    mDependencies.mPeer(aAction.mNewerThan);
   if (!peer.has_value()) {
     mFollower.OnPeerFailure(mDependencies.mLoop.Now());
     return;
@@ -192,22 +201,32 @@
   mPeerStream.reset();
   HttpFields fields;
   fields.Add("Host", SocketAddressText(*peer));
+  const std::string target =
+    mFollower.HasCopy()
+      ? "/changes?after=" + std::to_string(aAction.mNewerThan.value())
+      : "/copy";
   Call(&mPeerStream,
        *peer,
-       RequestText("GET", "/copy", fields, ""),
+       RequestText("GET", target, fields, ""),
        kPeerTimeout,
-       [this](const StreamOutcome& aOutcome) {
-         const platform::StoreResult<StorePage> result =
-           platform::DecodeCopy(aOutcome);
-         const Instant now = mDependencies.mLoop.Now();
-         if (const StorePage* copy = std::get_if<StorePage>(&result)) {
-           mDependencies.mChanged(
-             mFollower.OnPeerCopy(copy->mItems, copy->mAt, now));
-         } else {
-           mFollower.OnPeerFailure(now);
-         }
-         Advance();
-       });
+       [this](const StreamOutcome& aOutcome) { OnPeerAnswer(aOutcome); });
+}
+
+void
+StoreLink::OnPeerAnswer(const StreamOutcome& aOutcome)
+{
+  const Instant now = mDependencies.mLoop.Now();
+  const platform::StoreResult<StorePage> copy = platform::DecodeCopy(aOutcome);
+  const platform::StoreResult<StoreChanges> changes =
+    platform::WatchResult(aOutcome);
+  if (const StorePage* page = std::get_if<StorePage>(&copy)) {
+    mDependencies.mChanged(mFollower.OnPeerCopy(page->mItems, page->mAt, now));
+  } else if (const StoreChanges* told = std::get_if<StoreChanges>(&changes)) {
+    mDependencies.mChanged(mFollower.OnPeerChanges(*told, now));
+  } else {
+    mFollower.OnPeerFailure(now);
+  }
+  Advance();
 }
 
 void
--- a/Services/verbenachuted/StoreLink.h
+++ b/Services/verbenachuted/StoreLink.h
@@ -24,8 +24,8 @@
   {
     EventLoop& mLoop;
     Logger& mLogger;
-    /// Address of a peer that knows more, if there is one.
-    std::function<std::optional<SocketAddress>()> mBestPeer;
+    /// Address of a peer that knows more than a revision, if there is one.
+    std::function<std::optional<SocketAddress>(StoreRevision)> mPeer;
     /// The mirror has changed.
     std::function<void(const StoreMirror::Changes&)> mChanged;
   };
@@ -35,6 +35,8 @@
             Dependencies aDependencies);
 
   void Start(const std::string& aOwnKey, const std::string& aOwnValue);
+  /// From whom this node learns, and how long its watches wait.
+  void SetSource(FollowSource aSource, Duration aWatchWait);
   /// Another node tells how much it knows.
   void OnPeerRevision(StoreRevision aRevision);
   [[nodiscard]] const StoreFollower& Follower() const { return mFollower; }
@@ -53,6 +55,7 @@
   void Execute(const ReadPageAction& aAction);
   void Execute(const WatchAction& aAction);
   void Execute(const AskPeerAction& aAction);
+  void OnPeerAnswer(const StreamOutcome& aOutcome);
   void Call(std::unique_ptr<HttpClientStream>* aStream,
             const SocketAddress& aAddress,
             std::string aRequest,
--- a/Tests/LibGossip/TestGossipTable.cpp
+++ b/Tests/LibGossip/TestGossipTable.cpp
@@ -204,16 +204,22 @@
   CHECK(fleet.At(5).Receive(message, fleet.mNow).empty());
 }
 
-TEST_CASE("The peer that knows most of the store is found")
+TEST_CASE("A peer that knows more of the store is found")
 {
   Fleet fleet(4);
-  fleet.At(2).SetKnowledge(StoreRevision(9), PlanVersion(1));
+  fleet.At(2).SetKnowledge(StoreRevision(9), milliseconds(40), PlanVersion(1));
   fleet.Pass(seconds(2));
-  REQUIRE(fleet.At(0).BestInformed(fleet.mNow) != nullptr);
-  CHECK(fleet.At(0).BestInformed(fleet.mNow)->mIdentity.mName ==
+  GossipTable& first = fleet.At(0);
+  REQUIRE(first.Informed(StoreRevision(8), fleet.mNow) != nullptr);
+  CHECK(first.Informed(StoreRevision(8), fleet.mNow)->mIdentity.mName ==
         NodeName("n2"));
-  GossipTable alone(GossipTable::Settings(), News(9));
-  CHECK(alone.BestInformed(fleet.mNow) == nullptr);
+  CHECK(first.Informed(StoreRevision(9), fleet.mNow) == nullptr);
+  CHECK(first.Living(fleet.mNow) == 4);
+  // The age is as of the last heartbeat, and grows when they stop.
+  REQUIRE(first.StoreAge(fleet.mNow).has_value());
+  CHECK(*first.StoreAge(fleet.mNow) <= milliseconds(500));
+  CHECK(*first.StoreAge(fleet.mNow + seconds(3)) >= seconds(3));
+  CHECK(!fleet.At(2).StoreAge(fleet.mNow).has_value());
 }
 
 TEST_CASE("Bytes that are no gossip are refused")
--- a/Tests/LibStore/TestStoreFollower.cpp
+++ b/Tests/LibStore/TestStoreFollower.cpp
@@ -66,7 +66,7 @@
 {
   // Found on the bench: a due time in the past made the node spin.
   StoreFollower follower = Watching();
-  CHECK(!follower.NextDue().has_value());
+  CHECK(!follower.NextDue(kStart).has_value());
 }
 
 TEST_CASE("Changes in quick succession cost one call together")
@@ -144,6 +144,71 @@
   }
 }
 
+TEST_CASE("In a large fleet a node learns from peers and spares the store")
+{
+  // The pattern of the grown deployments: 83 nodes, 15 pages, 44 s.
+  StoreFollower follower{ StoreFollower::Settings() };
+  Instant now = kStart;
+  for (int page = 0; page < 4; ++page) {
+    REQUIRE(Find<ReadPageAction>(follower.Due(now)) != nullptr);
+    static_cast<void>(follower.OnPage(Page({ Item("a", 5) }, 10, true), now));
+  }
+  CHECK(follower.Due(now).empty());
+  CHECK(!follower.NextDue(now).has_value());
+  follower.SetSource(FollowSource::Peers, now);
+  follower.OnPeerRevision(StoreRevision(10));
+  CHECK(Find<AskPeerAction>(follower.Due(now)) != nullptr);
+  CHECK(follower.OnPeerCopy({ Item("a", 5) }, StoreRevision(10), now).size() ==
+        1);
+  for (int i = 0; i < 100; ++i) {
+    now += milliseconds(500);
+    CHECK(follower.Due(now).empty());
+  }
+  follower.OnPeerRevision(StoreRevision(12));
+  CHECK(Find<AskPeerAction>(follower.Due(now)) != nullptr);
+  CHECK(follower
+          .OnPeerChanges({ { StoreChange{ "a", "w", StoreRevision(12) } },
+                           StoreRevision(12) },
+                         now)
+          .size() == 1);
+  SUBCASE("it watches as soon as it must")
+  {
+    follower.SetSource(FollowSource::Store, now);
+    const std::vector<FollowerCall> calls = follower.Due(now);
+    REQUIRE(Find<WatchAction>(calls) != nullptr);
+    CHECK(Find<WatchAction>(calls)->mAfter == StoreRevision(12));
+  }
+}
+
+TEST_CASE("Without peers a node reads the store after a moment")
+{
+  for (const FollowSource source :
+       { FollowSource::Undecided, FollowSource::Peers }) {
+    StoreFollower follower{ StoreFollower::Settings() };
+    follower.SetSource(source, kStart);
+    for (int page = 0; page < 4; ++page) {
+      if (Find<ReadPageAction>(follower.Due(kStart)) != nullptr) {
+        static_cast<void>(
+          follower.OnPage(Page({ Item("a", 5) }, 10, true), kStart));
+      }
+    }
+    follower.OnPeerFailure(kStart);
+    CHECK(Find<ReadPageAction>(follower.Due(kStart + milliseconds(900))) ==
+          nullptr);
+    follower.OnPeerFailure(kStart + milliseconds(900));
+    CHECK(Find<ReadPageAction>(follower.Due(kStart + seconds(2))) != nullptr);
+  }
+}
+
+TEST_CASE("A failing store and peers that know no more do not make it spin")
+{
+  StoreFollower follower = Watching();
+  follower.OnFailure(StoreFailure::Unreachable, kStart);
+  const std::optional<Instant> next = follower.NextDue(kStart);
+  REQUIRE(next.has_value());
+  CHECK(*next > kStart);
+}
+
 TEST_CASE("A peer that knows no more is not asked")
 {
   StoreFollower follower = Watching();
--- a/Tests/LibStore/TestStoreMirror.cpp
+++ b/Tests/LibStore/TestStoreMirror.cpp
@@ -52,6 +52,25 @@
   CHECK(mirror.At() == StoreRevision(20));
 }
 
+TEST_CASE("What changed since a revision brings another mirror up to date")
+{
+  StoreMirror one;
+  static_cast<void>(
+    one.Replace({ Item("a", "1", 3), Item("b", "1", 4), Item("c", "1", 5) },
+                StoreRevision(10)));
+  StoreMirror other;
+  static_cast<void>(other.Replace(one.Items(), one.At()));
+  static_cast<void>(one.Apply(
+    { { Gone("a", 11), Put("b", "2", 12), Gone("c", 13), Put("c", "3", 14) },
+      StoreRevision(14) }));
+  const std::optional<StoreChanges> changes = one.Since(other.At());
+  REQUIRE(changes.has_value());
+  static_cast<void>(other.Apply(*changes));
+  CHECK(other.Items() == one.Items());
+  CHECK(other.At() == one.At());
+  CHECK(!one.Since(StoreRevision(9)).has_value());
+}
+
 TEST_CASE("An older copy changes nothing")
 {
   StoreMirror mirror;
