LibTransport: Take SIGHUP for a reload and not for a stop

Ruled out: a broken invariant (exit code 0, shutdown_started in the log). Also: changes of the store are gathered for 0.5 s rather than 0.2 s, since each answer is a priced call.

--- a/Libraries/LibStore/StoreFollower.h
+++ b/Libraries/LibStore/StoreFollower.h
@@ -68,7 +68,7 @@
     Duration mWatchWait = seconds(20);
     /// Pause after each change, so that changes in quick succession cost one
     /// call together.
-    Duration mGather = milliseconds(200);
+    Duration mGather = milliseconds(500);
     Duration mFirstBackOff = milliseconds(150);
     Duration mLongestBackOff = milliseconds(1200);
     /// Pages that a node reads before it knows its source, and the longest
--- a/Libraries/LibTransport/EventLoop.cpp
+++ b/Libraries/LibTransport/EventLoop.cpp
@@ -39,8 +39,12 @@
       self->mBase,
       number,
       [](evutil_socket_t aNumber, short, void* aLoop) {
-        static_cast<EventLoop*>(aLoop)->mSignalArrived.emit(
-          static_cast<int>(aNumber));
+        EventLoop* loop = static_cast<EventLoop*>(aLoop);
+        if (aNumber == SIGHUP) {
+          loop->mReloadRequested.emit();
+          return;
+        }
+        loop->mSignalArrived.emit(static_cast<int>(aNumber));
       },
       self);
     event_add(signalEvent, nullptr);
