--- a/Libraries/LibTransport/EventLoop.cpp
+++ b/Libraries/LibTransport/EventLoop.cpp
@@ -39,12 +39,12 @@
       self->mBase,
       number,
       [](evutil_socket_t aNumber, short, void* aLoop) {
-        EventLoop* loop = static_cast<EventLoop*>(aLoop);
+        EventLoop* owner = static_cast<EventLoop*>(aLoop);
         if (aNumber == SIGHUP) {
-          loop->mReloadRequested.emit();
+          owner->mReloadRequested.emit();
           return;
         }
-        loop->mSignalArrived.emit(static_cast<int>(aNumber));
+        owner->mSignalArrived.emit(static_cast<int>(aNumber));
       },
       self);
     event_add(signalEvent, nullptr);
