--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -287,15 +287,8 @@
       RetryPart(attempt.mNumber, &request->second, attempt.mPart, aNow);
     }
     Evaluate(attempt.mNumber, aNow);
-  } else {
-    std::erase_if(mLeftOvers, [&](const auto& aEntry) {
-      return aEntry.second == aAttempt;
-    });
-  }
-  if (target != nullptr) {
-    ServeWaiting(target->Listed().mService, aNow);
   }
-  return TakeActions();
+  return AfterAttempt(aAttempt, target, aNow);
 }
 
 ForwardActions
@@ -321,25 +314,25 @@
       part.mMayHaveRun = true;
     }
     if (aFailure == AttemptFailure::Lost) {
-      NoteLost(&request->second, attempt.mTarget);
+      request->second.mLostAt.insert(attempt.mTarget);
     }
     RetryPart(attempt.mNumber, &request->second, attempt.mPart, aNow);
     Evaluate(attempt.mNumber, aNow);
-  } else {
-    std::erase_if(mLeftOvers, [&](const auto& aEntry) {
-      return aEntry.second == aAttempt;
-    });
   }
-  if (target != nullptr) {
-    ServeWaiting(target->Listed().mService, aNow);
-  }
-  return TakeActions();
+  return AfterAttempt(aAttempt, target, aNow);
 }
 
-void
-ForwardEngine::NoteLost(Request* aRequest, const TargetName& aTarget)
+ForwardActions
+ForwardEngine::AfterAttempt(AttemptId aAttempt,
+                            const TargetRecord* aTarget,
+                            Instant aNow)
 {
-  aRequest->mLostAt.insert(aTarget);
+  std::erase_if(mLeftOvers,
+                [&](const auto& aEntry) { return aEntry.second == aAttempt; });
+  if (aTarget != nullptr) {
+    ServeWaiting(aTarget->Listed().mService, aNow);
+  }
+  return TakeActions();
 }
 
 ForwardActions
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -191,7 +191,10 @@
   void GiveUp(RequestNumber aNumber, Request* aRequest, Instant aNow);
   [[nodiscard]] ForwardOutcome Merged(const Request& aRequest) const;
   void Finish(RequestNumber aNumber, ForwardOutcome aOutcome, Instant aNow);
-  void NoteLost(Request* aRequest, const TargetName& aTarget);
+  /// What follows the end of an attempt, whatever its result.
+  [[nodiscard]] ForwardActions AfterAttempt(AttemptId aAttempt,
+                                            const TargetRecord* aTarget,
+                                            Instant aNow);
   void Abandon(AttemptId aAttempt, Instant aNow);
   void ScheduleWake(RequestNumber aNumber, Request* aRequest, Instant aNow);
   void WakeRequest(RequestNumber aNumber, Instant aNow);
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -1,6 +1,8 @@
 #include "EntryNode.h"
 
+#include "EntrySettings.h"
 #include "GossipPort.h"
+#include "OutcomeLog.h"
 #include "SettingsWatch.h"
 #include "StoreLink.h"
 #include "TargetPool.h"
@@ -37,7 +39,6 @@
 constexpr Duration kIdleCheckPause = milliseconds(500);
 // Addresses in one answer of the directory.
 constexpr std::size_t kMostAddresses = 64;
-constexpr unsigned kLifeShift = 20;
 
 NodeIdentity
 NewLife(const Settings& aSettings)
@@ -48,64 +49,6 @@
                          clock.WallTime().count())) };
 }
 
-ForwardSettings
-EngineSettings(const Settings& aSettings, const NodeIdentity& aSelf)
-{
-  ForwardSettings settings;
-  settings.mDomain = aSettings.HomeDomain();
-  settings.mExtra = ExtraLimits{ aSettings.RetryRatio(),
-                                 aSettings.RetrySlack(),
-                                 aSettings.RetryWindow() };
-  settings.mHedging = aSettings.HedgePolicyName() == "none"
-                        ? ForwardHedging::Never
-                        : ForwardHedging::Adaptive;
-  settings.mPartial = aSettings.PartialAnswersName() == "last"
-                        ? PartialAnswers::WhenNothingIsLeft
-                        : PartialAnswers::AtObjective;
-  settings.mMaximumRunning = aSettings.QueryLimit();
-  settings.mFirstAttempt = AttemptId(aSelf.mIncarnation.value() << kLifeShift);
-  settings.mSeed = aSelf.mIncarnation.value();
-  return settings;
-}
-
-NodeNews
-NewsOf(const Settings& aSettings, const NodeIdentity& aSelf)
-{
-  NodeNews news;
-  news.mIdentity = aSelf;
-  news.mCallerAddress = aSettings.CallerAddress();
-  news.mPeerAddress = aSettings.PeerAddress();
-  news.mDomain = aSettings.HomeDomain();
-  news.mPower = aSettings.ProcessorPower();
-  return news;
-}
-
-GossipTable::Settings
-GossipSettings(const NodeIdentity& aSelf)
-{
-  GossipTable::Settings settings;
-  settings.mSeed = aSelf.mIncarnation.value();
-  return settings;
-}
-
-NodeDeparture::Settings
-DepartureSettings(const Settings& aSettings)
-{
-  return NodeDeparture::Settings{ aSettings.Grace(),
-                                  aSettings.AddressValidity() };
-}
-
-ServerLimits
-LimitsOf(const CallerLimits& aLimits)
-{
-  ServerLimits limits;
-  limits.mMessage.mHeaderBytes = aLimits.mHeaderBytes;
-  limits.mMessage.mBodyBytes = aLimits.mBodyBytes;
-  limits.mHeader = aLimits.mHeaderTime;
-  limits.mIdle = aLimits.mIdleTime;
-  return limits;
-}
-
 } // namespace
 
 /// The parts of a node, in the order in which they depend on each other.
@@ -141,7 +84,6 @@
   void OnDepartureTick();
   void Perform(ForwardActions aActions);
   void Answer(const AnswerAction& aAction);
-  void LogOutcome(const AnswerAction& aAction, const CallerRequest& aRequest);
   void ScheduleEngine();
   /// Takes note of the nodes that callers are sent to.
   void NoteCarriers(Instant aNow);
@@ -549,59 +491,11 @@
   }
   const OpenCall open = std::move(found->second);
   mCalls.erase(found);
-  LogOutcome(aAction, *open.mRequest);
+  LogOutcome(aAction, open.mRequest->mId, &mLogger);
   platform::AnswerCaller(
     open.mCall.get(), *open.mRequest, aAction.mOutcome, AfterThis());
 }
 
-void
-EntryNode::Parts::LogOutcome(const AnswerAction& aAction,
-                             const CallerRequest& aRequest)
-{
-  const ForwardSummary& summary = aAction.mSummary;
-  std::optional<EventNumber> number;
-  std::string reason;
-  std::visit(Overloaded{ [&](const RelayedOutcome&) {
-                          if (summary.mElapsed > summary.mObjective) {
-                            number = EventNumber::RequestLate;
-                          }
-                        },
-                         [&](const GatheredOutcome& aGathered) {
-                           if (summary.mElapsed > summary.mObjective) {
-                             number = EventNumber::RequestLate;
-                           } else if (aGathered.mMissing > 0) {
-                             number = EventNumber::QueryPartial;
-                           }
-                         },
-                         [&](const RefusedOutcome& aRefused) {
-                           number = EventNumber::QueryRefused;
-                           reason = RefusalReasonName(aRefused.mReason);
-                         },
-                         [&](const FailedOutcome& aFailed) {
-                           number = EventNumber::RequestFailed;
-                           reason = FailureReasonName(aFailed.mReason);
-                         },
-                         [](const NoRouteOutcome&) {} },
-             aAction.mOutcome);
-  if (!number.has_value()) {
-    return;
-  }
-  mLogger.Log(LogEvent(*number)
-                .At(Step::Dispatch)
-                .Peer(summary.mRoute)
-                .With("request", aRequest.mId.value())
-                .With("reason", reason)
-                .With("plan", summary.mPlan.value())
-                .With("elapsed_us", summary.mElapsed.count())
-                .With("parts", summary.mParts)
-                .With("parts_done", summary.mPartsDone)
-                .With("attempts", summary.mAttempts)
-                .With("hedges", summary.mHedges)
-                .With("retries", summary.mRetries)
-                .With("unpaid", summary.mUnpaid)
-                .With("missing", summary.mMissing));
-}
-
 Result<std::unique_ptr<EntryNode>>
 EntryNode::Create(const CommandLine& aCommandLine, const Settings& aSettings)
 {
--- /dev/null
+++ b/Services/verbenachuted/EntrySettings.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibEntry/NodeDeparture.h>
+#include <LibForward/ForwardSettings.h>
+#include <LibGossip/GossipTable.h>
+#include <LibHttp/HttpServerConnection.h>
+#include <LibRouting/ServingPlan.h>
+#include <LibSettings/Settings.h>
+
+namespace verbenachute {
+
+/// The settings of a node's parts, from those of the daemon.
+[[nodiscard]] ForwardSettings
+EngineSettings(const Settings& aSettings, const NodeIdentity& aSelf);
+
+[[nodiscard]] NodeNews
+NewsOf(const Settings& aSettings, const NodeIdentity& aSelf);
+
+[[nodiscard]] GossipTable::Settings
+GossipSettings(const NodeIdentity& aSelf);
+
+[[nodiscard]] NodeDeparture::Settings
+DepartureSettings(const Settings& aSettings);
+
+[[nodiscard]] ServerLimits
+LimitsOf(const CallerLimits& aLimits);
+
+} // namespace verbenachute
--- /dev/null
+++ b/Services/verbenachuted/OutcomeLog.cpp
@@ -0,0 +1,60 @@
+#include "OutcomeLog.h"
+
+#include <LibCore/Overloaded.h>
+
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace verbenachute {
+
+void
+LogOutcome(const AnswerAction& aAction,
+           const RequestId& aRequest,
+           Logger* aLogger)
+{
+  const ForwardSummary& summary = aAction.mSummary;
+  std::optional<EventNumber> number;
+  std::string reason;
+  std::visit(Overloaded{ [&](const RelayedOutcome&) {
+                          if (summary.mElapsed > summary.mObjective) {
+                            number = EventNumber::RequestLate;
+                          }
+                        },
+                         [&](const GatheredOutcome& aGathered) {
+                           if (summary.mElapsed > summary.mObjective) {
+                             number = EventNumber::RequestLate;
+                           } else if (aGathered.mMissing > 0) {
+                             number = EventNumber::QueryPartial;
+                           }
+                         },
+                         [&](const RefusedOutcome& aRefused) {
+                           number = EventNumber::QueryRefused;
+                           reason = RefusalReasonName(aRefused.mReason);
+                         },
+                         [&](const FailedOutcome& aFailed) {
+                           number = EventNumber::RequestFailed;
+                           reason = FailureReasonName(aFailed.mReason);
+                         },
+                         [](const NoRouteOutcome&) {} },
+             aAction.mOutcome);
+  if (!number.has_value()) {
+    return;
+  }
+  aLogger->Log(LogEvent(*number)
+                 .At(Step::Dispatch)
+                 .Peer(summary.mRoute)
+                 .With("request", aRequest.value())
+                 .With("reason", reason)
+                 .With("plan", summary.mPlan.value())
+                 .With("elapsed_us", summary.mElapsed.count())
+                 .With("parts", summary.mParts)
+                 .With("parts_done", summary.mPartsDone)
+                 .With("attempts", summary.mAttempts)
+                 .With("hedges", summary.mHedges)
+                 .With("retries", summary.mRetries)
+                 .With("unpaid", summary.mUnpaid)
+                 .With("missing", summary.mMissing));
+}
+
+} // namespace verbenachute
