--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -256,7 +256,8 @@
   const bool mayRepeat =
     !part.mMayHaveRun ||
     aRequest->mRoute->mRepeatability == Repeatability::Repeatable;
-  if (!mayRepeat || part.mTried.size() >= aRequest->mRoute->mMaximumAttempts) {
+  if (!mayRepeat || !LeavesTime(*aRequest, aNow) ||
+      part.mTried.size() >= aRequest->mRoute->mMaximumAttempts) {
     part.mState = PartState::Failed;
     return;
   }
--- a/Tests/LibForward/TestForwardEngine.cpp
+++ b/Tests/LibForward/TestForwardEngine.cpp
@@ -288,6 +288,19 @@
   CHECK(rig.mSent[1].mTimeLeft + milliseconds(30) < rig.mSent[0].mTimeLeft);
 }
 
+TEST_CASE("A request that is declined after its time is not sent again")
+{
+  // The pattern of a node that was held up: the result is read before the
+  // wake-up that ends the request.
+  ForwardRig rig;
+  rig.ListAll();
+  const RequestNumber request = rig.Submit("/once/1", milliseconds(100));
+  rig.mNow += milliseconds(150);
+  rig.Decline(rig.mSent[0].mAttempt);
+  CHECK(rig.mSent.size() == 1);
+  CHECK(rig.OutcomeOf<RefusedOutcome>(request) != nullptr);
+}
+
 TEST_CASE("The operator's limit answers a request that nobody answers")
 {
   ForwardRig rig;
