--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -111,7 +111,6 @@
     TargetName mTarget;
     Instant mSent;
     std::string mRoute;
-    Repeatability mRepeatability = Repeatability::AtMostOnce;
     /// The request has its outcome; the result only teaches about the target.
     bool mLeftOver = false;
   };
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -200,14 +200,8 @@
   if (hedges) {
     part.mHedgeAt = aNow + usual;
   }
-  mAttempts.emplace(id,
-                    Attempt{ aNumber,
-                             aPart,
-                             listed.mName,
-                             aNow,
-                             route.mName,
-                             route.mRepeatability,
-                             false });
+  mAttempts.emplace(
+    id, Attempt{ aNumber, aPart, listed.mName, aNow, route.mName, false });
   aTarget->BeginTrial(aNow);
   aTarget->OnSent(id, usual, aNow);
   ++aRequest->mSummary.mAttempts;
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -20,7 +20,6 @@
 #include <LibEntry/StoreDuty.h>
 #include <LibHttp/HttpListener.h>
 #include <LibObservation/BoostLogger.h>
-#include <LibObservation/MetricsRegistry.h>
 
 #include <algorithm>
 #include <cstdlib>
@@ -96,7 +95,6 @@
   NodeIdentity mSelf;
   std::unique_ptr<EventLoop> mLoop;
   BoostLogger mLogger;
-  MetricsRegistry mMetrics;
   ForwardEngine mEngine;
   EntryKnowledge mKnowledge;
   GossipTable mGossip;
