--- a/Libraries/LibConfiguration/OperatorAnswers.cpp
+++ b/Libraries/LibConfiguration/OperatorAnswers.cpp
@@ -49,6 +49,21 @@
   VERIFY(!"unknown admittance");
 }
 
+// Why a target takes no work although the operators let it.
+constexpr const char* kPlatformReason = "the platform";
+
+/// What holds for a target: the platform's word goes before the operators'.
+AdmittanceDecision
+DecisionOf(const TargetEntry& aTarget,
+           const CallerId& aCaller,
+           const OperatorContext& aContext)
+{
+  if (aContext.mDomainsOut.contains(aTarget.mDomain)) {
+    return { Admittance::NoNewWork, kPlatformReason };
+  }
+  return aContext.mConfiguration->MayTakeNewWork(aTarget.mName, aCaller);
+}
+
 Json::Value
 StatusAnswer(const OperatorContext& aContext)
 {
@@ -74,6 +89,10 @@
       answer["domains_out"].append(name.value());
     }
   }
+  answer["domains_out_by_platform"] = Json::Value(Json::arrayValue);
+  for (const FailureDomain& domain : aContext.mDomainsOut) {
+    answer["domains_out_by_platform"].append(domain.value());
+  }
   return answer;
 }
 
@@ -106,11 +125,12 @@
     aQuestion.mService ? configuration.TargetsOf(*aQuestion.mService)
                        : configuration.AllTargets();
   for (const TargetName& name : names) {
-    Json::Value entry = TargetJson(*configuration.FindTarget(name));
+    const TargetEntry& target = *configuration.FindTarget(name);
+    Json::Value entry = TargetJson(target);
     entry["labels"] =
       LabelsJson(configuration.Content().mTargetLabels.LabelsOf(name));
     const AdmittanceDecision decision =
-      configuration.MayTakeNewWork(name, aQuestion.mCaller);
+      DecisionOf(target, aQuestion.mCaller, aContext);
     entry["admittance"] = AdmittanceName(decision.mAdmittance);
     entry["reason"] = decision.mReason;
     answer["targets"].append(entry);
@@ -168,15 +188,22 @@
               const OperatorContext& aContext)
 {
   const Configuration& configuration = *aContext.mConfiguration;
-  if (!configuration.FindTarget(aQuestion.mTarget)) {
+  const TargetEntry* target = configuration.FindTarget(aQuestion.mTarget);
+  if (target == nullptr) {
     return Error{ Step::Configuration,
                   ErrorCode::NotFound,
                   "",
                   "target '" + aQuestion.mTarget.value() +
                     "' is not registered" };
   }
-  const Configuration::Explanation explanation =
+  Configuration::Explanation explanation =
     configuration.Explain(aQuestion.mTarget, aQuestion.mCaller);
+  explanation.mDecision = DecisionOf(*target, aQuestion.mCaller, aContext);
+  if (aContext.mDomainsOut.contains(target->mDomain)) {
+    explanation.mRules.insert(explanation.mRules.begin(),
+                              "the platform has taken failure domain " +
+                                target->mDomain.value() + " out");
+  }
   Json::Value answer = Revised(aContext);
   answer["target"] = aQuestion.mTarget.value();
   answer["caller"] = aQuestion.mCaller.value();
--- a/Libraries/LibConfiguration/OperatorAnswers.h
+++ b/Libraries/LibConfiguration/OperatorAnswers.h
@@ -6,6 +6,7 @@
 
 #include <json/value.h>
 #include <optional>
+#include <set>
 
 namespace verbenachute {
 
@@ -19,6 +20,9 @@
   /// Age of the last confirmation that the revision is the latest.
   std::optional<Duration> mConfirmedAge;
   const InForceTracker& mTracker;
+  /// Failure domains that get no new work by another's will than the
+  /// operators', such as the platform's.
+  std::set<FailureDomain> mDomainsOut;
 };
 
 /// Answers of the operators' interface as JSON; see docs/INTERFACE.md.
--- a/Libraries/LibConfiguration/WriteTask.h
+++ b/Libraries/LibConfiguration/WriteTask.h
@@ -2,13 +2,24 @@
 
 #include <LibConfiguration/Bootstrap.h>
 #include <LibConfiguration/ConfigurationEditor.h>
+#include <LibConfiguration/TargetListing.h>
 
+#include <memory>
 #include <variant>
 
 namespace verbenachute {
 
+/// A change where targets and failure domains tell of themselves. The store
+/// keeps only what operators have said.
+struct ListedChange
+{
+  ChangeRequest mRequest;
+  /// What was listed when the change arrived; not null.
+  std::shared_ptr<const TargetListing> mListing;
+};
+
 /// What a writer is to write.
-using WriteTask = std::variant<ChangeRequest, Bootstrap>;
+using WriteTask = std::variant<ChangeRequest, Bootstrap, ListedChange>;
 
 /// What the task makes of a configuration, null if the store has none. The
 /// outcome has the given configuration itself if the task was done before.
--- a/Libraries/LibEntry/EntryKnowledge.cpp
+++ b/Libraries/LibEntry/EntryKnowledge.cpp
@@ -4,18 +4,27 @@
 
 #include <LibCore/Overloaded.h>
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
 namespace verbenachute {
 
-EntryKnowledge::EntryKnowledge(ForwardEngine& aEngine, Logger& aLogger)
+EntryKnowledge::EntryKnowledge(ForwardEngine& aEngine,
+                               Logger& aLogger,
+                               Domains aDomains,
+                               Region aHome)
   : mEngine(aEngine)
   , mLogger(aLogger)
+  , mDomains(std::move(aDomains))
+  , mHome(std::move(aHome))
+  , mSteering([this]() { return Listing(); })
 {
-  mEngine.SetAdmittance([this](const ListedTarget& aTarget) {
-    return !mOut.contains(aTarget.mDomain);
-  });
+  mEngine.SetAdmittance(
+    [this](const ListedTarget& aTarget, const CallerId& aCaller) {
+      return !mOut.contains(aTarget.mDomain) &&
+             mSteering.Admits(aTarget, aCaller);
+    });
 }
 
 void
@@ -23,6 +32,7 @@
                       const StoreFollower& aFollower,
                       Instant aNow)
 {
+  bool ownChanged = false;
   for (const StoreChange& change : aChanges) {
     std::visit(
       Overloaded{ [&](const platform::PlanKey&) {
@@ -47,16 +57,61 @@
                   [&](const platform::TargetKey& aKey) {
                     ApplyTarget(aKey.mTarget, change.mValue, aFollower, aNow);
                   },
-                  [&](const platform::OwnKey& aKey) {
+                  [&](const platform::OwnKey&) {
                     if (change.mValue.has_value()) {
-                      mOwn[aKey.mName] = *change.mValue;
+                      mOwn[change.mKey] = *change.mValue;
                     } else {
-                      mOwn.erase(aKey.mName);
+                      mOwn.erase(change.mKey);
                     }
+                    ownChanged = true;
                   },
                   [](const platform::OtherKey&) {} },
       platform::MeaningOf(change.mKey));
   }
+  if (ownChanged) {
+    ApplyIntent();
+  }
+}
+
+void
+EntryKnowledge::ApplyIntent()
+{
+  const Result<OperatorIntent::Outcome> taken = mIntent.Take(mOwn);
+  if (IsError(taken)) {
+    mLogger.Log(LogEvent(EventNumber::ChangeRefused)
+                  .Because(ErrorOf(taken))
+                  .With("revision", mIntent.Known().value()));
+    return;
+  }
+  if (ValueOf(taken) == OperatorIntent::Outcome::InForce) {
+    mSteering.SetIntent(mIntent.InForce());
+    mLogger.Log(LogEvent(EventNumber::ConfigurationApplied)
+                  .At(Step::Configuration)
+                  .With("revision", mIntent.RevisionInForce().value()));
+  }
+}
+
+TargetListing
+EntryKnowledge::Listing() const
+{
+  TargetListing listing;
+  listing.mDomains = mDomains;
+  for (const TargetRecord* record : mEngine.Targets().All()) {
+    const ListedTarget& listed = record->Listed();
+    const ServiceTerms* terms =
+      mEngine.Plan() ? mEngine.Plan()->FindService(listed.mService) : nullptr;
+    // A service that the plan does not name has no connections to share out.
+    const std::uint32_t connections =
+      terms == nullptr ? 1 : std::max(1U, terms->mMaximumConnections);
+    listing.mTargets.push_back(TargetEntry{ listed.mName,
+                                            listed.mService,
+                                            listed.mAddress,
+                                            listed.mDomain,
+                                            listed.mSlots,
+                                            connections });
+    listing.mDomains.emplace(listed.mDomain, mHome);
+  }
+  return listing;
 }
 
 void
@@ -78,6 +133,7 @@
   }
   const PlanVersion version = plan.mContent.mVersion;
   const bool newer = !mEngine.Plan() || version > mEngine.Plan()->Version();
+  mSteering.OnListingChanged();
   mEngine.SetPlan(
     std::make_shared<const ServingPlan>(std::move(plan.mContent)));
   mLogger.Log(
@@ -120,6 +176,7 @@
                   .With("domain", listed.mDomain.value()));
   }
   mEngine.Targets().List(listed, aNow);
+  mSteering.OnListingChanged();
 }
 
 void
@@ -129,6 +186,7 @@
     return;
   }
   mEngine.Targets().Unlist(aTarget);
+  mSteering.OnListingChanged();
   mLogger.Log(LogEvent(EventNumber::TargetGone)
                 .Peer(aTarget.value())
                 .With("reason", aReason));
--- a/Libraries/LibEntry/EntryKnowledge.h
+++ b/Libraries/LibEntry/EntryKnowledge.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <LibEntry/OperatorIntent.h>
 #include <LibEntry/RemovalHold.h>
+#include <LibEntry/TargetSteering.h>
 #include <LibForward/ForwardEngine.h>
 #include <LibObservation/Logger.h>
 #include <LibStore/StoreFollower.h>
@@ -14,11 +16,19 @@
 namespace verbenachute {
 
 /// Turns what the store holds into what the engine works with: the plan, the
-/// failure domains that are out, and the targets.
+/// failure domains that are out, the targets, and the operators' labels and
+/// selectors.
 class EntryKnowledge
 {
 public:
-  EntryKnowledge(ForwardEngine& aEngine, Logger& aLogger);
+  using Domains = std::map<FailureDomain, Region>;
+
+  /// aDomains are those of the deployment; aHome is the region of targets in
+  /// other domains.
+  EntryKnowledge(ForwardEngine& aEngine,
+                 Logger& aLogger,
+                 Domains aDomains,
+                 Region aHome);
 
   /// Takes over changes of the mirror.
   void Apply(const StoreMirror::Changes& aChanges,
@@ -27,20 +37,27 @@
   /// Carries out removals whose hold is over.
   void OnTime(Instant aNow);
 
-  /// Keys of this product by their names, with their values.
-  [[nodiscard]] const std::map<std::string, std::string>& OwnKeys() const
-  {
-    return mOwn;
-  }
+  /// Keys of this product, with their values.
+  [[nodiscard]] const OperatorIntent::Keys& OwnKeys() const { return mOwn; }
+  /// Failure domains that the platform wants to get no new work.
   [[nodiscard]] const std::set<FailureDomain>& DomainsOut() const
   {
     return mOut;
   }
+  [[nodiscard]] const OperatorIntent& Intent() const { return mIntent; }
+  /// The operators' configuration in force, with all listed targets in it.
+  [[nodiscard]] const std::shared_ptr<const Configuration>& Configured()
+  {
+    return mSteering.Whole();
+  }
+  /// The targets and failure domains that tell of themselves.
+  [[nodiscard]] TargetListing Listing() const;
   /// Entries that could not be read since the start.
   [[nodiscard]] std::uint64_t UnreadableEntries() const { return mUnreadable; }
 
 private:
   void ApplyPlan(const std::string& aValue);
+  void ApplyIntent();
   void ApplyTarget(const TargetName& aTarget,
                    const std::optional<std::string>& aValue,
                    const StoreFollower& aFollower,
@@ -51,7 +68,11 @@
   Logger& mLogger;
   RemovalHold mHold;
   std::set<FailureDomain> mOut;
-  std::map<std::string, std::string> mOwn;
+  Domains mDomains;
+  Region mHome;
+  OperatorIntent::Keys mOwn;
+  OperatorIntent mIntent;
+  TargetSteering mSteering;
   std::uint64_t mUnreadable = 0;
 };
 
--- /dev/null
+++ b/Libraries/LibEntry/OperatorIntent.cpp
@@ -0,0 +1,59 @@
+#include <LibEntry/OperatorIntent.h>
+
+#include <LibConfiguration/ConfigurationCodec.h>
+#include <LibCore/Verify.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenachute {
+
+Revision
+OperatorIntent::RevisionInForce() const
+{
+  return mBase.mConfiguration ? mBase.mConfiguration->CurrentRevision()
+                              : Revision();
+}
+
+Result<OperatorIntent::Outcome>
+OperatorIntent::Take(const Keys& aKeys)
+{
+  const auto text = aKeys.find(std::string(kHeadKey));
+  if (text == aKeys.end()) {
+    return Outcome::Unchanged;
+  }
+  Result<ConfigurationHead> read = ConfigurationHead::Create(text->second);
+  if (IsError(read)) {
+    return ErrorOf(read);
+  }
+  WriterBase next;
+  next.mHead = TakeValue(std::move(read));
+  mKnown = std::max(mKnown, next.mHead.mRevision);
+  if (next.mHead.mRevision <= RevisionInForce()) {
+    return Outcome::Unchanged;
+  }
+  for (const PartName& name : next.mHead.mParts) {
+    const auto known = mBase.mParts.find(name);
+    if (known != mBase.mParts.end()) {
+      next.mParts.insert(*known);
+      continue;
+    }
+    const auto part = aKeys.find(name.Key());
+    if (part == aKeys.end()) {
+      // It is still on its way; its arrival is looked at again.
+      return Outcome::Unchanged;
+    }
+    next.mParts[name] = std::make_shared<const std::string>(part->second);
+  }
+  Result<std::shared_ptr<const Configuration>> decoded =
+    ConfigurationCodec::Decode(next.mHead, next.mParts);
+  if (IsError(decoded)) {
+    return ErrorOf(decoded);
+  }
+  next.mConfiguration = TakeValue(std::move(decoded));
+  VERIFY(next.mConfiguration->CurrentRevision() > RevisionInForce());
+  mBase = std::move(next);
+  return Outcome::InForce;
+}
+
+} // namespace verbenachute
--- a/Libraries/LibForward/CallerRequest.h
+++ b/Libraries/LibForward/CallerRequest.h
@@ -19,6 +19,8 @@
   /// Path and query.
   std::string mTarget;
   std::string mHost;
+  /// By whom selectors tell callers apart.
+  CallerId mCaller;
   HttpFields mFields;
   std::string mBody;
   /// How long the caller waits from the arrival; nothing if it did not say.
--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -29,7 +29,7 @@
 
 ForwardEngine::ForwardEngine(const ForwardSettings& aSettings)
   : mSettings(aSettings)
-  , mAdmittance([](const ListedTarget&) { return true; })
+  , mAdmittance([](const ListedTarget&, const CallerId&) { return true; })
   , mNodes{ NodeName() }
   , mNextAttempt(aSettings.mFirstAttempt.value())
   , mRandom(static_cast<std::minstd_rand::result_type>(aSettings.mSeed))
@@ -203,12 +203,14 @@
 }
 
 bool
-ForwardEngine::IsServiceable(const ServiceName& aService, Instant aNow) const
+ForwardEngine::IsServiceable(const ServiceName& aService,
+                             const CallerId& aCaller,
+                             Instant aNow) const
 {
   const std::vector<TargetRecord*>& targets = mTargets.Of(aService);
   return std::any_of(
     targets.begin(), targets.end(), [&](const TargetRecord* aTarget) {
-      return IsOpen(*aTarget) && !aTarget->IsDown(aNow);
+      return IsOpen(*aTarget, aCaller) && !aTarget->IsDown(aNow);
     });
 }
 
@@ -231,7 +233,7 @@
   }
   std::size_t serviceable = 0;
   for (const Part& part : aRequest->mParts) {
-    if (IsServiceable(part.mService, aNow)) {
+    if (IsServiceable(part.mService, aRequest->mRequest->mCaller, aNow)) {
       ++serviceable;
     } else {
       aRequest->mSummary.AddMissing(part.mService);
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -4,7 +4,7 @@
 #include <LibForward/ForwardSettings.h>
 #include <LibForward/PoisonLog.h>
 #include <LibForward/RouteStatistics.h>
-#include <LibForward/TargetTable.h>
+#include <LibForward/TargetRecords.h>
 
 #include <deque>
 #include <functional>
@@ -24,8 +24,8 @@
 class ForwardEngine
 {
 public:
-  /// Whether operators let a target take new work.
-  using Admittance = std::function<bool(const ListedTarget&)>;
+  /// Whether operators let a target take new work of a caller.
+  using Admittance = std::function<bool(const ListedTarget&, const CallerId&)>;
 
   explicit ForwardEngine(const ForwardSettings& aSettings);
 
@@ -37,8 +37,8 @@
   /// The nodes that callers are sent to, now or lately, and this one. If this
   /// one is not among them it gets no share of what they share out.
   void SetNodes(std::vector<NodeName> aSenders, const NodeName& aSelf);
-  [[nodiscard]] TargetTable& Targets() { return mTargets; }
-  [[nodiscard]] const TargetTable& Targets() const { return mTargets; }
+  [[nodiscard]] TargetRecords& Targets() { return mTargets; }
+  [[nodiscard]] const TargetRecords& Targets() const { return mTargets; }
 
   /// Takes a request in; the answer may be among the actions.
   [[nodiscard]] ForwardActions Submit(RequestNumber aNumber,
@@ -141,6 +141,7 @@
   void SetTimes(Request* aRequest, Instant aNow);
   void MakeParts(Request* aRequest, Instant aNow);
   [[nodiscard]] bool IsServiceable(const ServiceName& aService,
+                                   const CallerId& aCaller,
                                    Instant aNow) const;
 
   // Parts.
@@ -170,7 +171,8 @@
   [[nodiscard]] Choice ChooseTarget(const Request& aRequest,
                                     const Part& aPart,
                                     Instant aNow);
-  [[nodiscard]] bool IsOpen(const TargetRecord& aTarget) const;
+  [[nodiscard]] bool IsOpen(const TargetRecord& aTarget,
+                            const CallerId& aCaller) const;
   [[nodiscard]] bool ColdAllows(TargetRecord* aTarget,
                                 const ServiceTerms* aTerms,
                                 Instant aNow);
@@ -212,7 +214,7 @@
   /// Whether callers are sent to this node.
   bool mSender = true;
   NodeName mSelf;
-  TargetTable mTargets;
+  TargetRecords mTargets;
   Requests mRequests;
   WakeQueue mWakes;
   std::unordered_map<AttemptId, Attempt> mAttempts;
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -28,10 +28,11 @@
 } // namespace
 
 bool
-ForwardEngine::IsOpen(const TargetRecord& aTarget) const
+ForwardEngine::IsOpen(const TargetRecord& aTarget,
+                      const CallerId& aCaller) const
 {
   return aTarget.Listed().mStanding == TargetStanding::Ready &&
-         mAdmittance(aTarget.Listed());
+         mAdmittance(aTarget.Listed(), aCaller);
 }
 
 std::uint32_t
@@ -124,7 +125,8 @@
     const bool tried =
       std::find(aPart.mTried.begin(), aPart.mTried.end(), name) !=
       aPart.mTried.end();
-    if (tried || !IsOpen(*target) || target->IsDown(aNow) ||
+    if (tried || !IsOpen(*target, aRequest.mRequest->mCaller) ||
+        target->IsDown(aNow) ||
         !MayConnect(aPart.mService, place, targets.size(), terms)) {
       continue;
     }
--- a/Libraries/LibForward/TargetTable.cpp
+++ b/Libraries/LibForward/TargetRecords.cpp
@@ -1,11 +1,11 @@
-#include <LibForward/TargetTable.h>
+#include <LibForward/TargetRecords.h>
 
 #include <algorithm>
 
 namespace verbenachute {
 
 void
-TargetTable::List(const ListedTarget& aTarget, Instant aNow)
+TargetRecords::List(const ListedTarget& aTarget, Instant aNow)
 {
   std::unique_ptr<TargetRecord>& record = mTargets[aTarget.mName];
   if (!record) {
@@ -22,7 +22,7 @@
 }
 
 void
-TargetTable::Unlist(const TargetName& aTarget)
+TargetRecords::Unlist(const TargetName& aTarget)
 {
   const auto found = mTargets.find(aTarget);
   if (found == mTargets.end()) {
@@ -33,14 +33,14 @@
 }
 
 TargetRecord*
-TargetTable::Find(const TargetName& aTarget)
+TargetRecords::Find(const TargetName& aTarget)
 {
   const auto found = mTargets.find(aTarget);
   return found == mTargets.end() ? nullptr : found->second.get();
 }
 
 const std::vector<TargetRecord*>&
-TargetTable::Of(const ServiceName& aService) const
+TargetRecords::Of(const ServiceName& aService) const
 {
   static const std::vector<TargetRecord*> sNone;
   const auto found = mServices.find(aService);
@@ -48,7 +48,7 @@
 }
 
 std::vector<const TargetRecord*>
-TargetTable::All() const
+TargetRecords::All() const
 {
   std::vector<const TargetRecord*> all;
   all.reserve(mTargets.size());
@@ -59,7 +59,7 @@
 }
 
 void
-TargetTable::Index(TargetRecord* aRecord)
+TargetRecords::Index(TargetRecord* aRecord)
 {
   std::vector<TargetRecord*>& targets = mServices[aRecord->Listed().mService];
   const auto place =
@@ -73,7 +73,7 @@
 }
 
 void
-TargetTable::Unindex(const ServiceName& aService, const TargetRecord* aRecord)
+TargetRecords::Unindex(const ServiceName& aService, const TargetRecord* aRecord)
 {
   const auto found = mServices.find(aService);
   if (found == mServices.end()) {
--- a/Libraries/LibForward/TargetTable.h
+++ b/Libraries/LibForward/TargetRecords.h
@@ -11,7 +11,7 @@
 namespace verbenachute {
 
 /// The targets that this node knows, by name and by service.
-class TargetTable
+class TargetRecords
 {
 public:
   /// Adds a target or takes over its changed entry.
--- a/Libraries/LibGossip/GossipCodec.cpp
+++ b/Libraries/LibGossip/GossipCodec.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t kNewsFields = 14;
+constexpr std::size_t kNewsFields = 15;
 constexpr std::uint32_t kNoAge = 0xffffffff;
 constexpr std::size_t kStrikeFields = 2;
 // A datagram holds a few dozen entries at most.
@@ -29,6 +29,7 @@
   aWriter->Id(aNews.mStore);
   aWriter->Number(aNews.mStoreAge.value_or(kNoAge));
   aWriter->Id(aNews.mPlan);
+  aWriter->Id(aNews.mIntent);
   aWriter->Number(aNews.mPower);
   aWriter->Number(aNews.mUsed);
 }
@@ -53,6 +54,7 @@
     news.mStoreAge = age;
   }
   news.mPlan = aReader.Id<PlanVersion>();
+  news.mIntent = aReader.Id<Revision>();
   news.mPower = aReader.Number<std::uint32_t>();
   news.mUsed = aReader.Number<std::uint32_t>();
   return news;
--- a/Libraries/LibGossip/GossipTable.cpp
+++ b/Libraries/LibGossip/GossipTable.cpp
@@ -51,7 +51,8 @@
 void
 GossipTable::SetKnowledge(StoreRevision aStore,
                           std::optional<Duration> aStoreAge,
-                          PlanVersion aPlan)
+                          PlanVersion aPlan,
+                          Revision aIntent)
 {
   mSelf.mStore = aStore;
   mSelf.mStoreAge.reset();
@@ -60,6 +61,7 @@
       std::chrono::duration_cast<milliseconds>(*aStoreAge).count(), kOldest));
   }
   mSelf.mPlan = aPlan;
+  mSelf.mIntent = aIntent;
 }
 
 void
@@ -338,4 +340,22 @@
                }));
 }
 
+std::vector<NodeNews>
+GossipTable::Peers() const
+{
+  std::vector<NodeNews> peers;
+  peers.reserve(mPeers.size());
+  for (const auto& entry : mPeers) {
+    peers.push_back(entry.second.mNews);
+  }
+  return peers;
+}
+
+bool
+GossipTable::IsLiving(const NodeName& aPeer, Instant aNow) const
+{
+  const auto found = mPeers.find(aPeer);
+  return found != mPeers.end() && IsHeard(found->second, aNow);
+}
+
 } // namespace verbenachute
--- a/Libraries/LibGossip/GossipTable.h
+++ b/Libraries/LibGossip/GossipTable.h
@@ -49,7 +49,8 @@
   void SetUsed(std::uint32_t aThousandths) { mSelf.mUsed = aThousandths; }
   void SetKnowledge(StoreRevision aStore,
                     std::optional<Duration> aStoreAge,
-                    PlanVersion aPlan);
+                    PlanVersion aPlan,
+                    Revision aIntent);
   /// Spreads a strike in the next rounds.
   void AddStrike(const PoisonStrike& aStrike);
 
@@ -73,6 +74,10 @@
   [[nodiscard]] std::optional<Duration> StoreAge(Instant aNow) const;
   /// Living nodes, this one included.
   [[nodiscard]] std::size_t Living(Instant aNow) const;
+  /// The latest news of every other node that is remembered, living or not.
+  [[nodiscard]] std::vector<NodeNews> Peers() const;
+  /// Whether that peer is heard of.
+  [[nodiscard]] bool IsLiving(const NodeName& aPeer, Instant aNow) const;
   [[nodiscard]] const NodeNews& Self() const { return mSelf; }
 
   /// A silent node counts for limits that nodes share for this long.
--- a/Libraries/LibGossip/NodeNews.h
+++ b/Libraries/LibGossip/NodeNews.h
@@ -46,6 +46,8 @@
   /// Milliseconds since the store answered it last; nothing if it has not.
   std::optional<std::uint32_t> mStoreAge;
   PlanVersion mPlan;
+  /// Revision of the operators' configuration that it has in force.
+  Revision mIntent;
   /// Processor that the node may use, in thousandths of a core.
   std::uint32_t mPower = 0;
   /// What it uses of that, in thousandths of a core.
--- a/Libraries/LibOperator/WriteRunner.cpp
+++ b/Libraries/LibOperator/WriteRunner.cpp
@@ -19,22 +19,22 @@
 
 void
 WriteRunner::Run(EventLoop& aLoop,
-                 Platform& aPlatform,
+                 KeyValueStore& aStore,
                  ConfigurationWriter aWriter,
                  Done aDone)
 {
   const std::shared_ptr<WriteRunner> runner(
-    new WriteRunner(aLoop, aPlatform, std::move(aWriter), std::move(aDone)));
+    new WriteRunner(aLoop, aStore, std::move(aWriter), std::move(aDone)));
   runner->mSelf = runner;
   runner->CarryOut(runner->mWriter.Start(aLoop.Now()));
 }
 
 WriteRunner::WriteRunner(EventLoop& aLoop,
-                         Platform& aPlatform,
+                         KeyValueStore& aStore,
                          ConfigurationWriter aWriter,
                          Done aDone)
   : mLoop(aLoop)
-  , mPlatform(aPlatform)
+  , mStore(aStore)
   , mWriter(std::move(aWriter))
   , mDone(std::move(aDone))
   , mTimer(aLoop, [this] { CarryOut(mWriter.OnTick(mLoop.Now())); })
@@ -54,7 +54,7 @@
 void
 WriteRunner::Perform(const ReadHead& aAction)
 {
-  mPlatform.Read(
+  mStore.Read(
     std::string(kHeadKey),
     [self = shared_from_this(), ask = aAction.mAsk](const StoredResult& aRead) {
       if (IsError(aRead)) {
@@ -73,7 +73,7 @@
 void
 WriteRunner::Perform(const ReadPart& aAction)
 {
-  mPlatform.Read(
+  mStore.Read(
     aAction.mPart.Key(),
     [self = shared_from_this(), ask = aAction.mAsk](const StoredResult& aRead) {
       const Instant now = self->mLoop.Now();
@@ -89,7 +89,7 @@
 void
 WriteRunner::Perform(const WritePart& aAction)
 {
-  mPlatform.CompareAndSwap(
+  mStore.CompareAndSwap(
     aAction.mPart.Key(),
     *aAction.mText,
     KeyRevision(0),
@@ -109,7 +109,7 @@
 WriteRunner::Perform(const DeletePart& aAction)
 {
   const std::string key = aAction.mPart.Key();
-  mPlatform.Read(
+  mStore.Read(
     key,
     [self = shared_from_this(), ask = aAction.mAsk, key](
       const StoredResult& aRead) {
@@ -121,7 +121,7 @@
         self->CarryOut(self->mWriter.OnPartDeleted(ask, self->mLoop.Now()));
         return;
       }
-      self->mPlatform.Remove(
+      self->mStore.Remove(
         key,
         ValueOf(aRead)->mRevision,
         [self, ask](const Result<SwapOutcome>& aRemoved) {
@@ -137,21 +137,21 @@
 void
 WriteRunner::Perform(const SwapHead& aAction)
 {
-  mPlatform.CompareAndSwap(
-    std::string(kHeadKey),
-    aAction.mText,
-    KeyRevision(aAction.mExpected),
-    [self = shared_from_this(),
-     ask = aAction.mAsk](const Result<SwapOutcome>& aSwap) {
-      if (IsError(aSwap)) {
-        self->Fail(ask, ErrorOf(aSwap));
-        return;
-      }
-      const Instant now = self->mLoop.Now();
-      self->CarryOut(ValueOf(aSwap).mResult == SwapResult::Swapped
-                       ? self->mWriter.OnSwapped(ask, now)
-                       : self->mWriter.OnSwapConflict(ask, now));
-    });
+  mStore.CompareAndSwap(std::string(kHeadKey),
+                        aAction.mText,
+                        KeyRevision(aAction.mExpected),
+                        [self = shared_from_this(),
+                         ask = aAction.mAsk](const Result<SwapOutcome>& aSwap) {
+                          if (IsError(aSwap)) {
+                            self->Fail(ask, ErrorOf(aSwap));
+                            return;
+                          }
+                          const Instant now = self->mLoop.Now();
+                          self->CarryOut(
+                            ValueOf(aSwap).mResult == SwapResult::Swapped
+                              ? self->mWriter.OnSwapped(ask, now)
+                              : self->mWriter.OnSwapConflict(ask, now));
+                        });
 }
 
 void
--- a/Libraries/LibOperator/WriteRunner.h
+++ b/Libraries/LibOperator/WriteRunner.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibConfiguration/ConfigurationWriter.h>
-#include <LibPlatform/Platform.h>
+#include <LibPlatform/KeyValueStore.h>
 #include <LibTransport/EventLoop.h>
 #include <LibTransport/Timer.h>
 
@@ -17,16 +17,16 @@
 public:
   using Done = std::function<void(const Result<WriteOutcome>&)>;
 
-  /// Begins the write and calls aDone once. The loop and the platform must
+  /// Begins the write and calls aDone once. The loop and the store must
   /// outlive the write.
   static void Run(EventLoop& aLoop,
-                  Platform& aPlatform,
+                  KeyValueStore& aStore,
                   ConfigurationWriter aWriter,
                   Done aDone);
 
 private:
   WriteRunner(EventLoop& aLoop,
-              Platform& aPlatform,
+              KeyValueStore& aStore,
               ConfigurationWriter aWriter,
               Done aDone);
 
@@ -41,7 +41,7 @@
   void ArmTimer();
 
   EventLoop& mLoop;
-  Platform& mPlatform;
+  KeyValueStore& mStore;
   ConfigurationWriter mWriter;
   Done mDone;
   Timer mTimer;
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -22,6 +22,13 @@
          aCharacter == '_' || aCharacter == '.';
 }
 
+bool
+IsName(const std::string& aText)
+{
+  return !aText.empty() && aText.size() <= kMaximumNameBytes &&
+         std::all_of(aText.begin(), aText.end(), IsNameCharacter);
+}
+
 // Reads settings one by one and keeps the first problem.
 class Reader
 {
@@ -34,8 +41,7 @@
   std::string Name(const char* aName)
   {
     std::string text = TextOf(aName);
-    if (text.empty() || text.size() > kMaximumNameBytes ||
-        !std::all_of(text.begin(), text.end(), IsNameCharacter)) {
+    if (!IsName(text)) {
       Refuse(aName, text);
     }
     return text;
@@ -74,6 +80,31 @@
     return addresses;
   }
 
+  std::map<FailureDomain, Region> Domains(const char* aName)
+  {
+    std::map<FailureDomain, Region> domains;
+    const std::string text = TextOf(aName);
+    if (text == "none") {
+      return domains;
+    }
+    std::size_t begin = 0;
+    while (begin <= text.size()) {
+      const std::size_t end = std::min(text.find(',', begin), text.size());
+      const std::string entry = text.substr(begin, end - begin);
+      const std::size_t equals = std::min(entry.find('='), entry.size());
+      const std::string domain = entry.substr(0, equals);
+      const std::string region =
+        equals < entry.size() ? entry.substr(equals + 1) : "";
+      if (!IsName(domain) || !IsName(region)) {
+        Refuse(aName, text);
+        return {};
+      }
+      domains.emplace(FailureDomain(domain), Region(region));
+      begin = end + 1;
+    }
+    return domains;
+  }
+
   std::uint32_t Number(const char* aName,
                        std::uint32_t aMinimum,
                        std::uint32_t aMaximum)
@@ -191,6 +222,7 @@
   settings.mOperatorAddress = reader.Address("operator_address");
   settings.mPlatformAddress = reader.Address("platform");
   settings.mSeeds = reader.Addresses("seeds");
+  settings.mDomains = reader.Domains("domains");
   settings.mAddressValidity =
     milliseconds(reader.Number("address_validity_ms", 100, 60'000));
   settings.mTicketValidity =
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -6,6 +6,7 @@
 #include <LibSettings/RawSettings.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -44,6 +45,11 @@
   {
     return mSeeds;
   }
+  /// Failure domains of the deployment, as far as they are known.
+  [[nodiscard]] const std::map<FailureDomain, Region>& Domains() const
+  {
+    return mDomains;
+  }
   /// How long callers may keep an address answer.
   [[nodiscard]] Duration AddressValidity() const { return mAddressValidity; }
   /// How long a ticket for non-idempotent requests holds.
@@ -99,6 +105,7 @@
   SocketAddress mOperatorAddress;
   SocketAddress mPlatformAddress;
   std::vector<SocketAddress> mSeeds;
+  std::map<FailureDomain, Region> mDomains;
   Duration mAddressValidity{ 0 };
   Duration mTicketValidity{ 0 };
   Duration mDrainLimit{ 0 };
--- a/Services/verbenachuted/Daemon.cpp
+++ b/Services/verbenachuted/Daemon.cpp
@@ -4,6 +4,7 @@
 #include "ConfigurationService.h"
 #include "CountingPlatform.h"
 #include "DispatchService.h"
+#include "HolderSteering.h"
 #include "LeaseService.h"
 #include "MembershipService.h"
 #include "OnceService.h"
@@ -166,6 +167,7 @@
   OnceService mOnce;
   AddressAnswerer mAddresses;
   ShutdownService mShutdown;
+  HolderSteering mSteering;
   std::unique_ptr<CallerPort> mCallerPort;
   std::unique_ptr<OperatorPort> mOperatorPort;
   std::unique_ptr<ControlServer> mControl;
@@ -201,6 +203,9 @@
   , mAddresses(AddressSettings(aSettings))
   , mShutdown(ShutdownSettings(aSettings, mMembership.Table()),
               { *mLoop, mMembership, mLeases, mDispatch, mOnce, mLogger })
+  , mSteering(aSelf, { mConfiguration, mMembership, mLeases, [this]() {
+                        return ShardGroups();
+                      } })
 {
   ConnectConfiguration();
   ConnectMembership();
@@ -233,11 +238,7 @@
 Daemon::Parts::OpenOperatorPort()
 {
   Result<std::unique_ptr<OperatorPort>> port = OperatorPort::Create(
-    mSelf,
-    mSettings.OperatorAddress(),
-    { *mLoop, mPlatform, mConfiguration, mMembership, mLeases, [this]() {
-       return ShardGroups();
-     } });
+    mSelf, mSettings.OperatorAddress(), { *mLoop, mPlatform, mSteering });
   if (IsError(port)) {
     return ErrorOf(port);
   }
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -1,9 +1,12 @@
 #include "EntryNode.h"
 
 #include "EntrySettings.h"
+#include "EntrySteering.h"
 #include "GossipPort.h"
+#include "OperatorPort.h"
 #include "OutcomeLog.h"
 #include "SettingsWatch.h"
+#include "StoreKeys.h"
 #include "StoreLink.h"
 #include "TargetPool.h"
 
@@ -36,6 +39,7 @@
 constexpr int kUnavailable = 503;
 constexpr Duration kDeparturePause = milliseconds(50);
 constexpr Duration kIdleCheckPause = milliseconds(500);
+constexpr Duration kOperatorPause = seconds(1);
 // Addresses in one answer of the directory.
 constexpr std::size_t kMostAddresses = 64;
 
@@ -78,6 +82,7 @@
   void OnGossip(const GossipMessage& aMessage);
   void OnGossipTick();
   void OnKnowledge(const StoreMirror::Changes& aChanges);
+  void OnOperatorTick();
   void OnSettingsChanged();
   void OnStop();
   void OnDepartureTick();
@@ -101,6 +106,9 @@
   std::unique_ptr<GossipPort> mGossipPort;
   TargetPool mPool;
   StoreLink mStore;
+  StoreKeys mKeys;
+  EntrySteering mSteering;
+  std::unique_ptr<OperatorPort> mOperatorPort;
   SenderWatch mSenders;
   LoadMeter mLoad;
   NodeDeparture mDeparture;
@@ -109,6 +117,7 @@
   Timer mGossipTimer;
   Timer mDepartureTimer;
   Timer mIdleTimer;
+  Timer mOperatorTimer;
   std::unique_ptr<HttpListener> mCallerListener;
   std::unique_ptr<HttpListener> mDirectoryListener;
   std::unique_ptr<HttpListener> mReadyListener;
@@ -128,7 +137,7 @@
   , mLoop(std::move(aLoop))
   , mLogger({ aSettings.Name() }, mLoop->SystemTime())
   , mEngine(EngineSettings(aSettings, mSelf))
-  , mKnowledge(mEngine, mLogger)
+  , mKnowledge(mEngine, mLogger, aSettings.Domains(), aSettings.HomeRegion())
   , mGossip(GossipSettings(mSelf), NewsOf(aSettings, mSelf))
   , mGossipPort(std::move(aGossipPort))
   , mPool(
@@ -152,6 +161,8 @@
              [this](const StoreMirror::Changes& aChanges) {
                OnKnowledge(aChanges);
              } })
+  , mKeys(*mLoop, aSettings.PlatformAddress())
+  , mSteering(mSelf, { mKnowledge, mGossip, mStore.Follower() })
   , mDeparture(DepartureSettings(aSettings))
   , mSettingsWatch(*mLoop,
                    aCommandLine.mSettingsFile,
@@ -159,12 +170,14 @@
   , mEngineTimer(*mLoop, [this]() { Perform(mEngine.OnTime(mLoop->Now())); })
   , mGossipTimer(*mLoop, [this]() { OnGossipTick(); })
   , mDepartureTimer(*mLoop, [this]() { OnDepartureTick(); })
-  , mIdleTimer(*mLoop, [this]() {
-    mPool.CloseIdle();
-    mKnowledge.OnTime(mLoop->Now());
-    mLogger.ReportSuppressed();
-    mIdleTimer.Start(kIdleCheckPause);
-  })
+  , mIdleTimer(*mLoop,
+               [this]() {
+                 mPool.CloseIdle();
+                 mKnowledge.OnTime(mLoop->Now());
+                 mLogger.ReportSuppressed();
+                 mIdleTimer.Start(kIdleCheckPause);
+               })
+  , mOperatorTimer(*mLoop, [this]() { OnOperatorTick(); })
 {
   mStarted = mLoop->Now();
   mEngine.SetNodes({ mSelf.mName }, mSelf.mName);
@@ -210,6 +223,12 @@
     }
     *port.mListener = TakeValue(std::move(listener));
   }
+  Result<std::unique_ptr<OperatorPort>> operators = OperatorPort::Create(
+    mSelf, mSettings.OperatorAddress(), { *mLoop, mKeys, mSteering });
+  if (IsError(operators)) {
+    return ErrorOf(operators);
+  }
+  mOperatorPort = TakeValue(std::move(operators));
   return Success();
 }
 
@@ -222,6 +241,7 @@
                SocketAddressText(mSettings.PeerAddress()));
   OnGossipTick();
   mIdleTimer.Start(kIdleCheckPause);
+  mOperatorTimer.Start(kOperatorPause);
   mLoop->Run();
   mLogger.Log(LogEvent(EventNumber::ShutdownFinished).At(Step::Shutdown));
   return 0;
@@ -376,7 +396,8 @@
   mGossip.SetKnowledge(mStore.Follower().Mirror().At(),
                        storeAge,
                        mEngine.Plan() ? mEngine.Plan()->Version()
-                                      : PlanVersion());
+                                      : PlanVersion(),
+                       mKnowledge.Intent().RevisionInForce());
   mGossip.SetService(mDeparture.Phase() != DeparturePhase::Serving
                        ? NodeService::Leaving
                      : IsReady() ? NodeService::Serving
@@ -387,13 +408,20 @@
 EntryNode::Parts::OnKnowledge(const StoreMirror::Changes& aChanges)
 {
   const bool wasReady = IsReady();
+  const Revision before = mKnowledge.Intent().RevisionInForce();
   mKnowledge.Apply(aChanges, mStore.Follower(), mLoop->Now());
-  for (const auto& own : mKnowledge.OwnKeys()) {
-    const Result<SocketAddress> address = ParseSocketAddress(own.second);
-    if (own.first.starts_with("nodes/") && !IsError(address)) {
+  const std::string nodes = platform::OwnKeyText("nodes/");
+  for (auto own = mKnowledge.OwnKeys().lower_bound(nodes);
+       own != mKnowledge.OwnKeys().end() && own->first.starts_with(nodes);
+       ++own) {
+    const Result<SocketAddress> address = ParseSocketAddress(own->second);
+    if (!IsError(address)) {
       mGossip.AddSeed(ValueOf(address));
     }
   }
+  if (mKnowledge.Intent().RevisionInForce() > before) {
+    mSteering.Applied().emit();
+  }
   if (mEngine.Plan() && mCallerListener) {
     mCallerListener->SetLimits(LimitsOf(mEngine.Plan()->Limits()));
   }
@@ -405,6 +433,13 @@
   ScheduleEngine();
 }
 
+void
+EntryNode::Parts::OnOperatorTick()
+{
+  mOperatorPort->OnTick();
+  mOperatorTimer.Start(kOperatorPause);
+}
+
 void
 EntryNode::Parts::OnSettingsChanged()
 {
@@ -437,8 +472,10 @@
 EntryNode::Parts::OnDepartureTick()
 {
   const DeparturePhase before = mDeparture.Phase();
-  const DeparturePhase phase = mDeparture.Advance(
-    mCallerListener->ConnectionCount(), mEngine.Running(), mLoop->Now());
+  const DeparturePhase phase =
+    mDeparture.Advance(mCallerListener->ConnectionCount(),
+                       mEngine.Running() + mOperatorPort->InHand(),
+                       mLoop->Now());
   if (before != phase && phase == DeparturePhase::Closing) {
     mCallerListener->StopAccepting();
   }
--- a/Services/verbenachuted/Flags.cpp
+++ b/Services/verbenachuted/Flags.cpp
@@ -22,6 +22,7 @@
 ABSL_FLAG(std::string, caller_address, "", "see below");
 ABSL_FLAG(std::string, peer_address, "", "see below");
 ABSL_FLAG(std::string, operator_address, "", "see below");
+ABSL_FLAG(std::string, domains, "", "see below");
 ABSL_FLAG(std::string, platform, "", "see below");
 ABSL_FLAG(std::string, seeds, "", "see below");
 ABSL_FLAG(std::string, address_validity_ms, "", "see below");
--- a/Services/verbenachuted/OperatorPort.cpp
+++ b/Services/verbenachuted/OperatorPort.cpp
@@ -2,7 +2,6 @@
 
 #include <LibJson/JsonText.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace verbenachute {
@@ -11,8 +10,6 @@
 
 constexpr std::size_t kWaitingChanges = 64;
 constexpr std::size_t kWaitingWatches = 64;
-/// A node that is neither heard nor listed for so long has stopped.
-constexpr Duration kGoneAfter = seconds(60);
 constexpr int kMethodNotAllowed = 405;
 
 HttpReply
@@ -42,25 +39,19 @@
   if (IsError(server)) {
     return ErrorOf(server);
   }
-  std::unique_ptr<OperatorPort> port(
-    new OperatorPort(aSelf, std::move(aDependencies)));
+  std::unique_ptr<OperatorPort> port(new OperatorPort(aSelf, aDependencies));
   port->mServer = TakeValue(std::move(server));
   OperatorPort* self = port.get();
   self->mServer->RequestArrived().connect(
     [self](const Exchange& aExchange) { self->Handle(aExchange); });
-  self->mDependencies.mConfiguration.Applied().connect(
-    [self](const std::shared_ptr<const Configuration>&) {
-      self->UpdateNodes();
-      self->AnswerWatches();
-    });
+  self->mDependencies.mSource.Applied().connect([self]() { self->OnTick(); });
   return port;
 }
 
 OperatorPort::OperatorPort(const NodeIdentity& aSelf,
                            Dependencies aDependencies)
   : mSelf(aSelf)
-  , mDependencies(std::move(aDependencies))
-  , mBar(mDependencies.mLeases.Settings().VoterDuration())
+  , mDependencies(aDependencies)
 {
 }
 
@@ -108,7 +99,7 @@
   }
   OperatorChange change = TakeValue(std::move(parsed));
   change.mRequest.mWallTime = mDependencies.mLoop.SystemTime().WallTime();
-  change.mRequest.mGroups = mDependencies.mShards();
+  change.mRequest.mGroups = mDependencies.mSource.Shards();
   if (change.mDryRun == DryRun::Yes) {
     const Result<ChangeOutcome> outcome = Try(change);
     if (IsError(outcome)) {
@@ -133,6 +124,7 @@
 void
 OperatorPort::HandleQuestion(const Exchange& aExchange)
 {
+  UpdateNodes();
   const HttpRequest& request = aExchange->Request();
   const Result<OperatorQuestion> question =
     OperatorRequestParser::ParseQuestion(request.mPath, request.mParameters);
@@ -163,21 +155,14 @@
   if (mChanges.empty()) {
     return;
   }
-  const ConfigurationFollower& follower =
-    mDependencies.mConfiguration.Follower();
-  WriterBase base;
-  if (follower.InForce()) {
-    base.mConfiguration = follower.InForce();
-    base.mHead = follower.Head();
-    for (const PartName& part : base.mHead.mParts) {
-      base.mParts[part] = follower.FindPart(part);
-    }
-  }
   WriteRunner::Run(
     mDependencies.mLoop,
-    mDependencies.mPlatform,
+    mDependencies.mStore,
     ConfigurationWriter(
-      mSelf, ++mLastWriter, mChanges.front().mChange.mRequest, std::move(base)),
+      mSelf,
+      ++mLastWriter,
+      mDependencies.mSource.TaskOf(mChanges.front().mChange.mRequest),
+      mDependencies.mSource.Base()),
     [this](const Result<WriteOutcome>& aOutcome) { FinishChange(aOutcome); });
 }
 
@@ -191,7 +176,7 @@
   } else {
     const WriteOutcome& outcome = ValueOf(aOutcome);
     if (outcome.mWritten) {
-      mDependencies.mConfiguration.OnWritten(*outcome.mWritten, outcome.mSent);
+      mDependencies.mSource.OnWritten(*outcome.mWritten, outcome.mSent);
     }
     change.mExchange->Reply(JsonReply(
       200, OperatorAnswers::ChangeAnswer(change.mChange, outcome.mChange)));
@@ -204,12 +189,11 @@
 Result<ChangeOutcome>
 OperatorPort::Try(const OperatorChange& aChange) const
 {
-  const std::shared_ptr<const Configuration>& inForce =
-    mDependencies.mConfiguration.Follower().InForce();
-  if (!inForce) {
+  if (!mDependencies.mSource.InForce()) {
     return Fault(ErrorCode::Unavailable, "this node has no configuration yet");
   }
-  return ConfigurationEditor::Apply(inForce, aChange.mRequest);
+  return ApplyTask(mDependencies.mSource.TaskOf(aChange.mRequest),
+                   mDependencies.mSource.Base().mConfiguration);
 }
 
 void
@@ -237,65 +221,20 @@
 void
 OperatorPort::UpdateNodes()
 {
-  const Instant now = mDependencies.mLoop.Now();
-  MembershipService& membership = mDependencies.mMembership;
-  const Revision own =
-    mDependencies.mConfiguration.Follower().RevisionInForce();
-  mTracker.OnConfirmed(mSelf, own);
-  std::map<NodeName, Revision> confirmed{ { mSelf.mName, own } };
-  for (const Member& member : membership.Table().Members(now)) {
-    const MemberDescription& description = member.mDescription;
-    if (member.mState == MemberState::Dead) {
-      mTracker.OnNode(description.mIdentity);
-      continue;
-    }
-    mTracker.OnConfirmed(description.mIdentity, description.mRevision);
-    confirmed[description.mIdentity.mName] = description.mRevision;
-    mSeen[description.mIdentity] = now;
-  }
-  const std::optional<Roster>& roster = mDependencies.mLeases.CurrentRoster();
-  if (roster) {
-    std::vector<Revision> voters;
-    for (const NodeName& voter : roster->mVoters) {
-      voters.push_back(confirmed[voter]);
-    }
-    mBar.OnVoters(std::move(voters), roster->Majority(), now);
-    const Region& home = membership.Table().Self().mRegion;
-    for (const Member& member : membership.Table().Members(now)) {
-      // Other regions have voters of their own, whose grants are not seen.
-      if (member.mDescription.mRegion == home) {
-        mTracker.OnLeasesLapsed(member.mDescription.mIdentity,
-                                mBar.BarredBelow());
-      }
-    }
-  }
-  ForgetGoneNodes(now);
-}
-
-void
-OperatorPort::ForgetGoneNodes(Instant aNow)
-{
-  const std::set<NodeName>& listed = mDependencies.mMembership.ListedNames();
-  for (const NodeRevision& node : mTracker.Nodes()) {
-    const auto [seen, added] = mSeen.try_emplace(node.mNode, aNow);
-    const bool isListed = listed.contains(node.mNode.mName);
-    if (node.mNode != mSelf && !isListed && seen->second + kGoneAfter <= aNow) {
-      mTracker.OnGone(node.mNode);
-      mSeen.erase(node.mNode);
-    }
-  }
+  mDependencies.mSource.UpdateNodes(&mTracker, mDependencies.mLoop.Now());
 }
 
 OperatorContext
 OperatorPort::Context() const
 {
-  const ConfigurationFollower& follower =
-    mDependencies.mConfiguration.Follower();
-  OperatorContext context{
-    follower.InForce(), follower.RevisionKnown(), std::nullopt, mTracker
-  };
-  if (follower.Confirmed()) {
-    context.mConfirmedAge = mDependencies.mLoop.Now() - *follower.Confirmed();
+  OperatorContext context{ mDependencies.mSource.InForce(),
+                           mDependencies.mSource.Known(),
+                           std::nullopt,
+                           mTracker,
+                           mDependencies.mSource.DomainsOut() };
+  const std::optional<Instant> confirmed = mDependencies.mSource.Confirmed();
+  if (confirmed) {
+    context.mConfirmedAge = mDependencies.mLoop.Now() - *confirmed;
   }
   return context;
 }
--- a/Services/verbenachuted/OperatorPort.h
+++ b/Services/verbenachuted/OperatorPort.h
@@ -1,19 +1,14 @@
 #pragma once
 
-#include "ConfigurationService.h"
-#include "LeaseService.h"
-#include "MembershipService.h"
+#include "SteeringSource.h"
 
 #include <LibConfiguration/OperatorAnswers.h>
 #include <LibConfiguration/OperatorRequestParser.h>
-#include <LibConfiguration/RevisionBar.h>
 #include <LibOperator/WriteRunner.h>
 #include <LibTransport/HttpServer.h>
 
 #include <deque>
-#include <functional>
 #include <list>
-#include <map>
 
 namespace verbenachute {
 
@@ -26,13 +21,8 @@
   struct Dependencies
   {
     EventLoop& mLoop;
-    Platform& mPlatform;
-    ConfigurationService& mConfiguration;
-    MembershipService& mMembership;
-    LeaseService& mLeases;
-    /// The shards of all services with the targets that have them, for the
-    /// check that none is left without a target; may be empty.
-    std::function<std::vector<CoverageGroup>()> mShards;
+    KeyValueStore& mStore;
+    SteeringSource& mSource;
   };
 
   [[nodiscard]] static Result<std::unique_ptr<OperatorPort>> Create(
@@ -41,7 +31,7 @@
     Dependencies aDependencies);
 
   /// Brings what is known of other nodes up to date and answers watches that
-  /// have waited long enough. Called often, such as every 100 ms.
+  /// have waited long enough. Called every second at least.
   void OnTick();
   /// Changes that have arrived and are not answered.
   [[nodiscard]] std::size_t InHand() const { return mChanges.size(); }
@@ -72,7 +62,6 @@
   [[nodiscard]] Result<ChangeOutcome> Try(const OperatorChange& aChange) const;
   void AnswerWatches();
   void UpdateNodes();
-  void ForgetGoneNodes(Instant aNow);
   [[nodiscard]] OperatorContext Context() const;
   static void Refuse(const Exchange& aExchange, const Error& aError);
 
@@ -80,9 +69,6 @@
   Dependencies mDependencies;
   std::unique_ptr<HttpServer> mServer;
   InForceTracker mTracker;
-  RevisionBar mBar;
-  /// When each node was last heard or listed.
-  std::map<NodeIdentity, Instant> mSeen;
   /// The first one is being written.
   std::deque<WaitingChange> mChanges;
   std::uint64_t mLastWriter = 0;
--- /dev/null
+++ b/Services/verbenachuted/StoreKeys.cpp
@@ -0,0 +1,135 @@
+#include "StoreKeys.h"
+
+#include <LibCore/SocketAddressText.h>
+
+#include <platform/StoreWire.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace verbenachute {
+
+namespace {
+
+// A writer gives a call up after 2 s; see ConfigurationWriter.
+constexpr Duration kCallTimeout = milliseconds(1900);
+
+} // namespace
+
+StoreKeys::StoreKeys(EventLoop& aLoop, const SocketAddress& aStore)
+  : mLoop(aLoop)
+  , mStore(aStore)
+  , mHost(SocketAddressText(aStore))
+{
+}
+
+void
+StoreKeys::Read(const std::string& aKey, ReadDone aDone)
+{
+  Call(platform::ReadKeyCall(mHost, aKey),
+       [this, done = std::move(aDone)](const StreamOutcome& aOutcome) {
+         const platform::StoreResult<std::optional<StoreItem>> read =
+           platform::ReadKeyResult(aOutcome);
+         if (std::holds_alternative<StoreFailure>(read)) {
+           done(ErrorFor(ErrorCode::Unavailable));
+           return;
+         }
+         const std::optional<StoreItem>& item =
+           std::get<std::optional<StoreItem>>(read);
+         done(item ? std::optional<StoredValue>(StoredValue{
+                       item->mValue, KeyRevision(item->mRevision.value()) })
+                   : std::nullopt);
+       });
+}
+
+void
+StoreKeys::CompareAndSwap(const std::string& aKey,
+                          const std::string& aValue,
+                          KeyRevision aExpected,
+                          SwapDone aDone)
+{
+  Call(platform::WriteKeyCall(mHost,
+                              aKey,
+                              aValue,
+                              StoreRevision(aExpected.value()),
+                              platform::LeaseId()),
+       [this, done = std::move(aDone)](const StreamOutcome& aOutcome) {
+         done(SwapOf(aOutcome));
+       });
+}
+
+void
+StoreKeys::Remove(const std::string& aKey,
+                  KeyRevision aExpected,
+                  SwapDone aDone)
+{
+  Call(platform::RemoveKeyCall(mHost, aKey, StoreRevision(aExpected.value())),
+       [this, done = std::move(aDone)](const StreamOutcome& aOutcome) {
+         done(SwapOf(aOutcome));
+       });
+}
+
+Result<SwapOutcome>
+StoreKeys::SwapOf(const StreamOutcome& aOutcome) const
+{
+  const platform::StoreResult<StoreRevision> written =
+    platform::WriteKeyResult(aOutcome);
+  if (const StoreRevision* revision = std::get_if<StoreRevision>(&written)) {
+    return SwapOutcome{ SwapResult::Swapped, KeyRevision(revision->value()) };
+  }
+  switch (std::get<StoreFailure>(written)) {
+    case StoreFailure::HistoryGone:
+      return SwapOutcome{ SwapResult::Conflict, KeyRevision() };
+    case StoreFailure::Refused:
+      // The store did nothing, as if it had not been reached.
+      return ErrorFor(ErrorCode::Unreachable);
+    case StoreFailure::Unreachable:
+      break;
+  }
+  return ErrorFor(ErrorCode::OutcomeUnknown);
+}
+
+Error
+StoreKeys::ErrorFor(ErrorCode aCode) const
+{
+  return Error{ Step::Store, aCode, mHost, "the store did not answer" };
+}
+
+HttpClientStream&
+StoreKeys::IdleStream()
+{
+  std::erase_if(mStreams, [](const std::unique_ptr<HttpClientStream>& aOne) {
+    return aOne->IsBroken();
+  });
+  const auto idle =
+    std::find_if(mStreams.begin(),
+                 mStreams.end(),
+                 [](const std::unique_ptr<HttpClientStream>& aOne) {
+                   return aOne->IsReady();
+                 });
+  if (idle != mStreams.end()) {
+    return **idle;
+  }
+  mStreams.push_back(
+    std::make_unique<HttpClientStream>(mLoop, mStore, SilenceLimits()));
+  return *mStreams.back();
+}
+
+void
+StoreKeys::Call(std::string aRequest,
+                std::function<void(const StreamOutcome&)> aDone)
+{
+  HttpClientStream::Exchange exchange;
+  exchange.mRequest = std::move(aRequest);
+  exchange.mTimeout = kCallTimeout;
+  IdleStream().Send(
+    std::move(exchange),
+    [this, done = std::move(aDone)](StreamOutcome aOutcome) {
+      // From the loop, since the next call may drop the stream
+      // that calls this.
+      mLoop.Defer([done, outcome = std::move(aOutcome)]() { done(outcome); });
+    });
+}
+
+} // namespace verbenachute
--- /dev/null
+++ b/Services/verbenachuted/StoreKeys.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <LibHttp/HttpClientStream.h>
+#include <LibPlatform/KeyValueStore.h>
+#include <LibTransport/EventLoop.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace verbenachute {
+
+/// Single keys of the platform's store, for changes by operators. Each call
+/// that runs has a connection of its own; they are kept for the next calls.
+class StoreKeys final : public KeyValueStore
+{
+public:
+  StoreKeys(EventLoop& aLoop, const SocketAddress& aStore);
+
+  void Read(const std::string& aKey, ReadDone aDone) override;
+  void CompareAndSwap(const std::string& aKey,
+                      const std::string& aValue,
+                      KeyRevision aExpected,
+                      SwapDone aDone) override;
+  void Remove(const std::string& aKey,
+              KeyRevision aExpected,
+              SwapDone aDone) override;
+
+private:
+  void Call(std::string aRequest,
+            std::function<void(const StreamOutcome&)> aDone);
+  [[nodiscard]] Result<SwapOutcome> SwapOf(const StreamOutcome& aOutcome) const;
+  [[nodiscard]] Error ErrorFor(ErrorCode aCode) const;
+  [[nodiscard]] HttpClientStream& IdleStream();
+
+  EventLoop& mLoop;
+  SocketAddress mStore;
+  std::string mHost;
+  std::vector<std::unique_ptr<HttpClientStream>> mStreams;
+};
+
+} // namespace verbenachute
--- a/Tests/LibConfiguration/TestOperatorRequests.cpp
+++ b/Tests/LibConfiguration/TestOperatorRequests.cpp
@@ -99,7 +99,7 @@
   };
   InForceTracker tracker;
   const OperatorContext context{
-    SmallConfiguration(), Revision(1), std::nullopt, tracker
+    SmallConfiguration(), Revision(1), std::nullopt, tracker, {}
   };
   for (const Row& row : rows) {
     CAPTURE(row.mPath);
--- a/Tests/LibEntry/TestEntryKnowledge.cpp
+++ b/Tests/LibEntry/TestEntryKnowledge.cpp
@@ -23,7 +23,10 @@
 {
   ForwardEngine mEngine{ ForwardSettings() };
   NoLogger mLogger;
-  EntryKnowledge mKnowledge{ mEngine, mLogger };
+  EntryKnowledge mKnowledge{ mEngine,
+                             mLogger,
+                             { { FailureDomain("a"), Region("r") } },
+                             Region("r") };
   StoreFollower mFollower{ StoreFollower::Settings() };
 
   void Apply(const char* aKey, std::optional<std::string> aValue)
--- a/Tests/LibForward/TestForwardEngine.cpp
+++ b/Tests/LibForward/TestForwardEngine.cpp
@@ -273,7 +273,8 @@
   for (const SendAction& send : rig.mSent) {
     CHECK(send.mTarget == TargetName("single-1"));
   }
-  rig.mEngine.SetAdmittance([](const ListedTarget&) { return false; });
+  rig.mEngine.SetAdmittance(
+    [](const ListedTarget&, const CallerId&) { return false; });
   CHECK(rig.OutcomeOf<RefusedOutcome>(rig.Submit("/single/1")) != nullptr);
 }
 
--- a/Tests/LibGossip/TestGossipTable.cpp
+++ b/Tests/LibGossip/TestGossipTable.cpp
@@ -207,7 +207,8 @@
 TEST_CASE("A peer that knows more of the store is found")
 {
   Fleet fleet(4);
-  fleet.At(2).SetKnowledge(StoreRevision(9), milliseconds(40), PlanVersion(1));
+  fleet.At(2).SetKnowledge(
+    StoreRevision(9), milliseconds(40), PlanVersion(1), Revision(3));
   fleet.Pass(seconds(2));
   GossipTable& first = fleet.At(0);
   REQUIRE(first.Informed(StoreRevision(8), fleet.mNow) != nullptr);
@@ -215,6 +216,11 @@
         NodeName("n2"));
   CHECK(first.Informed(StoreRevision(9), fleet.mNow) == nullptr);
   CHECK(first.Living(fleet.mNow) == 4);
+  REQUIRE(first.Peers().size() == 3);
+  CHECK(first.Peers()[1].mIntent == Revision(3));
+  CHECK(first.IsLiving(NodeName("n2"), fleet.mNow));
+  CHECK(!first.IsLiving(NodeName("n2"), fleet.mNow + seconds(30)));
+  CHECK(!first.IsLiving(NodeName("n9"), fleet.mNow));
   // The age is as of the last heartbeat, and grows when they stop.
   REQUIRE(first.StoreAge(fleet.mNow).has_value());
   CHECK(*first.StoreAge(fleet.mNow) <= milliseconds(500));
--- a/Tests/LibSettings/TestSettings.cpp
+++ b/Tests/LibSettings/TestSettings.cpp
@@ -25,10 +25,14 @@
 {
   RawSettings raw = ValidSettings();
   raw["seeds"] = "127.0.0.1:7102,127.0.0.1:7103";
+  raw["domains"] = "caxias-a=sul-rs,bento-c=sul-rs";
   const Result<Settings> settings = Settings::Create(raw);
   REQUIRE(!IsError(settings));
   CHECK(ValueOf(settings).Name() == NodeName("node-1"));
   CHECK(ValueOf(settings).Seeds().size() == 2);
+  REQUIRE(ValueOf(settings).Domains().size() == 2);
+  CHECK(ValueOf(settings).Domains().at(FailureDomain("bento-c")) ==
+        Region("sul-rs"));
   CHECK(ValueOf(settings).AddressValidity() == milliseconds(5000));
 }
 
@@ -40,6 +44,9 @@
     { "caller_address", "localhost:1" },
     { "platform", "127.0.0.1" },
     { "seeds", "127.0.0.1:1," },
+    { "domains", "caxias-a" },
+    { "domains", "caxias-a=sul-rs," },
+    { "domains", "caxias-a=" },
     { "address_validity_ms", "99" },
     { "address_validity_ms", "60001" },
     { "drain_limit_ms", "1s" },
--- a/Tests/Platform/TestStoreWire.cpp
+++ b/Tests/Platform/TestStoreWire.cpp
@@ -82,4 +82,30 @@
   CHECK(std::get<StorePage>(copy).mAt == StoreRevision(9));
 }
 
+TEST_CASE("One key is read, and a key that is not there is no failure")
+{
+  CHECK(ReadKeyCall("h:1", "verbenachute/a b")
+          .starts_with("GET /kv-key?Key=verbenachute/a%20b HTTP/1.1"));
+  using Item = std::optional<StoreItem>;
+  const StoreResult<Item> read = ReadKeyResult(Response(
+    200, R"({"Key":"a","Value":"bm9kZS0x","Revision":412,"AtRev":413})"));
+  REQUIRE(std::holds_alternative<Item>(read));
+  CHECK(std::get<Item>(read) == StoreItem{ "a", "node-1", StoreRevision(412) });
+  CHECK(!std::get<Item>(ReadKeyResult(Response(404, "{}"))).has_value());
+  CHECK(std::get<StoreFailure>(ReadKeyResult(Response(503, "{}"))) ==
+        StoreFailure::Refused);
+  CHECK(std::get<StoreFailure>(ReadKeyResult(Response(200, "{}"))) ==
+        StoreFailure::Unreachable);
+}
+
+TEST_CASE("A removal names the key and the revision that it must have")
+{
+  const std::string call = RemoveKeyCall("h:1", "k", StoreRevision(9));
+  CHECK(call.starts_with("POST /kv-txn HTTP/1.1"));
+  CHECK(call.find(R"("Deletes":["k"])") != std::string::npos);
+  CHECK(call.find(R"("Precondition":[{"Key":"k","Revision":9}])") !=
+        std::string::npos);
+  CHECK(call.find(R"("Writes":[])") != std::string::npos);
+}
+
 } // namespace verbenachute::platform
