--- a/StandIns/Deployment/EntrySearcher.cpp
+++ b/StandIns/Deployment/EntrySearcher.cpp
@@ -240,6 +240,10 @@
 EntrySearcher::Finish(std::uint64_t aNumber)
 {
   const auto found = mJobs.find(aNumber);
+  if (found == mJobs.end()) {
+    // It was dropped in this turn of the loop, in which its timer was due.
+    return;
+  }
   const std::shared_ptr<Job> job =
     std::make_shared<Job>(std::move(found->second));
   mJobs.erase(found);
