--- a/Libraries/LibOperator/AnswerText.cpp
+++ b/Libraries/LibOperator/AnswerText.cpp
@@ -124,6 +124,8 @@
          NodeLine("can't dispatch: ", aAnswer["cannot_dispatch"]) +
          NodeLine("lagging: ", aAnswer["lagging"]) +
          NodeLine("domains out: ", aAnswer["domains_out"]) +
+         NodeLine("domains that the platform has taken out: ",
+                  aAnswer["domains_out_by_platform"]) +
          "pending proposals: " + Text(aAnswer, "pending") + "\n" +
          (aAnswer.isMember("confirmed_ms_ago")
             ? "latest as of " + Text(aAnswer, "confirmed_ms_ago") + " ms ago\n"
