LibEntry, verbenachuted: Serve metrics with direct dispatch

Counters of outcomes, refusals by reason, hedges, retries, calls to the store, heartbeats, and latency by route and by caller, at /metrics of the peer address: the callers' port passes every path on.

--- /dev/null
+++ b/Libraries/LibEntry/OutcomeMetrics.cpp
@@ -0,0 +1,77 @@
+#include <LibEntry/OutcomeMetrics.h>
+
+#include <LibCore/Overloaded.h>
+#include <LibCore/Verify.h>
+
+#include <variant>
+
+namespace verbenachute {
+
+namespace {
+
+ErrorCode
+CodeOf(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::NoPlan:
+    case RefusalReason::NoTarget:
+      return ErrorCode::Unavailable;
+    case RefusalReason::Overloaded:
+      return ErrorCode::Overloaded;
+    case RefusalReason::Declined:
+      return ErrorCode::Refused;
+    case RefusalReason::Poisonous:
+      return ErrorCode::Poisoned;
+    case RefusalReason::TooLate:
+      return ErrorCode::DeadlinePassed;
+  }
+  VERIFY(!"unknown refusal");
+}
+
+Error
+Ended(Step aStep, ErrorCode aCode)
+{
+  return Error{ aStep, aCode, "", "" };
+}
+
+} // namespace
+
+void
+CountOutcome(const AnswerAction& aAction,
+             const CallerId& aCaller,
+             MetricsRegistry* aMetrics)
+{
+  const ForwardSummary& summary = aAction.mSummary;
+  std::visit(
+    Overloaded{
+      [&](const RelayedOutcome&) { aMetrics->Add(Counter::QueriesComplete); },
+      [&](const GatheredOutcome& aGathered) {
+        aMetrics->Add(aGathered.mMissing == 0 ? Counter::QueriesComplete
+                                              : Counter::QueriesPartial);
+      },
+      [&](const RefusedOutcome& aRefused) {
+        aMetrics->CountRefusal(Ended(Step::Admission, CodeOf(aRefused.mReason)),
+                               Execution::NotRun);
+      },
+      [&](const FailedOutcome& aFailed) {
+        aMetrics->Add(Counter::QueriesOutcomeUnknown);
+        const bool late = aFailed.mReason == FailureReason::DeadlinePassed;
+        aMetrics->CountRefusal(
+          Ended(Step::Target,
+                late ? ErrorCode::DeadlinePassed : ErrorCode::TargetFailed),
+          Execution::OutcomeUnknown);
+      },
+      [&](const NoRouteOutcome&) {
+        aMetrics->CountRefusal(Ended(Step::Route, ErrorCode::NotFound),
+                               Execution::NotRun);
+      } },
+    aAction.mOutcome);
+  aMetrics->Add(Counter::Hedges, summary.mHedges);
+  aMetrics->Add(Counter::Retries, summary.mRetries);
+  if (!summary.mRoute.empty()) {
+    aMetrics->ObserveLatency(
+      CallerClass(summary.mRoute), aCaller, summary.mElapsed);
+  }
+}
+
+} // namespace verbenachute
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -20,6 +20,7 @@
 #include <LibEntry/LoadMeter.h>
 #include <LibEntry/NodeDeparture.h>
 #include <LibEntry/OfferPolicy.h>
+#include <LibEntry/OutcomeMetrics.h>
 #include <LibEntry/StoreDuty.h>
 #include <LibHttp/HttpListener.h>
 #include <LibObservation/BoostLogger.h>
@@ -92,6 +93,7 @@
   /// Takes note of the nodes that callers are sent to.
   void NoteCarriers(Instant aNow);
   void UpdateService();
+  void TellMetrics(const CallPointer& aCall);
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] AfterResponse AfterThis() const;
 
@@ -100,6 +102,7 @@
   NodeIdentity mSelf;
   std::unique_ptr<EventLoop> mLoop;
   BoostLogger mLogger;
+  MetricsRegistry mMetrics;
   ForwardEngine mEngine;
   EntryKnowledge mKnowledge;
   GossipTable mGossip;
@@ -148,19 +151,18 @@
       [this](AttemptId aAttempt, AttemptFailure aFailure) {
         Perform(mEngine.OnFailure(aAttempt, aFailure, mLoop->Now()));
       })
-  , mStore(aSettings.Name(),
-           aSettings.PlatformAddress(),
-           { *mLoop,
-             mLogger,
-             [this](StoreRevision aNewerThan) {
-               const NodeNews* peer =
-                 mGossip.Informed(aNewerThan, mLoop->Now());
-               return peer == nullptr ? std::nullopt
-                                      : std::optional(peer->mPeerAddress);
-             },
-             [this](const StoreMirror::Changes& aChanges) {
-               OnKnowledge(aChanges);
-             } })
+  , mStore(
+      aSettings.Name(),
+      aSettings.PlatformAddress(),
+      { *mLoop,
+        mLogger,
+        [this](StoreRevision aNewerThan) {
+          const NodeNews* peer = mGossip.Informed(aNewerThan, mLoop->Now());
+          return peer == nullptr ? std::nullopt
+                                 : std::optional(peer->mPeerAddress);
+        },
+        [this](const StoreMirror::Changes& aChanges) { OnKnowledge(aChanges); },
+        mMetrics })
   , mKeys(*mLoop, aSettings.PlatformAddress())
   , mSteering(mSelf, { mKnowledge, mGossip, mStore.Follower() })
   , mDeparture(DepartureSettings(aSettings))
@@ -264,6 +266,7 @@
 void
 EntryNode::Parts::OnCallerCall(const CallPointer& aCall)
 {
+  mMetrics.Add(Counter::QueriesReceived);
   const RequestNumber number(mNextNumber++);
   // A new connection took the caller a round trip before it could send.
   const Duration connecting = 2 * ForwardSettings().mCallerDelay;
@@ -296,6 +299,7 @@
     aCall->Respond(kUnavailable, HttpFields(), "");
     return;
   }
+  mMetrics.Add(Counter::AddressAnswers);
   HttpFields fields;
   fields.Add("Content-Type", "application/json");
   aCall->Respond(
@@ -320,6 +324,10 @@
 {
   const StoreMirror& mirror = mStore.Follower().Mirror();
   const std::string path = aCall->mTarget.substr(0, aCall->mTarget.find('?'));
+  if (path == "/metrics") {
+    TellMetrics(aCall);
+    return;
+  }
   if ((path != "/copy" && path != "/changes") || !mStore.Follower().HasCopy()) {
     aCall->Respond(kUnavailable, HttpFields(), "");
     return;
@@ -338,9 +346,22 @@
                    : platform::EncodeCopy(mirror.Items(), mirror.At()));
 }
 
+void
+EntryNode::Parts::TellMetrics(const CallPointer& aCall)
+{
+  mMetrics.Set(Gauge::QueriesInHand, mEngine.Running());
+  mMetrics.Set(Gauge::MembersAlive, mGossip.Living(mLoop->Now()));
+  mMetrics.Set(Gauge::ConfigurationRevision,
+               mKnowledge.Intent().RevisionInForce().value());
+  HttpFields fields;
+  fields.Add("Content-Type", "text/plain; version=0.0.4");
+  aCall->Respond(kOk, fields, mMetrics.Exposition());
+}
+
 void
 EntryNode::Parts::OnGossip(const GossipMessage& aMessage)
 {
+  mMetrics.Add(Counter::HeartbeatsReceived);
   const Instant now = mLoop->Now();
   for (const PoisonStrike& strike : mGossip.Receive(aMessage, now)) {
     mEngine.OnStrike(strike, now);
@@ -494,6 +515,7 @@
       Overloaded{
         [this](const SendAction& aSend) {
           mLoad.OnSent();
+          mMetrics.Add(Counter::SubQueriesSent);
           mPool.Send(aSend);
         },
         [this](const CancelAction& aCancel) { mPool.Cancel(aCancel.mAttempt); },
@@ -527,6 +549,7 @@
   const OpenCall open = std::move(found->second);
   mCalls.erase(found);
   LogOutcome(aAction, open.mRequest->mId, &mLogger);
+  CountOutcome(aAction, open.mRequest->mCaller, &mMetrics);
   platform::AnswerCaller(
     open.mCall.get(), *open.mRequest, aAction.mOutcome, AfterThis());
 }
--- a/Services/verbenachuted/StoreLink.cpp
+++ b/Services/verbenachuted/StoreLink.cpp
@@ -103,6 +103,9 @@
     *aStream = std::make_unique<HttpClientStream>(
       mDependencies.mLoop, aAddress, kStoreSilence);
   }
+  if (aAddress == mStore) {
+    mDependencies.mMetrics.Add(Counter::StoreCalls);
+  }
   HttpClientStream::Exchange exchange;
   exchange.mRequest = std::move(aRequest);
   exchange.mTimeout = aTimeout;
@@ -120,6 +123,7 @@
 StoreLink::Failed(StoreFailure aFailure, const char* aCall)
 {
   const Instant now = mDependencies.mLoop.Now();
+  mDependencies.mMetrics.Add(Counter::StoreFailures);
   if (!mFollower.FailingSince().has_value()) {
     mDependencies.mLogger.Log(
       LogEvent(EventNumber::StoreUnavailable)
--- a/Services/verbenachuted/StoreLink.h
+++ b/Services/verbenachuted/StoreLink.h
@@ -4,6 +4,7 @@
 #include <LibGossip/GossipTable.h>
 #include <LibHttp/HttpClientStream.h>
 #include <LibObservation/Logger.h>
+#include <LibObservation/MetricsRegistry.h>
 #include <LibStore/StoreFollower.h>
 #include <LibTransport/EventLoop.h>
 #include <LibTransport/Timer.h>
@@ -28,6 +29,7 @@
     std::function<std::optional<SocketAddress>(StoreRevision)> mPeer;
     /// The mirror has changed.
     std::function<void(const StoreMirror::Changes&)> mChanged;
+    MetricsRegistry& mMetrics;
   };
 
   StoreLink(const NodeName& aSelf,
