--- a/StandIns/Deployment/Callers.cpp
+++ b/StandIns/Deployment/Callers.cpp
@@ -113,8 +113,7 @@
   if (mStopped) {
     return;
   }
-  const std::shared_ptr<Caller>& caller =
-    mCallers[mRandom() % mCallers.size()];
+  const std::shared_ptr<Caller>& caller = mCallers[mRandom() % mCallers.size()];
   if (mLoop.Now() >= caller->mValidUntil && !caller->mAsking) {
     AskDirectory(caller);
   }
@@ -133,15 +132,15 @@
   const NodeFacts& node = mSettings.mNodes[mRandom() % mSettings.mNodes.size()];
   const std::string& domain =
     mSettings.mDomains[mRandom() % mSettings.mDomains.size()];
-  aCaller->mDirectory = std::make_unique<HttpClientStream>(
-    mLoop, node.mDirectory, SilenceLimits());
+  aCaller->mDirectory =
+    std::make_unique<HttpClientStream>(mLoop, node.mDirectory, SilenceLimits());
   HttpFields fields;
   fields.Add("Host", mSettings.mHost);
   HttpClientStream::Exchange exchange;
   exchange.mRequest =
     RequestText("GET",
-                "/resolve?Name=" + mSettings.mHost + "&Region=" +
-                  mSettings.mRegion + "&Zone=" + domain,
+                "/resolve?Name=" + mSettings.mHost +
+                  "&Region=" + mSettings.mRegion + "&Zone=" + domain,
                 fields,
                 "");
   exchange.mTimeout = kDirectoryTimeout;
@@ -182,9 +181,9 @@
                      aEntry.first) == aCaller->mAddresses.end();
   });
   aCaller->mValidUntil =
-    mLoop.Now() + std::chrono::duration_cast<Duration>(
-                    std::chrono::duration<double>(
-                      ValueOf(body)["ttl_s"].asDouble()));
+    mLoop.Now() +
+    std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(ValueOf(body)["ttl_s"].asDouble()));
 }
 
 NodeName
@@ -228,26 +227,24 @@
                                                  : RequestKind::Once;
   const RequestId id("q" + std::to_string(mSettings.mSeed) + "x" +
                      std::to_string(++mNumber));
-  const bool crashes =
-    std::uniform_real_distribution<double>(0, 1)(mRandom) <
-    mSettings.mCrashShare;
+  const bool crashes = std::uniform_real_distribution<double>(0, 1)(mRandom) <
+                       mSettings.mCrashShare;
   const std::string path = kind == RequestKind::Gathered ? "/all/"
                            : kind == RequestKind::Single ? "/one/"
                                                          : "/once/";
   HttpFields fields;
   fields.Add("Host", mSettings.mHost);
   fields.Add("Request-Id", id.value());
-  fields.Add(
-    "Deadline-Ms",
-    std::to_string(
-      std::chrono::duration_cast<milliseconds>(kPatience).count()));
+  fields.Add("Deadline-Ms",
+             std::to_string(
+               std::chrono::duration_cast<milliseconds>(kPatience).count()));
   HttpClientStream::Exchange exchange;
-  exchange.mRequest =
-    RequestText(kind == RequestKind::Once ? "POST" : "GET",
-                path + (crashes ? "crash-marker"
-                                : "segment-" + std::to_string(mRandom() % 1000)),
-                fields,
-                kind == RequestKind::Once ? "booking " + id.value() : "");
+  exchange.mRequest = RequestText(
+    kind == RequestKind::Once ? "POST" : "GET",
+    path + (crashes ? "crash-marker"
+                    : "segment-" + std::to_string(mRandom() % 1000)),
+    fields,
+    kind == RequestKind::Once ? "booking " + id.value() : "");
   exchange.mTimeout = kPatience + kAfterDeadline;
   ++mOpen;
   mPromises.OnSent(id, kind, NodeAt(address), mLoop.Now());
--- a/StandIns/Deployment/EntrySearcher.cpp
+++ b/StandIns/Deployment/EntrySearcher.cpp
@@ -100,8 +100,7 @@
 void
 EntrySearcher::Restart()
 {
-  mShape.mFacts.mName =
-    TargetName(mFirstName + "-" + std::to_string(++mLives));
+  mShape.mFacts.mName = TargetName(mFirstName + "-" + std::to_string(++mLives));
   Start();
 }
 
@@ -220,8 +219,8 @@
     return;
   }
   const double factor = mSlowness * (0.5 + Share());
-  job.mTimer = std::make_unique<Timer>(
-    mLoop, [this, aNumber]() { Finish(aNumber); });
+  job.mTimer =
+    std::make_unique<Timer>(mLoop, [this, aNumber]() { Finish(aNumber); });
   job.mTimer->Start(Duration(static_cast<Duration::rep>(
     factor * static_cast<double>(mShape.mService.count()))));
 }
--- a/StandIns/Deployment/FaultPlan.cpp
+++ b/StandIns/Deployment/FaultPlan.cpp
@@ -50,11 +50,10 @@
 const Shape&
 ShapeOf(FaultKind aKind)
 {
-  return *std::find_if(std::begin(kShapes),
-                       std::end(kShapes),
-                       [aKind](const Shape& aShape) {
-                         return aShape.mKind == aKind;
-                       });
+  return *std::find_if(
+    std::begin(kShapes), std::end(kShapes), [aKind](const Shape& aShape) {
+      return aShape.mKind == aKind;
+    });
 }
 
 } // namespace
--- a/StandIns/Deployment/Promises.cpp
+++ b/StandIns/Deployment/Promises.cpp
@@ -158,8 +158,7 @@
                    const std::string& aSignature,
                    const std::string& aBody)
 {
-  mRequests[aRequest].mAnswers[aSignature] =
-    Answer{ aTarget.mService, aBody };
+  mRequests[aRequest].mAnswers[aSignature] = Answer{ aTarget.mService, aBody };
 }
 
 void
@@ -175,8 +174,8 @@
       Violated("a request was told not to have run, but had", aRequest);
     }
   }
-  const bool success = aOutcome.mStatus >= kFirstSuccess &&
-                       aOutcome.mStatus < kFirstRedirect;
+  const bool success =
+    aOutcome.mStatus >= kFirstSuccess && aOutcome.mStatus < kFirstRedirect;
   if (!success) {
     return;
   }
@@ -243,8 +242,7 @@
     const std::set<ServiceName>& shards = mPlans[i].mShards;
     const bool fits =
       shards.size() == aParts.size() + aMissing &&
-      std::includes(
-        shards.begin(), shards.end(), aParts.begin(), aParts.end());
+      std::includes(shards.begin(), shards.end(), aParts.begin(), aParts.end());
     any = any || fits;
     if (fits && i >= oldest) {
       return;
--- a/StandIns/Deployment/Soak.cpp
+++ b/StandIns/Deployment/Soak.cpp
@@ -124,19 +124,15 @@
     SearcherShape shape;
     shape.mFacts.mService = ServiceName(aService);
     shape.mFacts.mDomain = FailureDomain(
-      mSettings.mDomains[(mSearchers.size() + aReplica) %
-                         mSettings.mDomains.size()]);
+      mSettings
+        .mDomains[(mSearchers.size() + aReplica) % mSettings.mDomains.size()]);
     shape.mFacts.mName =
       TargetName("i-" + aService + "-" + std::to_string(aReplica));
     shape.mAddress = address;
     shape.mConnections = kConnections;
     ++address.mPort;
-    mSearchers.push_back(
-      std::make_unique<EntrySearcher>(mLoop,
-                                      mModel,
-                                      mPromises,
-                                      shape,
-                                      mSettings.mSeed + mSearchers.size()));
+    mSearchers.push_back(std::make_unique<EntrySearcher>(
+      mLoop, mModel, mPromises, shape, mSettings.mSeed + mSearchers.size()));
     mSearchers.back()->Start();
   };
   for (std::size_t set = 0; set < std::size(kShardsOfSet); ++set) {
@@ -215,13 +211,13 @@
 void
 Soak::Begin(const PlannedFault& aFault)
 {
-  std::fprintf(stderr,
-               "fault %s %zu for %lld ms\n",
-               FaultName(aFault.mKind),
-               aFault.mWhich,
-               static_cast<long long>(
-                 std::chrono::duration_cast<milliseconds>(aFault.mLength)
-                   .count()));
+  std::fprintf(
+    stderr,
+    "fault %s %zu for %lld ms\n",
+    FaultName(aFault.mKind),
+    aFault.mWhich,
+    static_cast<long long>(
+      std::chrono::duration_cast<milliseconds>(aFault.mLength).count()));
   if (aFault.mKind <= FaultKind::AllNodesKilled) {
     BeginNodeFault(aFault);
   } else if (aFault.mKind <= FaultKind::StoreForgetting) {
@@ -352,8 +348,7 @@
 void
 Soak::BeginSearcherFault(const PlannedFault& aFault)
 {
-  EntrySearcher* searcher =
-    mSearchers[aFault.mWhich % mSearchers.size()].get();
+  EntrySearcher* searcher = mSearchers[aFault.mWhich % mSearchers.size()].get();
   if (!searcher->IsUp()) {
     return;
   }
@@ -382,10 +377,9 @@
       // One searcher, or all of its shard.
       const ServiceName service = searcher->Shape().mFacts.mService;
       for (const std::unique_ptr<EntrySearcher>& other : mSearchers) {
-        const bool down =
-          other.get() == searcher ||
-          (aFault.mKind == FaultKind::ShardDown &&
-           other->Shape().mFacts.mService == service);
+        const bool down = other.get() == searcher ||
+                          (aFault.mKind == FaultKind::ShardDown &&
+                           other->Shape().mFacts.mService == service);
         if (down && other->IsUp()) {
           other->Crash();
           After(aFault.mLength, [one = other.get()]() {
@@ -433,9 +427,8 @@
                   const FailureDomain& aDomain,
                   std::function<void()> aAccepted)
 {
-  const std::string operation =
-    "soak-" + std::to_string(mSettings.mSeed) + "-" +
-    std::to_string(++mOperation);
+  const std::string operation = "soak-" + std::to_string(mSettings.mSeed) +
+                                "-" + std::to_string(++mOperation);
   Json::Value change(Json::objectValue);
   change["operator"] = "soak";
   change["operation_id"] = operation;
--- a/StandIns/Deployment/StoreModel.cpp
+++ b/StandIns/Deployment/StoreModel.cpp
@@ -118,13 +118,13 @@
   if (aAfter < mForgotten) {
     return std::nullopt;
   }
-  const auto first = std::upper_bound(
-    mHistory.begin(),
-    mHistory.end(),
-    aAfter,
-    [](std::uint64_t aRevision, const Event& aEvent) {
-      return aRevision < aEvent.mRevision;
-    });
+  const auto first =
+    std::upper_bound(mHistory.begin(),
+                     mHistory.end(),
+                     aAfter,
+                     [](std::uint64_t aRevision, const Event& aEvent) {
+                       return aRevision < aEvent.mRevision;
+                     });
   return std::vector<Event>(first, mHistory.end());
 }
 
--- a/StandIns/Deployment/StoreServer.cpp
+++ b/StandIns/Deployment/StoreServer.cpp
@@ -278,8 +278,7 @@
   }
   const std::uint64_t life = ValueOf(read)["TtlMs"].asUInt64();
   Json::Value answer(Json::objectValue);
-  answer["Lease"] =
-    Json::UInt64(mModel.Grant(milliseconds(life), mLoop.Now()));
+  answer["Lease"] = Json::UInt64(mModel.Grant(milliseconds(life), mLoop.Now()));
   answer["TtlMs"] = Json::UInt64(life);
   Respond(aCall, kOk, answer);
 }
--- a/StandIns/Deployment/StoreServer.h
+++ b/StandIns/Deployment/StoreServer.h
@@ -29,10 +29,8 @@
     LosingAnswers,
   };
 
-  [[nodiscard]] static Result<std::unique_ptr<StoreServer>> Create(
-    EventLoop& aLoop,
-    const SocketAddress& aAddress,
-    StoreModel& aModel);
+  [[nodiscard]] static Result<std::unique_ptr<StoreServer>>
+  Create(EventLoop& aLoop, const SocketAddress& aAddress, StoreModel& aModel);
 
   void SetFault(Fault aFault);
   /// Each answer is late by this much.
--- a/Tests/LibStore/TestStoreFollower.cpp
+++ b/Tests/LibStore/TestStoreFollower.cpp
@@ -240,10 +240,9 @@
     follower.OnProbe(StoreRevision(11), now);
     now += milliseconds(100);
     CHECK(follower
-            .OnChanges(
-              { { StoreChange{ "a", "2", StoreRevision(11) } },
-                StoreRevision(11) },
-              now)
+            .OnChanges({ { StoreChange{ "a", "2", StoreRevision(11) } },
+                         StoreRevision(11) },
+                       now)
             .size() == 1);
     now += milliseconds(500);
     CHECK(Find<WatchAction>(follower.Due(now)) != nullptr);
--- a/Tests/Platform/TestStoreWire.cpp
+++ b/Tests/Platform/TestStoreWire.cpp
@@ -100,10 +100,10 @@
 
 TEST_CASE("A probe is a cheap read that tells the store's revision")
 {
-  CHECK(ProbeCall("h:1", "k").starts_with(
-    "GET /kv-key?Key=k&Serializable=1 HTTP/1.1"));
-  const StoreResult<StoreRevision> read = ProbeResult(Response(
-    200, R"({"Key":"k","Value":"","Revision":4,"AtRev":413})"));
+  CHECK(ProbeCall("h:1", "k")
+          .starts_with("GET /kv-key?Key=k&Serializable=1 HTTP/1.1"));
+  const StoreResult<StoreRevision> read = ProbeResult(
+    Response(200, R"({"Key":"k","Value":"","Revision":4,"AtRev":413})"));
   CHECK(std::get<StoreRevision>(read) == StoreRevision(413));
   CHECK(std::get<StoreRevision>(ProbeResult(Response(404, "{}"))) ==
         StoreRevision());
--- a/Tests/StandIns/TestPromises.cpp
+++ b/Tests/StandIns/TestPromises.cpp
@@ -33,8 +33,7 @@
   {
     for (const TargetFacts* target : { &mFirst, &mSecond }) {
       RunAt(*target);
-      mPromises.OnSigned(
-        kId, *target, "of-" + target->mName.value(), mRecord);
+      mPromises.OnSigned(kId, *target, "of-" + target->mName.value(), mRecord);
     }
   }
 
--- a/Tests/StandIns/TestStoreModel.cpp
+++ b/Tests/StandIns/TestStoreModel.cpp
@@ -16,9 +16,9 @@
   CHECK(store.Transact({ { "a", 0 } }, { { "a", "1", 0 } }, {}) ==
         StoreModel::Outcome::Done);
   const std::uint64_t revision = store.Revision();
-  CHECK(store.Transact(
-          { { "a", revision }, { "b", 7 } }, { { "a", "2", 0 } }, { "a" }) ==
-        StoreModel::Outcome::PreconditionFailed);
+  CHECK(store.Transact({ { "a", revision }, { "b", 7 } },
+                       { { "a", "2", 0 } },
+                       { "a" }) == StoreModel::Outcome::PreconditionFailed);
   CHECK(store.Find("a")->mValue == "1");
   CHECK(store.Revision() == revision);
   CHECK(store.Transact({}, { { "c", "1", 99 } }, {}) ==
