--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -4,7 +4,6 @@
 #include <LibCore/Verify.h>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace verbenachute {
@@ -14,9 +13,6 @@
 // Part of the remaining time that the answer needs on its way back besides
 // the network: parsing, queueing for the processor and writing.
 constexpr Duration kAnswerReserve = milliseconds(5);
-// An attempt that lost the race to another may end by itself for this long;
-// its connection stays in use then. After that the target is spared the work.
-constexpr Duration kLeftOverTime = milliseconds(300);
 // Each step of priority leaves one of these parts of the room to those above.
 constexpr std::size_t kRoomSteps = 8;
 // When a refused caller may come back.
@@ -462,47 +458,6 @@
   mWakes.insert({ next, aNumber });
 }
 
-void
-ForwardEngine::Abandon(AttemptId aAttempt, Instant aNow)
-{
-  const auto found = mAttempts.find(aAttempt);
-  VERIFY(found != mAttempts.end());
-  found->second.mLeftOver = true;
-  mLeftOvers.insert({ aNow + kLeftOverTime, aAttempt });
-}
-
-void
-ForwardEngine::Finish(RequestNumber aNumber,
-                      ForwardOutcome aOutcome,
-                      Instant aNow)
-{
-  const auto found = mRequests.find(aNumber);
-  VERIFY(found != mRequests.end());
-  Request& request = found->second;
-  for (const Part& part : request.mParts) {
-    for (const AttemptId attempt : part.mRunning) {
-      Abandon(attempt, aNow);
-    }
-    if (part.mState != PartState::Done) {
-      request.mSummary.AddMissing(part.mService);
-    }
-  }
-  // A request that lost all its connections and got no answer at all may be
-  // what broke the targets.
-  if (!request.mLostAt.empty() && request.mSummary.mPartsDone == 0) {
-    for (const TargetName& target : request.mLostAt) {
-      mStrikes.push_back(PoisonStrike{ request.mFingerprint, target });
-      mPoison.OnStrike(mStrikes.back(), aNow);
-    }
-  }
-  if (request.mWake.has_value()) {
-    mWakes.erase({ *request.mWake, aNumber });
-  }
-  request.mSummary.mElapsed = aNow - request.mRequest->mArrived;
-  AnswerAtOnce(aNumber, std::move(aOutcome), std::move(request.mSummary));
-  mRequests.erase(found);
-}
-
 void
 ForwardEngine::OnStrike(const PoisonStrike& aStrike, Instant aNow)
 {
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -1,11 +1,9 @@
 #include <LibForward/ForwardEngine.h>
-#include <LibForward/RecordMerger.h>
 
 #include <LibCore/RendezvousHash.h>
 #include <LibCore/Verify.h>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace verbenachute {
@@ -22,8 +20,6 @@
 constexpr double kConnectionsUsed = 0.95;
 // An attempt with less time left than this can not be answered in time.
 constexpr Duration kLeastTime = milliseconds(1);
-constexpr Duration kRetryAfterDeclined = milliseconds(60);
-constexpr Duration kRetryAfterNoTarget = milliseconds(250);
 
 } // namespace
 
@@ -305,115 +301,4 @@
   }
 }
 
-void
-ForwardEngine::Evaluate(RequestNumber aNumber, Instant aNow)
-{
-  const auto found = mRequests.find(aNumber);
-  if (found == mRequests.end()) {
-    return;
-  }
-  if (found->second.mShards != nullptr) {
-    EvaluateGather(aNumber, &found->second, aNow);
-  } else {
-    EvaluateSingle(aNumber, &found->second, aNow);
-  }
-  const auto still = mRequests.find(aNumber);
-  if (still != mRequests.end()) {
-    ScheduleWake(aNumber, &still->second, aNow);
-  }
-}
-
-void
-ForwardEngine::EvaluateSingle(RequestNumber aNumber,
-                              Request* aRequest,
-                              Instant aNow)
-{
-  Part& part = aRequest->mParts.front();
-  if (part.mState == PartState::Done) {
-    Finish(aNumber, RelayedOutcome{ std::move(*part.mReply) }, aNow);
-    return;
-  }
-  if (part.mState == PartState::Failed) {
-    if (part.mReply.has_value()) {
-      Finish(aNumber, RelayedOutcome{ std::move(*part.mReply) }, aNow);
-      return;
-    }
-    GiveUp(aNumber, aRequest, aNow);
-    return;
-  }
-  if (aNow >= aRequest->mDeadline) {
-    if (part.mState == PartState::Waiting) {
-      Finish(aNumber,
-             RefusedOutcome{ RefusalReason::Overloaded, Duration(0) },
-             aNow);
-      return;
-    }
-    Finish(aNumber, FailedOutcome{ FailureReason::DeadlinePassed }, aNow);
-  }
-}
-
-void
-ForwardEngine::EvaluateGather(RequestNumber aNumber,
-                              Request* aRequest,
-                              Instant aNow)
-{
-  std::size_t done = 0;
-  std::size_t failed = 0;
-  for (const Part& part : aRequest->mParts) {
-    done += part.mState == PartState::Done ? 1 : 0;
-    failed += part.mState == PartState::Failed ? 1 : 0;
-  }
-  const std::size_t total = aRequest->mParts.size();
-  const std::size_t least = aRequest->mShards->LeastParts();
-  const bool enough = done >= least;
-  const bool settled = done + failed == total;
-  if (enough && (settled || aNow >= aRequest->mCut)) {
-    Finish(aNumber, Merged(*aRequest), aNow);
-    return;
-  }
-  if (total - failed < least) {
-    GiveUp(aNumber, aRequest, aNow);
-    return;
-  }
-  if (aNow >= aRequest->mDeadline) {
-    Finish(aNumber, FailedOutcome{ FailureReason::DeadlinePassed }, aNow);
-  }
-}
-
-void
-ForwardEngine::GiveUp(RequestNumber aNumber, Request* aRequest, Instant aNow)
-{
-  const bool mayHaveRun = std::any_of(
-    aRequest->mParts.begin(), aRequest->mParts.end(), [](const Part& aPart) {
-      return aPart.mMayHaveRun || !aPart.mRunning.empty();
-    });
-  if (mayHaveRun) {
-    Finish(aNumber, FailedOutcome{ FailureReason::AttemptsFailed }, aNow);
-    return;
-  }
-  const bool sent = aRequest->mSummary.mAttempts > 0;
-  Finish(aNumber,
-         sent ? RefusedOutcome{ RefusalReason::Declined, kRetryAfterDeclined }
-              : RefusedOutcome{ RefusalReason::NoTarget, kRetryAfterNoTarget },
-         aNow);
-}
-
-ForwardOutcome
-ForwardEngine::Merged(const Request& aRequest) const
-{
-  GatheredOutcome outcome;
-  std::vector<std::string_view> parts;
-  for (const Part& part : aRequest.mParts) {
-    if (part.mState != PartState::Done) {
-      ++outcome.mMissing;
-      continue;
-    }
-    parts.push_back(part.mReply->mBody);
-    outcome.mSignatures.push_back(part.mReply->mSignature);
-  }
-  VERIFY(outcome.mSignatures.size() >= aRequest.mShards->LeastParts());
-  outcome.mRecords = MergeGreatest(parts, aRequest.mShards->mGreatest);
-  return outcome;
-}
-
 } // namespace verbenachute
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -1,48 +1,24 @@
-#include "EntryNode.h"
+#include "EntryNodeParts.h"
 
 #include "EntrySettings.h"
-#include "EntrySteering.h"
-#include "GossipPort.h"
-#include "OperatorPort.h"
-#include "OutcomeLog.h"
-#include "SettingsWatch.h"
-#include "StoreKeys.h"
-#include "StoreLink.h"
-#include "TargetPool.h"
 
 #include <platform/KeyWire.h>
-#include <platform/RequestWire.h>
 
 #include <LibCore/Overloaded.h>
 #include <LibCore/SocketAddressText.h>
 #include <LibCore/Verify.h>
-#include <LibEntry/EntryKnowledge.h>
-#include <LibEntry/LoadMeter.h>
-#include <LibEntry/NodeDeparture.h>
-#include <LibEntry/OfferPolicy.h>
-#include <LibEntry/OutcomeMetrics.h>
 #include <LibEntry/StoreDuty.h>
-#include <LibHttp/HttpListener.h>
-#include <LibObservation/BoostLogger.h>
 
 #include <algorithm>
-#include <cstdlib>
-#include <unordered_map>
 #include <utility>
 
 namespace verbenachute {
 
 namespace {
 
-constexpr int kDecimal = 10;
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
 constexpr Duration kDeparturePause = milliseconds(50);
 constexpr Duration kIdleCheckPause = milliseconds(500);
 constexpr Duration kOperatorPause = seconds(1);
-// Addresses in one answer of the directory.
-constexpr std::size_t kMostAddresses = 64;
 
 NodeIdentity
 NewLife(const Settings& aSettings)
@@ -55,81 +31,6 @@
 
 } // namespace
 
-/// The parts of a node, in the order in which they depend on each other.
-class EntryNode::Parts
-{
-public:
-  Parts(const CommandLine& aCommandLine,
-        const Settings& aSettings,
-        std::unique_ptr<EventLoop> aLoop,
-        std::unique_ptr<GossipPort> aGossipPort);
-
-  [[nodiscard]] Result<Success> Listen();
-  [[nodiscard]] int Run();
-
-private:
-  using CallPointer = std::shared_ptr<HttpCall>;
-
-  struct OpenCall
-  {
-    CallPointer mCall;
-    CallerRequestPointer mRequest;
-  };
-
-  void OnCallerCall(const CallPointer& aCall);
-  void OnDirectoryCall(const CallPointer& aCall);
-  void OnReadyCall(const CallPointer& aCall);
-  void OnPeerCall(const CallPointer& aCall);
-  void OnGossip(const GossipMessage& aMessage);
-  void OnGossipTick();
-  void OnKnowledge(const StoreMirror::Changes& aChanges);
-  void OnOperatorTick();
-  void OnSettingsChanged();
-  void OnStop();
-  void OnDepartureTick();
-  void Perform(ForwardActions aActions);
-  void Answer(const AnswerAction& aAction);
-  void ScheduleEngine();
-  /// Takes note of the nodes that callers are sent to.
-  void NoteCarriers(Instant aNow);
-  void UpdateService();
-  void TellMetrics(const CallPointer& aCall);
-  [[nodiscard]] bool IsReady() const;
-  [[nodiscard]] AfterResponse AfterThis() const;
-
-  CommandLine mCommandLine;
-  Settings mSettings;
-  NodeIdentity mSelf;
-  std::unique_ptr<EventLoop> mLoop;
-  BoostLogger mLogger;
-  MetricsRegistry mMetrics;
-  ForwardEngine mEngine;
-  EntryKnowledge mKnowledge;
-  GossipTable mGossip;
-  std::unique_ptr<GossipPort> mGossipPort;
-  TargetPool mPool;
-  StoreLink mStore;
-  StoreKeys mKeys;
-  EntrySteering mSteering;
-  std::unique_ptr<OperatorPort> mOperatorPort;
-  SenderWatch mSenders;
-  LoadMeter mLoad;
-  NodeDeparture mDeparture;
-  SettingsWatch mSettingsWatch;
-  Timer mEngineTimer;
-  Timer mGossipTimer;
-  Timer mDepartureTimer;
-  Timer mIdleTimer;
-  Timer mOperatorTimer;
-  std::unique_ptr<HttpListener> mCallerListener;
-  std::unique_ptr<HttpListener> mDirectoryListener;
-  std::unique_ptr<HttpListener> mReadyListener;
-  std::unique_ptr<HttpListener> mPeerListener;
-  std::unordered_map<RequestNumber, OpenCall> mCalls;
-  std::uint64_t mNextNumber = 1;
-  Instant mStarted;
-};
-
 EntryNode::Parts::Parts(const CommandLine& aCommandLine,
                         const Settings& aSettings,
                         std::unique_ptr<EventLoop> aLoop,
@@ -192,48 +93,6 @@
   mLoop->SignalArrived().connect([this](int) { OnStop(); });
 }
 
-Result<Success>
-EntryNode::Parts::Listen()
-{
-  struct Port
-  {
-    std::optional<SocketAddress> mAddress;
-    std::unique_ptr<HttpListener>* mListener;
-    void (Parts::*mHandler)(const CallPointer&);
-  };
-  const Port ports[] = {
-    { mSettings.CallerAddress(), &mCallerListener, &Parts::OnCallerCall },
-    { mSettings.DirectoryAddress(),
-      &mDirectoryListener,
-      &Parts::OnDirectoryCall },
-    { mSettings.ReadyAddress(), &mReadyListener, &Parts::OnReadyCall },
-    { mSettings.PeerAddress(), &mPeerListener, &Parts::OnPeerCall },
-  };
-  for (const Port& port : ports) {
-    if (!port.mAddress.has_value()) {
-      continue;
-    }
-    Result<std::unique_ptr<HttpListener>> listener = HttpListener::Create(
-      *mLoop,
-      *port.mAddress,
-      ServerLimits(),
-      [this, handler = port.mHandler](const CallPointer& aCall) {
-        (this->*handler)(aCall);
-      });
-    if (IsError(listener)) {
-      return ErrorOf(listener);
-    }
-    *port.mListener = TakeValue(std::move(listener));
-  }
-  Result<std::unique_ptr<OperatorPort>> operators = OperatorPort::Create(
-    mSelf, mSettings.OperatorAddress(), { *mLoop, mKeys, mSteering });
-  if (IsError(operators)) {
-    return ErrorOf(operators);
-  }
-  mOperatorPort = TakeValue(std::move(operators));
-  return Success();
-}
-
 int
 EntryNode::Parts::Run()
 {
@@ -256,108 +115,6 @@
          mDeparture.Phase() == DeparturePhase::Serving;
 }
 
-AfterResponse
-EntryNode::Parts::AfterThis() const
-{
-  return mDeparture.Phase() == DeparturePhase::Serving ? AfterResponse::KeepOpen
-                                                       : AfterResponse::Close;
-}
-
-void
-EntryNode::Parts::OnCallerCall(const CallPointer& aCall)
-{
-  mMetrics.Add(Counter::QueriesReceived);
-  const RequestNumber number(mNextNumber++);
-  // A new connection took the caller a round trip before it could send.
-  const Duration connecting = 2 * ForwardSettings().mCallerDelay;
-  const CallerRequestPointer request =
-    platform::ReadCallerRequest(aCall.get(), connecting);
-  mCalls.emplace(number, OpenCall{ aCall, request });
-  aCall->CallerGone().connect([this, number]() {
-    mCalls.erase(number);
-    Perform(mEngine.OnCallerGone(number, mLoop->Now()));
-  });
-  Perform(mEngine.Submit(number, request, mLoop->Now()));
-}
-
-void
-EntryNode::Parts::OnDirectoryCall(const CallPointer& aCall)
-{
-  const std::optional<platform::AddressQuestion> question =
-    platform::ReadAddressQuestion(*aCall);
-  if (!question.has_value()) {
-    aCall->Respond(kNotFound, HttpFields(), "");
-    return;
-  }
-  std::vector<SocketAddress> addresses;
-  for (const NodeNews& node :
-       OfferPolicy::Choose(mGossip.Offered(mLoop->Now()))) {
-    addresses.push_back(node.mCallerAddress);
-  }
-  addresses.resize(std::min(addresses.size(), kMostAddresses));
-  if (addresses.empty()) {
-    aCall->Respond(kUnavailable, HttpFields(), "");
-    return;
-  }
-  mMetrics.Add(Counter::AddressAnswers);
-  HttpFields fields;
-  fields.Add("Content-Type", "application/json");
-  aCall->Respond(
-    kOk,
-    fields,
-    platform::AddressAnswer(addresses, mSettings.AddressValidity()));
-}
-
-void
-EntryNode::Parts::OnReadyCall(const CallPointer& aCall)
-{
-  const bool asked = platform::IsReadinessQuestion(*aCall);
-  aCall->Respond(!asked      ? kNotFound
-                 : IsReady() ? kOk
-                             : kUnavailable,
-                 HttpFields(),
-                 "");
-}
-
-void
-EntryNode::Parts::OnPeerCall(const CallPointer& aCall)
-{
-  const StoreMirror& mirror = mStore.Follower().Mirror();
-  const std::string path = aCall->mTarget.substr(0, aCall->mTarget.find('?'));
-  if (path == "/metrics") {
-    TellMetrics(aCall);
-    return;
-  }
-  if ((path != "/copy" && path != "/changes") || !mStore.Follower().HasCopy()) {
-    aCall->Respond(kUnavailable, HttpFields(), "");
-    return;
-  }
-  std::optional<StoreChanges> changes;
-  if (path == "/changes") {
-    changes = mirror.Since(StoreRevision(std::strtoull(
-      QueryParameter(aCall->mTarget, "after").c_str(), nullptr, kDecimal)));
-  }
-  HttpFields fields;
-  fields.Add("Content-Type", "application/json");
-  aCall->Respond(kOk,
-                 fields,
-                 changes.has_value()
-                   ? platform::EncodeChanges(*changes)
-                   : platform::EncodeCopy(mirror.Items(), mirror.At()));
-}
-
-void
-EntryNode::Parts::TellMetrics(const CallPointer& aCall)
-{
-  mMetrics.Set(Gauge::QueriesInHand, mEngine.Running());
-  mMetrics.Set(Gauge::MembersAlive, mGossip.Living(mLoop->Now()));
-  mMetrics.Set(Gauge::ConfigurationRevision,
-               mKnowledge.Intent().RevisionInForce().value());
-  HttpFields fields;
-  fields.Add("Content-Type", "text/plain; version=0.0.4");
-  aCall->Respond(kOk, fields, mMetrics.Exposition());
-}
-
 void
 EntryNode::Parts::OnGossip(const GossipMessage& aMessage)
 {
@@ -539,21 +296,6 @@
   }
 }
 
-void
-EntryNode::Parts::Answer(const AnswerAction& aAction)
-{
-  const auto found = mCalls.find(aAction.mNumber);
-  if (found == mCalls.end()) {
-    return;
-  }
-  const OpenCall open = std::move(found->second);
-  mCalls.erase(found);
-  LogOutcome(aAction, open.mRequest->mId, &mLogger);
-  CountOutcome(aAction, open.mRequest->mCaller, &mMetrics);
-  platform::AnswerCaller(
-    open.mCall.get(), *open.mRequest, aAction.mOutcome, AfterThis());
-}
-
 Result<std::unique_ptr<EntryNode>>
 EntryNode::Create(const CommandLine& aCommandLine, const Settings& aSettings)
 {
--- a/StandIns/Deployment/Soak.cpp
+++ b/StandIns/Deployment/Soak.cpp
@@ -1,7 +1,6 @@
 #include "Soak.h"
 
 #include <LibCore/SocketAddressText.h>
-#include <LibHttp/HttpText.h>
 #include <LibJson/JsonText.h>
 
 #include <algorithm>
@@ -18,9 +17,6 @@
 constexpr std::size_t kReplicas = 2;
 constexpr std::size_t kSingles = 4;
 constexpr std::size_t kConnections = 24;
-constexpr int kStormPlans = 5;
-constexpr Duration kStormGap = milliseconds(200);
-constexpr Duration kOperatorTimeout = seconds(9);
 /// From SIGTERM to the end of a process at the latest, as the nodes are set.
 constexpr Duration kGrace = seconds(6);
 constexpr Duration kWarmUp = seconds(2);
@@ -230,12 +226,12 @@
 }
 
 void
-Soak::Kill(std::size_t aNode, Duration aAbsence)
+Soak::EndNode(std::size_t aNode, const char* aSignal, Duration aAbsence)
 {
   const NodeName name = mSettings.mNodes[aNode].mName;
   mBusy[aNode] = true;
   mPromises.OnDisruption(name);
-  Print("signal " + name.value() + " KILL");
+  Print("signal " + name.value() + " " + aSignal);
   After(aAbsence, [this, aNode, name]() {
     Print("start " + name.value());
     mPromises.OnRelief(name, mLoop.Now());
@@ -243,20 +239,6 @@
   });
 }
 
-void
-Soak::StopNode(std::size_t aNode, Duration aPause)
-{
-  const NodeName name = mSettings.mNodes[aNode].mName;
-  mBusy[aNode] = true;
-  mPromises.OnDisruption(name);
-  Print("signal " + name.value() + " TERM");
-  After(kGrace + aPause, [this, aNode, name]() {
-    Print("start " + name.value());
-    mPromises.OnRelief(name, mLoop.Now());
-    mBusy[aNode] = false;
-  });
-}
-
 void
 Soak::BeginNodeFault(const PlannedFault& aFault)
 {
@@ -269,7 +251,7 @@
   if (aFault.mKind == FaultKind::AllNodesKilled) {
     for (std::size_t i = 0; i < mSettings.mNodes.size(); ++i) {
       if (!mBusy[i]) {
-        Kill(i, aFault.mLength);
+        EndNode(i, "KILL", aFault.mLength);
       }
     }
     return;
@@ -278,11 +260,11 @@
     return;
   }
   if (aFault.mKind == FaultKind::NodeKilled) {
-    Kill(node, aFault.mLength);
+    EndNode(node, "KILL", aFault.mLength);
     return;
   }
   if (aFault.mKind == FaultKind::NodeStopped) {
-    StopNode(node, aFault.mLength);
+    EndNode(node, "TERM", kGrace + aFault.mLength);
     return;
   }
   mBusy[node] = true;
@@ -395,96 +377,6 @@
   After(aFault.mLength, std::move(end));
 }
 
-void
-Soak::Evacuate(const FailureDomain& aDomain, Duration aLength)
-{
-  const std::string key = "op/evacuate/" + aDomain.value();
-  if (mModel.Find(key) != nullptr) {
-    return;
-  }
-  mModel.Put(key, "{}");
-  mPromises.OnDomainOut(aDomain, mLoop.Now());
-  After(aLength, [this, key, aDomain]() {
-    mPromises.OnDomainIn(aDomain);
-    mModel.Remove(key);
-  });
-}
-
-void
-Soak::TakeDomainOut(const FailureDomain& aDomain, Duration aLength)
-{
-  AskOperator("take_domain_out", aDomain, [this, aDomain, aLength]() {
-    mPromises.OnDomainOut(aDomain, mLoop.Now());
-    After(aLength, [this, aDomain]() {
-      mPromises.OnDomainIn(aDomain);
-      AskOperator("bring_domain_in", aDomain, []() {});
-    });
-  });
-}
-
-void
-Soak::AskOperator(const std::string& aType,
-                  const FailureDomain& aDomain,
-                  std::function<void()> aAccepted)
-{
-  const std::string operation = "soak-" + std::to_string(mSettings.mSeed) +
-                                "-" + std::to_string(++mOperation);
-  Json::Value change(Json::objectValue);
-  change["operator"] = "soak";
-  change["operation_id"] = operation;
-  change["change"]["kind"] = "edit";
-  // A shard may be left without a target for the test.
-  change["change"]["override"] = true;
-  change["change"]["edit"]["kind"] = aType;
-  change["change"]["edit"]["domain"] = aDomain.value();
-  HttpFields fields;
-  fields.Add("Host", "operators");
-  HttpClientStream::Exchange exchange;
-  exchange.mRequest =
-    RequestText("POST", "/v1/operator/changes", fields, CompactJson(change));
-  exchange.mTimeout = kOperatorTimeout;
-  const SocketAddress& address =
-    mSettings.mOperators[mOperation % mSettings.mOperators.size()];
-  mOperatorStreams.push_back(
-    std::make_unique<HttpClientStream>(mLoop, address, SilenceLimits()));
-  mOperatorStreams.back()->Send(
-    std::move(exchange),
-    [aType, accepted = std::move(aAccepted)](const StreamOutcome& aOutcome) {
-      const HttpResponse* response = std::get_if<HttpResponse>(&aOutcome);
-      std::fprintf(stderr,
-                   "operator %s: %d %s\n",
-                   aType.c_str(),
-                   response == nullptr ? 0 : response->mStatus,
-                   response == nullptr ? "" : response->mBody.c_str());
-      if (response != nullptr && response->mStatus == 200) {
-        accepted();
-      }
-    });
-}
-
-void
-Soak::BeginOperatorAct(const PlannedFault& aFault)
-{
-  const FailureDomain domain(
-    mSettings.mDomains[aFault.mWhich % mSettings.mDomains.size()]);
-  switch (aFault.mKind) {
-    case FaultKind::PlanStorm:
-      for (int i = 0; i < kStormPlans; ++i) {
-        After(i * kStormGap, [this]() { AcceptPlan(); });
-      }
-      return;
-    case FaultKind::DomainEvacuated:
-      Evacuate(domain, aFault.mLength);
-      return;
-    case FaultKind::DomainOutByOperator:
-      TakeDomainOut(domain, aFault.mLength);
-      return;
-    default:
-      AcceptPlan();
-      return;
-  }
-}
-
 void
 Soak::End()
 {
--- a/StandIns/Deployment/Soak.h
+++ b/StandIns/Deployment/Soak.h
@@ -54,8 +54,8 @@
   void BeginStoreFault(const PlannedFault& aFault);
   void BeginSearcherFault(const PlannedFault& aFault);
   void BeginOperatorAct(const PlannedFault& aFault);
-  void Kill(std::size_t aNode, Duration aAbsence);
-  void StopNode(std::size_t aNode, Duration aPause);
+  /// The node is started again after its absence.
+  void EndNode(std::size_t aNode, const char* aSignal, Duration aAbsence);
   void TakeDomainOut(const FailureDomain& aDomain, Duration aLength);
   void Evacuate(const FailureDomain& aDomain, Duration aLength);
   void Drain(EntrySearcher* aSearcher, Duration aLength);
