LibEntry: Count the nodes that the store lists as senders when a node starts

All nodes had been killed while the store was silent. When it came back each had a plan before it had heard of the others, took itself for the only sender, and its share of the connections (and of the slack for repeats) for the whole.

Ruled out: connections that dead nodes leave open (on one machine the kernel closes them), the frozen node (it counts for 11 s).

Now a node that becomes ready counts all nodes that are listed in the store as senders for 11 s, at most as many as a small fleet has.

Test: TestOfferPolicy "Nodes that the store lists count until they would have been heard".

--- a/Libraries/LibEntry/OfferPolicy.cpp
+++ b/Libraries/LibEntry/OfferPolicy.cpp
@@ -86,6 +86,15 @@
   });
 }
 
+void
+SenderWatch::OnRegistered(const std::vector<NodeName>& aNodes, Instant aNow)
+{
+  const std::size_t count = std::min(aNodes.size(), OfferPolicy::kLeastNodes);
+  for (std::size_t i = 0; i < count; ++i) {
+    mLastNamed[aNodes[i]] = aNow;
+  }
+}
+
 std::vector<NodeName>
 SenderWatch::Senders(Instant aNow) const
 {
--- a/Libraries/LibEntry/OfferPolicy.h
+++ b/Libraries/LibEntry/OfferPolicy.h
@@ -30,6 +30,10 @@
 {
 public:
   void OnNamed(const std::vector<NodeNews>& aNamed, Instant aNow);
+  /// Nodes that the store lists when this node starts to serve. It has not
+  /// heard of them yet, but after a loss of all nodes they start as well. In a
+  /// large fleet only as many count as a small one may have.
+  void OnRegistered(const std::vector<NodeName>& aNodes, Instant aNow);
   [[nodiscard]] std::vector<NodeName> Senders(Instant aNow) const;
 
 private:
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -189,14 +189,19 @@
   const Revision before = mKnowledge.Intent().RevisionInForce();
   mKnowledge.Apply(aChanges, mStore.Follower(), mLoop->Now());
   const std::string nodes = platform::OwnKeyText("nodes/");
+  std::vector<NodeName> registered;
   for (auto own = mKnowledge.OwnKeys().lower_bound(nodes);
        own != mKnowledge.OwnKeys().end() && own->first.starts_with(nodes);
        ++own) {
     const Result<SocketAddress> address = ParseSocketAddress(own->second);
     if (!IsError(address)) {
       mGossip.AddSeed(ValueOf(address));
+      registered.emplace_back(own->first.substr(nodes.size()));
     }
   }
+  if (!wasReady && IsReady()) {
+    mSenders.OnRegistered(registered, mLoop->Now());
+  }
   if (mKnowledge.Intent().RevisionInForce() > before) {
     mSteering.Applied().emit();
   }
--- a/Tests/LibEntry/TestOfferPolicy.cpp
+++ b/Tests/LibEntry/TestOfferPolicy.cpp
@@ -95,4 +95,23 @@
   CHECK(watch.Senders(now + seconds(12)).empty());
 }
 
+TEST_CASE("Nodes that the store lists count until they would have been heard")
+{
+  // Found by the soak, seed 304: all nodes had been killed while the store was
+  // away; each took itself for the only one and its share for the whole, and
+  // targets had 26 connections of 24.
+  const Instant now{ seconds(100) };
+  SenderWatch watch;
+  watch.OnRegistered({ NodeName("n0"), NodeName("n1"), NodeName("n2") }, now);
+  watch.OnNamed(Fleet(1, 0), now);
+  CHECK(watch.Senders(now + seconds(10)).size() == 3);
+  CHECK(watch.Senders(now + seconds(12)).empty());
+  std::vector<NodeName> many;
+  for (int i = 0; i < 83; ++i) {
+    many.emplace_back("m" + std::to_string(i));
+  }
+  watch.OnRegistered(many, now);
+  CHECK(watch.Senders(now).size() == 3 + OfferPolicy::kLeastNodes);
+}
+
 } // namespace verbenachute
