verbenachuted, StandIns: Build no operators' answer each second for nobody

The operators' port made the context of an answer on each tick, even where no watch waits; with direct dispatch that merges all listed targets after each change of the listing, once a second at most, for no reader. A counter of the soak's callers that nobody read is gone.

--- a/Services/verbenachuted/OperatorPort.cpp
+++ b/Services/verbenachuted/OperatorPort.cpp
@@ -199,6 +199,10 @@
 void
 OperatorPort::AnswerWatches()
 {
+  // What is in force may have to be merged with all targets first.
+  if (mWatches.empty()) {
+    return;
+  }
   const OperatorContext context = Context();
   const Instant now = mDependencies.mLoop.Now();
   for (auto watch = mWatches.begin(); watch != mWatches.end();) {
--- a/StandIns/Deployment/Callers.cpp
+++ b/StandIns/Deployment/Callers.cpp
@@ -246,12 +246,10 @@
     fields,
     kind == RequestKind::Once ? "booking " + id.value() : "");
   exchange.mTimeout = kPatience + kAfterDeadline;
-  ++mOpen;
   mPromises.OnSent(id, kind, NodeAt(address), mLoop.Now());
   const std::shared_ptr<HttpClientStream> stream = StreamTo(aCaller, address);
   stream->Send(std::move(exchange),
                [this, id, stream](const StreamOutcome& aOutcome) {
-                 --mOpen;
                  mPromises.OnOutcome(id, OutcomeOf(aOutcome), mLoop.Now());
                  // The stream is what runs this.
                  mLoop.Defer([stream]() {});
--- a/StandIns/Deployment/Callers.h
+++ b/StandIns/Deployment/Callers.h
@@ -45,7 +45,6 @@
 
   void Start();
   void Stop();
-  [[nodiscard]] std::size_t Open() const { return mOpen; }
 
 private:
   struct Caller;
@@ -67,7 +66,6 @@
   std::vector<std::shared_ptr<Caller>> mCallers;
   Timer mTimer;
   std::uint64_t mNumber = 0;
-  std::size_t mOpen = 0;
   bool mStopped = false;
 };
 
