--- a/Libraries/LibForward/ForwardAction.cpp
+++ b/Libraries/LibForward/ForwardAction.cpp
@@ -10,26 +10,6 @@
   mMissing += (mMissing.empty() ? "" : " ") + aService.value();
 }
 
-const char*
-RefusalReasonName(RefusalReason aReason)
-{
-  switch (aReason) {
-    case RefusalReason::NoPlan:
-      return "no_plan";
-    case RefusalReason::NoTarget:
-      return "no_target";
-    case RefusalReason::Overloaded:
-      return "overloaded";
-    case RefusalReason::Declined:
-      return "declined";
-    case RefusalReason::Poisonous:
-      return "poisonous";
-    case RefusalReason::TooLate:
-      return "too_late";
-  }
-  VERIFY(!"unknown reason");
-}
-
 const char*
 FailureReasonName(FailureReason aReason)
 {
--- a/Libraries/LibForward/ForwardAction.h
+++ b/Libraries/LibForward/ForwardAction.h
@@ -2,7 +2,9 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibForward/CallerRequest.h>
+#include <LibForward/Delegation.h>
 #include <LibForward/PartReply.h>
+#include <LibForward/Refusal.h>
 #include <LibRouting/ServingPlan.h>
 
 #include <string>
@@ -14,23 +16,6 @@
 /// Number of a request within one process; never used twice.
 using RequestNumber = Strong<struct RequestNumberTag, std::uint64_t>;
 
-/// Why a request was not sent to any target.
-enum class RefusalReason
-{
-  /// This node knows no plan yet.
-  NoPlan,
-  /// Too few of the shards, or no target of the service, can take work.
-  NoTarget,
-  /// All targets are busy, or this node is.
-  Overloaded,
-  /// The targets declined and no further attempt is allowed.
-  Declined,
-  /// Requests like this one have crashed the targets that ran them.
-  Poisonous,
-  /// The caller's time was up before the request could be sent.
-  TooLate,
-};
-
 /// Why a request that was sent got no answer.
 enum class FailureReason
 {
@@ -39,9 +24,7 @@
   DeadlinePassed,
 };
 
-/// Names as they stand in logs, such as "no_target".
-[[nodiscard]] const char*
-RefusalReasonName(RefusalReason aReason);
+/// The name as it stands in logs, such as "deadline_passed".
 [[nodiscard]] const char*
 FailureReasonName(FailureReason aReason);
 
@@ -97,6 +80,10 @@
   std::uint32_t mRetries = 0;
   /// Hedges and retries that the budget did not pay for.
   std::uint32_t mUnpaid = 0;
+  /// Peers that were asked to gather some of the parts, separated by spaces.
+  std::string mPeers;
+  /// Parts that peers were asked for.
+  std::uint32_t mDelegated = 0;
   /// Services of the parts that are missing, separated by spaces.
   std::string mMissing;
 
@@ -131,7 +118,37 @@
   ForwardSummary mSummary;
 };
 
-using ForwardAction = std::variant<SendAction, CancelAction, AnswerAction>;
+/// Ask a peer to gather some shards.
+struct DelegateAction
+{
+  DelegationNumber mDelegation;
+  NodeName mPeer;
+  DelegatedOrder mOrder;
+};
+
+/// Tell the peer that a delegation needs nothing any more. No answer to it is
+/// expected.
+struct RecallAction
+{
+  DelegationNumber mDelegation;
+  RecallReason mReason = RecallReason::Settled;
+};
+
+/// Tell the node that has asked.
+struct ReportAction
+{
+  RequestNumber mNumber;
+  DelegationAnswer mAnswer;
+  /// Whether this ends the delegation.
+  bool mLast = false;
+};
+
+using ForwardAction = std::variant<SendAction,
+                                   CancelAction,
+                                   AnswerAction,
+                                   DelegateAction,
+                                   RecallAction,
+                                   ReportAction>;
 using ForwardActions = std::vector<ForwardAction>;
 
 } // namespace verbenachute
--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -8,21 +8,6 @@
 
 namespace verbenachute {
 
-namespace {
-
-// Part of the remaining time that the answer needs on its way back besides
-// the network: parsing, queueing for the processor and writing.
-constexpr Duration kAnswerReserve = milliseconds(5);
-// Each step of priority leaves one of these parts of the room to those above.
-constexpr std::size_t kRoomSteps = 8;
-// When a refused caller may come back.
-constexpr Duration kRetryAfterNoPlan = milliseconds(500);
-constexpr Duration kRetryAfterNoTarget = milliseconds(250);
-constexpr Duration kRetryAfterOverload = milliseconds(40);
-constexpr Duration kRetryAfterPoison = seconds(30);
-
-} // namespace
-
 ForwardEngine::ForwardEngine(const ForwardSettings& aSettings)
   : mSettings(aSettings)
   , mAdmittance([](const ListedTarget&, const CallerId&) { return true; })
@@ -38,7 +23,7 @@
   if (mPlan && aPlan->Version() <= mPlan->Version()) {
     return;
   }
-  mPlan = std::move(aPlan);
+  mPlanBefore = std::exchange(mPlan, std::move(aPlan));
 }
 
 void
@@ -103,147 +88,6 @@
   answer.mSummary = std::move(aSummary);
 }
 
-ForwardActions
-ForwardEngine::Submit(RequestNumber aNumber,
-                      CallerRequestPointer aRequest,
-                      Instant aNow)
-{
-  VERIFY(!mRequests.contains(aNumber));
-  Request request;
-  request.mRequest = std::move(aRequest);
-  request.mPlan = mPlan;
-  if (!mPlan) {
-    AnswerAtOnce(aNumber,
-                 RefusedOutcome{ RefusalReason::NoPlan, kRetryAfterNoPlan },
-                 request.mSummary);
-    return TakeActions();
-  }
-  request.mSummary.mPlan = mPlan->Version();
-  request.mRoute =
-    mPlan->FindRoute(request.mRequest->mHost, request.mRequest->mTarget);
-  if (request.mRoute == nullptr) {
-    AnswerAtOnce(aNumber, NoRouteOutcome(), request.mSummary);
-    return TakeActions();
-  }
-  request.mShards = std::get_if<ShardSet>(&request.mRoute->mDestination);
-  request.mSummary.mRoute = request.mRoute->mName;
-  request.mSummary.mObjective = request.mRoute->mLatencyObjective;
-  request.mFingerprint =
-    FingerprintOf(ServiceName(request.mRequest->mMethod),
-                  request.mRequest->mTarget + '\n' + request.mRequest->mBody);
-  SetTimes(&request, aNow);
-  MakeParts(&request, aNow);
-  const std::optional<RefusedOutcome> problem =
-    AdmissionProblem(&request, aNow);
-  if (problem.has_value()) {
-    AnswerAtOnce(aNumber, *problem, request.mSummary);
-    return TakeActions();
-  }
-  Request& placed =
-    mRequests.emplace(aNumber, std::move(request)).first->second;
-  for (std::size_t i = 0; i < placed.mParts.size(); ++i) {
-    StartPart(aNumber, &placed, i, aNow);
-  }
-  Evaluate(aNumber, aNow);
-  return TakeActions();
-}
-
-void
-ForwardEngine::SetTimes(Request* aRequest, Instant aNow)
-{
-  const Route& route = *aRequest->mRoute;
-  const CallerRequest& request = *aRequest->mRequest;
-  RouteStatistics& statistics = StatisticsOf(route);
-  Duration patience = route.mDeadline;
-  Duration spent = request.mConnecting;
-  if (request.mPatience.has_value()) {
-    statistics.ObservePatience(*request.mPatience);
-    patience = std::min(patience, *request.mPatience);
-    // What the caller has left tells the time for connecting, too.
-    spent = statistics.SpentBefore(*request.mPatience);
-  }
-  const Duration back = mSettings.mCallerDelay + kAnswerReserve;
-  aRequest->mDeadline = request.mArrived + patience - back;
-  const Duration inTime =
-    route.mLatencyObjective - spent - mSettings.mCallerDelay - back;
-  aRequest->mCut = std::min(aRequest->mDeadline,
-                            request.mArrived + std::max(inTime, Duration(0)));
-  if (mSettings.mPartial == PartialAnswers::WhenNothingIsLeft) {
-    aRequest->mCut = aRequest->mDeadline;
-  }
-  const Duration wait(static_cast<Duration::rep>(
-    mSettings.mWaitShare *
-    static_cast<double>(route.mLatencyObjective.count())));
-  aRequest->mWaitUntil =
-    std::min(aRequest->mDeadline, std::max(aNow, request.mArrived + wait));
-}
-
-void
-ForwardEngine::MakeParts(Request* aRequest, Instant aNow)
-{
-  if (aRequest->mShards != nullptr) {
-    for (const ServiceName& shard : aRequest->mShards->mShards) {
-      aRequest->mParts.emplace_back().mService = shard;
-    }
-  } else {
-    const std::vector<WeightedService>& services =
-      std::get<SingleDestination>(aRequest->mRoute->mDestination).mServices;
-    const std::size_t next =
-      StatisticsOf(*aRequest->mRoute).NextService(services);
-    aRequest->mParts.emplace_back().mService = services.at(next).mService;
-  }
-  aRequest->mSummary.mParts = aRequest->mParts.size();
-  for (const Part& part : aRequest->mParts) {
-    StateOf(part.mService).mBudget->OnRequest(aNow);
-  }
-}
-
-bool
-ForwardEngine::IsServiceable(const ServiceName& aService,
-                             const CallerId& aCaller,
-                             Instant aNow) const
-{
-  const std::vector<TargetRecord*>& targets = mTargets.Of(aService);
-  return std::any_of(
-    targets.begin(), targets.end(), [&](const TargetRecord* aTarget) {
-      return IsOpen(*aTarget, aCaller) && !aTarget->IsDown(aNow);
-    });
-}
-
-std::optional<RefusedOutcome>
-ForwardEngine::AdmissionProblem(Request* aRequest, Instant aNow)
-{
-  if (!LeavesTime(*aRequest, aNow)) {
-    return RefusedOutcome{ RefusalReason::TooLate, Duration(0) };
-  }
-  if (mPoison.IsPoisonous(aRequest->mFingerprint, aNow)) {
-    return RefusedOutcome{ RefusalReason::Poisonous, kRetryAfterPoison };
-  }
-  // Less urgent requests leave room for the more urgent ones.
-  const std::size_t room =
-    mSettings.mMaximumRunning -
-    mSettings.mMaximumRunning / kRoomSteps *
-      std::min<std::size_t>(aRequest->mRoute->mPriority, kRoomSteps / 2);
-  if (mRequests.size() >= room) {
-    return RefusedOutcome{ RefusalReason::Overloaded, kRetryAfterOverload };
-  }
-  std::size_t serviceable = 0;
-  for (const Part& part : aRequest->mParts) {
-    if (IsServiceable(part.mService, aRequest->mRequest->mCaller, aNow)) {
-      ++serviceable;
-    } else {
-      aRequest->mSummary.AddMissing(part.mService);
-    }
-  }
-  const std::size_t least =
-    aRequest->mShards != nullptr ? aRequest->mShards->LeastParts() : 1;
-  if (serviceable < least) {
-    return RefusedOutcome{ RefusalReason::NoTarget, kRetryAfterNoTarget };
-  }
-  aRequest->mSummary.mMissing.clear();
-  return std::nullopt;
-}
-
 ForwardActions
 ForwardEngine::OnReply(AttemptId aAttempt, PartReply aReply, Instant aNow)
 {
@@ -361,6 +205,7 @@
       mActions.push_back(CancelAction{ attempt });
     }
   }
+  RecallAll(&found->second, RecallReason::CallerGone);
   if (found->second.mWake.has_value()) {
     mWakes.erase({ *found->second.mWake, aNumber });
   }
@@ -417,6 +262,10 @@
   VERIFY(found != mRequests.end());
   Request& request = found->second;
   request.mWake.reset();
+  for (const DelegationNumber delegation :
+       std::vector<DelegationNumber>(request.mDelegations)) {
+    LosePatience(delegation, &request, aNow);
+  }
   for (std::size_t i = 0; i < request.mParts.size(); ++i) {
     Part& part = request.mParts[i];
     if (part.mState == PartState::Waiting && aNow >= request.mWaitUntil) {
@@ -440,6 +289,13 @@
   if (aRequest->mShards != nullptr && aRequest->mCut > aNow) {
     next = std::min(next, aRequest->mCut);
   }
+  if (aRequest->mReportAt.has_value() && !aRequest->mReported) {
+    next = std::min(next, *aRequest->mReportAt);
+  }
+  for (const DelegationNumber number : aRequest->mDelegations) {
+    const std::optional<Instant>& ends = mDelegations.at(number).mPatienceEnds;
+    next = std::min(next, ends.value_or(next));
+  }
   for (const Part& part : aRequest->mParts) {
     if (part.mState == PartState::Waiting) {
       next = std::min(next, aRequest->mWaitUntil);
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -2,6 +2,7 @@
 
 #include <LibForward/ForwardAction.h>
 #include <LibForward/ForwardSettings.h>
+#include <LibForward/PeerRecords.h>
 #include <LibForward/PoisonLog.h>
 #include <LibForward/RouteStatistics.h>
 #include <LibForward/TargetRecords.h>
@@ -37,6 +38,8 @@
   /// The nodes that callers are sent to, now or lately, and this one. If this
   /// one is not among them it gets no share of what they share out.
   void SetNodes(std::vector<NodeName> aSenders, const NodeName& aSelf);
+  /// The peers that may gather for this node.
+  [[nodiscard]] PeerRecords& Peers() { return mPeers; }
   [[nodiscard]] TargetRecords& Targets() { return mTargets; }
   [[nodiscard]] const TargetRecords& Targets() const { return mTargets; }
 
@@ -52,6 +55,27 @@
                                          Instant aNow);
   [[nodiscard]] ForwardActions OnCallerGone(RequestNumber aNumber,
                                             Instant aNow);
+
+  /// Takes in what a peer asks this node to gather; reports are among the
+  /// actions of this and later calls.
+  [[nodiscard]] ForwardActions SubmitDelegated(RequestNumber aNumber,
+                                               const DelegatedOrder& aOrder,
+                                               Instant aNow);
+  /// The node that asked needs nothing any more.
+  [[nodiscard]] ForwardActions OnRecalled(RequestNumber aNumber,
+                                          RecallReason aReason,
+                                          Instant aNow);
+  /// What a peer tells of a delegation of this node.
+  [[nodiscard]] ForwardActions OnDelegationAnswer(
+    DelegationNumber aDelegation,
+    const DelegationAnswer& aAnswer,
+    Instant aNow);
+  /// The connection to the peer failed: NotSent if the order did not leave
+  /// this node.
+  [[nodiscard]] ForwardActions OnDelegationFailure(DelegationNumber aDelegation,
+                                                   AttemptFailure aFailure,
+                                                   Instant aNow);
+
   /// Does what is due; call it at NextWake.
   [[nodiscard]] ForwardActions OnTime(Instant aNow);
   [[nodiscard]] std::optional<Instant> NextWake() const;
@@ -77,6 +101,8 @@
   struct Part
   {
     ServiceName mService;
+    /// Place of the shard in the route's list.
+    std::size_t mPlace = 0;
     PartState mState = PartState::Waiting;
     std::vector<AttemptId> mRunning;
     std::vector<TargetName> mTried;
@@ -85,6 +111,20 @@
     bool mMayHaveRun = false;
     /// The answer, or the last failure that a target has signed.
     std::optional<PartReply> mReply;
+    /// A peer has been asked for it and has not told the end.
+    std::optional<DelegationNumber> mDelegation;
+    /// Block of the request that holds the answer, if a peer gave it.
+    std::optional<std::size_t> mBlock;
+    /// The node that asked for it has been told the end.
+    bool mTold = false;
+  };
+
+  /// What a peer has merged of several shards. It counts as a whole or not at
+  /// all, since the records can not be told apart.
+  struct AnswerBlock
+  {
+    std::string mRecords;
+    std::vector<std::string> mSignatures;
   };
 
   struct Request
@@ -94,6 +134,15 @@
     const Route* mRoute = nullptr;
     const ShardSet* mShards = nullptr;
     std::vector<Part> mParts;
+    std::vector<AnswerBlock> mBlocks;
+    /// Delegations that have not ended.
+    std::vector<DelegationNumber> mDelegations;
+    /// Targets that each part may be sent to by this node.
+    std::uint32_t mMaximumAttempts = 1;
+    /// When the node that asked for these parts gets its first report; nothing
+    /// for requests of callers.
+    std::optional<Instant> mReportAt;
+    bool mReported = false;
     Instant mDeadline;
     /// When an incomplete answer becomes better than a late one.
     Instant mCut;
@@ -115,6 +164,17 @@
     bool mLeftOver = false;
   };
 
+  struct OpenDelegation
+  {
+    RequestNumber mNumber;
+    NodeName mPeer;
+    Instant mSent;
+    /// Parts whose end the peer has not told.
+    std::set<std::size_t> mParts;
+    /// When other targets are asked; nothing once the peer has reported.
+    std::optional<Instant> mPatienceEnds;
+  };
+
   struct ServiceState
   {
     std::unique_ptr<ExtraBudget> mBudget;
@@ -135,9 +195,16 @@
   void AnswerAtOnce(RequestNumber aNumber,
                     ForwardOutcome aOutcome,
                     ForwardSummary aSummary);
+  /// Whether this node takes the request at all.
   [[nodiscard]] std::optional<RefusedOutcome> AdmissionProblem(
-    Request* aRequest,
+    const Request& aRequest,
     Instant aNow);
+  /// Whether enough shards have targets.
+  [[nodiscard]] std::optional<RefusedOutcome> CoverageProblem(
+    Request* aRequest,
+    Instant aNow) const;
+  [[nodiscard]] static Fingerprint FingerprintOfRequest(
+    const CallerRequest& aRequest);
   void SetTimes(Request* aRequest, Instant aNow);
   void MakeParts(Request* aRequest, Instant aNow);
   [[nodiscard]] bool IsServiceable(const ServiceName& aService,
@@ -184,6 +251,58 @@
                                 const ServiceTerms* aTerms) const;
   void ServeWaiting(const ServiceName& aService, Instant aNow);
 
+  /// When a second target is asked for a part that is sent now.
+  [[nodiscard]] Duration HedgeDelay(const Request& aRequest,
+                                    const Part& aPart,
+                                    Instant aNow);
+
+  // Delegations of this node.
+  void DelegateParts(RequestNumber aNumber, Request* aRequest, Instant aNow);
+  /// For each part the domains, other than this node's, that hold its targets
+  /// and have a peer; none for a part that this node asks for itself.
+  [[nodiscard]] std::vector<DomainSet> HoldersElsewhere(const Request& aRequest,
+                                                        Instant aNow) const;
+  [[nodiscard]] TargetName PresumedTarget(const Request& aRequest,
+                                          const Part& aPart,
+                                          const FailureDomain& aDomain,
+                                          Instant aNow) const;
+  void LosePatience(DelegationNumber aDelegation,
+                    Request* aRequest,
+                    Instant aNow);
+  [[nodiscard]] static bool IsSound(const DelegationReport& aReport,
+                                    const OpenDelegation& aDelegation,
+                                    const Request& aRequest);
+  void TakeReport(DelegationNumber aDelegation,
+                  const DelegationReport& aReport,
+                  Request* aRequest,
+                  Instant aNow);
+  void TakeBlock(const DelegationReport& aReport,
+                 Request* aRequest,
+                 Instant aNow);
+  /// The peer has not asked any target.
+  void UndoDelegation(DelegationNumber aDelegation,
+                      Request* aRequest,
+                      Instant aNow);
+  /// The peer may have asked any of the targets and tells no more.
+  void LoseDelegation(DelegationNumber aDelegation,
+                      Request* aRequest,
+                      Instant aNow);
+  /// Forgets a delegation; its parts do not refer to it any more.
+  void EndDelegation(DelegationNumber aDelegation, Request* aRequest);
+  void RecallAll(Request* aRequest, RecallReason aReason);
+
+  // Delegations of peers.
+  [[nodiscard]] ServingPlanPointer PlanOf(PlanVersion aVersion) const;
+  void RefuseDelegated(RequestNumber aNumber, RefusalReason aReason);
+  void EvaluateDelegated(RequestNumber aNumber,
+                         Request* aRequest,
+                         Instant aNow);
+  /// Reports the parts; those that wait are given up.
+  void Report(RequestNumber aNumber,
+              Request* aRequest,
+              const std::vector<std::size_t>& aParts);
+  void FinishDelegated(RequestNumber aNumber, Instant aNow);
+
   // Outcomes.
   /// Answers the request if its parts allow it now.
   void Evaluate(RequestNumber aNumber, Instant aNow);
@@ -192,6 +311,9 @@
   void GiveUp(RequestNumber aNumber, Request* aRequest, Instant aNow);
   [[nodiscard]] ForwardOutcome Merged(const Request& aRequest) const;
   void Finish(RequestNumber aNumber, ForwardOutcome aOutcome, Instant aNow);
+  /// A request that lost all its connections and got no answer at all may be
+  /// what broke the targets.
+  void NoteStrikes(const Request& aRequest, Instant aNow);
   /// What follows the end of an attempt, whatever its result.
   [[nodiscard]] ForwardActions AfterAttempt(AttemptId aAttempt,
                                             const TargetRecord* aTarget,
@@ -206,6 +328,8 @@
 
   ForwardSettings mSettings;
   ServingPlanPointer mPlan;
+  /// The plan before; peers may still ask by it.
+  ServingPlanPointer mPlanBefore;
   Admittance mAdmittance;
   /// Sorted by name, this node included.
   std::vector<NodeName> mNodes;
@@ -215,6 +339,9 @@
   bool mSender = true;
   NodeName mSelf;
   TargetRecords mTargets;
+  PeerRecords mPeers;
+  std::unordered_map<DelegationNumber, OpenDelegation> mDelegations;
+  std::uint64_t mNextDelegation = 1;
   Requests mRequests;
   WakeQueue mWakes;
   std::unordered_map<AttemptId, Attempt> mAttempts;
--- a/Libraries/LibForward/ForwardEngineOutcomes.cpp
+++ b/Libraries/LibForward/ForwardEngineOutcomes.cpp
@@ -28,7 +28,9 @@
   if (found == mRequests.end()) {
     return;
   }
-  if (found->second.mShards != nullptr) {
+  if (found->second.mReportAt.has_value()) {
+    EvaluateDelegated(aNumber, &found->second, aNow);
+  } else if (found->second.mShards != nullptr) {
     EvaluateGather(aNumber, &found->second, aNow);
   } else {
     EvaluateSingle(aNumber, &found->second, aNow);
@@ -101,7 +103,8 @@
 {
   const bool mayHaveRun = std::any_of(
     aRequest->mParts.begin(), aRequest->mParts.end(), [](const Part& aPart) {
-      return aPart.mMayHaveRun || !aPart.mRunning.empty();
+      return aPart.mMayHaveRun || !aPart.mRunning.empty() ||
+             aPart.mDelegation.has_value();
     });
   if (mayHaveRun) {
     Finish(aNumber, FailedOutcome{ FailureReason::AttemptsFailed }, aNow);
@@ -124,9 +127,20 @@
       ++outcome.mMissing;
       continue;
     }
+    if (part.mBlock.has_value()) {
+      continue;
+    }
     parts.push_back(part.mReply->mBody);
     outcome.mSignatures.push_back(part.mReply->mSignature);
   }
+  for (const AnswerBlock& block : aRequest.mBlocks) {
+    parts.push_back(block.mRecords);
+    outcome.mSignatures.insert(outcome.mSignatures.end(),
+                               block.mSignatures.begin(),
+                               block.mSignatures.end());
+  }
+  VERIFY(outcome.mSignatures.size() + outcome.mMissing ==
+         aRequest.mParts.size());
   VERIFY(outcome.mSignatures.size() >= aRequest.mShards->LeastParts());
   outcome.mRecords = MergeGreatest(parts, aRequest.mShards->mGreatest);
   return outcome;
@@ -157,14 +171,8 @@
       request.mSummary.AddMissing(part.mService);
     }
   }
-  // A request that lost all its connections and got no answer at all may be
-  // what broke the targets.
-  if (!request.mLostAt.empty() && request.mSummary.mPartsDone == 0) {
-    for (const TargetName& target : request.mLostAt) {
-      mStrikes.push_back(PoisonStrike{ request.mFingerprint, target });
-      mPoison.OnStrike(mStrikes.back(), aNow);
-    }
-  }
+  NoteStrikes(request, aNow);
+  RecallAll(&request, RecallReason::Settled);
   if (request.mWake.has_value()) {
     mWakes.erase({ *request.mWake, aNumber });
   }
@@ -173,4 +181,16 @@
   mRequests.erase(found);
 }
 
+void
+ForwardEngine::NoteStrikes(const Request& aRequest, Instant aNow)
+{
+  if (aRequest.mLostAt.empty() || aRequest.mSummary.mPartsDone > 0) {
+    return;
+  }
+  for (const TargetName& target : aRequest.mLostAt) {
+    mStrikes.push_back(PoisonStrike{ aRequest.mFingerprint, target });
+    mPoison.OnStrike(mStrikes.back(), aNow);
+  }
+}
+
 } // namespace verbenachute
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -173,6 +173,28 @@
   part.mState = PartState::Failed;
 }
 
+Duration
+ForwardEngine::HedgeDelay(const Request& aRequest,
+                          const Part& aPart,
+                          Instant aNow)
+{
+  const Duration usual = StatisticsOf(*aRequest.mRoute).Usual();
+  const std::vector<TargetRecord*>& targets = mTargets.Of(aPart.mService);
+  const bool near = std::any_of(
+    targets.begin(), targets.end(), [&](const TargetRecord* aTarget) {
+      return aTarget->Listed().mDomain == mSettings.mDomain &&
+             !aTarget->IsDown(aNow) &&
+             std::find(aPart.mTried.begin(),
+                       aPart.mTried.end(),
+                       aTarget->Listed().mName) == aPart.mTried.end();
+    });
+  const double across =
+    mSettings.mAcrossHedgeShare *
+    static_cast<double>(aRequest.mRoute->mLatencyObjective.count());
+  return near ? usual
+              : std::max(usual, Duration(static_cast<Duration::rep>(across)));
+}
+
 void
 ForwardEngine::Send(RequestNumber aNumber,
                     Request* aRequest,
@@ -181,7 +203,7 @@
                     Instant aNow)
 {
   Part& part = aRequest->mParts[aPart];
-  VERIFY(part.mTried.size() < aRequest->mRoute->mMaximumAttempts);
+  VERIFY(part.mTried.size() < aRequest->mMaximumAttempts);
   VERIFY(part.mTried.empty() || !part.mMayHaveRun ||
          aRequest->mRoute->mRepeatability == Repeatability::Repeatable);
   const Route& route = *aRequest->mRoute;
@@ -193,10 +215,10 @@
   part.mTried.push_back(listed.mName);
   const bool hedges = mSettings.mHedging == ForwardHedging::Adaptive &&
                       route.mRepeatability == Repeatability::Repeatable &&
-                      part.mTried.size() < route.mMaximumAttempts;
+                      part.mTried.size() < aRequest->mMaximumAttempts;
   part.mHedgeAt.reset();
   if (hedges) {
-    part.mHedgeAt = aNow + usual;
+    part.mHedgeAt = aNow + HedgeDelay(*aRequest, part, aNow);
   }
   mAttempts.emplace(
     id, Attempt{ aNumber, aPart, listed.mName, aNow, route.mName, false });
@@ -219,7 +241,7 @@
                          Instant aNow)
 {
   Part& part = aRequest->mParts[aPart];
-  if (part.mTried.size() >= aRequest->mRoute->mMaximumAttempts ||
+  if (part.mTried.size() >= aRequest->mMaximumAttempts ||
       !LeavesTime(*aRequest, aNow)) {
     return;
   }
@@ -242,14 +264,14 @@
                          Instant aNow)
 {
   Part& part = aRequest->mParts[aPart];
-  if (!part.mRunning.empty()) {
+  if (!part.mRunning.empty() || part.mDelegation.has_value()) {
     return;
   }
   const bool mayRepeat =
     !part.mMayHaveRun ||
     aRequest->mRoute->mRepeatability == Repeatability::Repeatable;
   if (!mayRepeat || !LeavesTime(*aRequest, aNow) ||
-      part.mTried.size() >= aRequest->mRoute->mMaximumAttempts) {
+      part.mTried.size() >= aRequest->mMaximumAttempts) {
     part.mState = PartState::Failed;
     return;
   }
--- a/Libraries/LibForward/ForwardSettings.h
+++ b/Libraries/LibForward/ForwardSettings.h
@@ -25,6 +25,15 @@
   AtObjective,
 };
 
+/// Who asks the targets of a shard that no target of the own domain holds.
+enum class ShardGathering
+{
+  /// This node.
+  Direct,
+  /// A peer in a domain that holds it, if there is one.
+  NearTargets,
+};
+
 /// How requests are forwarded.
 struct ForwardSettings
 {
@@ -32,6 +41,7 @@
   ExtraLimits mExtra;
   ForwardHedging mHedging = ForwardHedging::Adaptive;
   PartialAnswers mPartial = PartialAnswers::AtObjective;
+  ShardGathering mGathering = ShardGathering::NearTargets;
   /// Requests that may run at one time.
   std::size_t mMaximumRunning = 600;
   /// One way between a caller and this node.
@@ -40,6 +50,10 @@
   /// and the bytes between domains, which the users pay for. A queue in the own
   /// domain of about two requests outweighs it (docs/MEASUREMENTS.md).
   Duration mDomainCost = milliseconds(20);
+  /// A second target in another domain is asked after this share of the
+  /// objective at the earliest: the bytes cost there, and most late answers
+  /// come by then (docs/MEASUREMENTS.md).
+  double mAcrossHedgeShare = 0.3;
   /// Share of its objective that a request may wait for a free connection
   /// before it is refused; waiting longer would only delay the retry.
   double mWaitShare = 0.2;
--- /dev/null
+++ b/Libraries/LibForward/Refusal.cpp
@@ -0,0 +1,27 @@
+#include <LibForward/Refusal.h>
+
+#include <LibCore/Verify.h>
+
+namespace verbenachute {
+
+const char*
+RefusalReasonName(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::NoPlan:
+      return "no_plan";
+    case RefusalReason::NoTarget:
+      return "no_target";
+    case RefusalReason::Overloaded:
+      return "overloaded";
+    case RefusalReason::Declined:
+      return "declined";
+    case RefusalReason::Poisonous:
+      return "poisonous";
+    case RefusalReason::TooLate:
+      return "too_late";
+  }
+  VERIFY(!"unknown reason");
+}
+
+} // namespace verbenachute
--- a/Libraries/LibForward/RouteStatistics.cpp
+++ b/Libraries/LibForward/RouteStatistics.cpp
@@ -16,6 +16,13 @@
 constexpr Duration kLeastHedgeDelay = milliseconds(5);
 // A hedge that starts later than this share of the objective comes too late.
 constexpr double kLatestHedgeShare = 0.45;
+// A peer reports at the time of a hedge at the latest; one that takes longer
+// than nearly all, or than this share of the objective, is not waited for.
+constexpr double kDelegationQuantile = 0.95;
+constexpr double kDelegationFactor = 1.4;
+constexpr double kLongestDelegationShare = 0.55;
+// Beyond the hedge delay, for the way to the peer and back.
+constexpr Duration kDelegationWay = milliseconds(8);
 
 } // namespace
 
@@ -27,6 +34,9 @@
   , mMost(kMostQuantile,
           std::max(aRoute.mLatencyObjective / kInitialMostShare,
                    Duration(milliseconds(2))))
+  , mDelegated(kDelegationQuantile,
+               std::max(aRoute.mLatencyObjective / kInitialMostShare,
+                        Duration(milliseconds(2))))
 {
 }
 
@@ -49,6 +59,24 @@
     Duration(static_cast<Duration::rep>(std::min(usual, latest))));
 }
 
+void
+RouteStatistics::ObserveDelegation(Duration aLatency)
+{
+  mDelegated.Observe(aLatency);
+}
+
+Duration
+RouteStatistics::DelegationPatience() const
+{
+  const double most =
+    kDelegationFactor * static_cast<double>(mDelegated.Estimate().count());
+  const double longest =
+    kLongestDelegationShare * static_cast<double>(mObjective.count());
+  const Duration learnt(static_cast<Duration::rep>(most));
+  return std::min(std::max(learnt, Usual() + kDelegationWay),
+                  Duration(static_cast<Duration::rep>(longest)));
+}
+
 void
 RouteStatistics::ObservePatience(Duration aPatience)
 {
--- a/Libraries/LibForward/RouteStatistics.h
+++ b/Libraries/LibForward/RouteStatistics.h
@@ -21,6 +21,11 @@
   /// Time within which most attempts end; a longer one is worth a hedge.
   [[nodiscard]] Duration Usual() const;
 
+  /// Time from a delegation to the first report of the peer.
+  void ObserveDelegation(Duration aLatency);
+  /// How long a peer is waited for before other targets are asked.
+  [[nodiscard]] Duration DelegationPatience() const;
+
   /// A caller waits this long from the arrival of its request.
   void ObservePatience(Duration aPatience);
   /// Time that a caller has spent on earlier attempts, from what it has left.
@@ -35,6 +40,7 @@
   Duration mObjective;
   QuantileTracker mMedian;
   QuantileTracker mMost;
+  QuantileTracker mDelegated;
   Duration mLongestPatience{ 0 };
   /// Unused share of each service, by name.
   std::map<ServiceName, double> mCredit;
--- a/Libraries/LibForward/TargetRecord.h
+++ b/Libraries/LibForward/TargetRecord.h
@@ -15,6 +15,9 @@
   TargetRecord(ListedTarget aListed, Instant aNow);
 
   [[nodiscard]] const ListedTarget& Listed() const { return mListed; }
+  /// Place of its failure domain in the table of the records.
+  [[nodiscard]] std::size_t DomainPlace() const { return mDomainPlace; }
+  void SetDomainPlace(std::size_t aPlace) { mDomainPlace = aPlace; }
   /// Takes over a changed entry; a new life or address begins without history.
   void Relist(ListedTarget aListed, Instant aNow);
 
@@ -65,6 +68,7 @@
   [[nodiscard]] double Faded(double aValue, double aRest, Instant aNow) const;
 
   ListedTarget mListed;
+  std::size_t mDomainPlace = 0;
   std::map<AttemptId, InFlightAttempt> mInFlight;
   /// Latency as a multiple of the median over all targets.
   double mSlowness = 1;
--- a/Libraries/LibForward/TargetRecords.cpp
+++ b/Libraries/LibForward/TargetRecords.cpp
@@ -10,11 +10,13 @@
   std::unique_ptr<TargetRecord>& record = mTargets[aTarget.mName];
   if (!record) {
     record = std::make_unique<TargetRecord>(aTarget, aNow);
+    record->SetDomainPlace(DomainPlace(aTarget.mDomain));
     Index(record.get());
     return;
   }
   const ServiceName before = record->Listed().mService;
   record->Relist(aTarget, aNow);
+  record->SetDomainPlace(DomainPlace(aTarget.mDomain));
   if (before != aTarget.mService) {
     Unindex(before, record.get());
     Index(record.get());
@@ -47,6 +49,20 @@
   return found == mServices.end() ? sNone : found->second;
 }
 
+std::size_t
+TargetRecords::DomainPlace(const FailureDomain& aDomain)
+{
+  const auto found = std::find(mDomains.begin(), mDomains.end(), aDomain);
+  if (found != mDomains.end()) {
+    return static_cast<std::size_t>(found - mDomains.begin());
+  }
+  if (mDomains.size() < kMostDomains) {
+    mDomains.push_back(aDomain);
+    return mDomains.size() - 1;
+  }
+  return kMostDomains;
+}
+
 std::vector<const TargetRecord*>
 TargetRecords::All() const
 {
--- a/Libraries/LibForward/TargetRecords.h
+++ b/Libraries/LibForward/TargetRecords.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibForward/ShardCover.h>
 #include <LibForward/TargetRecord.h>
 
 #include <functional>
@@ -23,6 +24,13 @@
   /// The targets of a service in the order of their names.
   [[nodiscard]] const std::vector<TargetRecord*>& Of(
     const ServiceName& aService) const;
+  /// Place of a domain in the table of those seen; kMostDomains for those that
+  /// found the table full.
+  [[nodiscard]] std::size_t DomainPlace(const FailureDomain& aDomain);
+  [[nodiscard]] const std::vector<FailureDomain>& Domains() const
+  {
+    return mDomains;
+  }
   [[nodiscard]] std::size_t size() const { return mTargets.size(); }
   [[nodiscard]] std::vector<const TargetRecord*> All() const;
 
@@ -31,6 +39,8 @@
   void Index(TargetRecord* aRecord);
 
   std::map<TargetName, std::unique_ptr<TargetRecord>> mTargets;
+  /// Domains in the order in which they were seen first.
+  std::vector<FailureDomain> mDomains;
   std::unordered_map<ServiceName, std::vector<TargetRecord*>> mServices;
 };
 
--- a/Libraries/LibGossip/GossipCodec.cpp
+++ b/Libraries/LibGossip/GossipCodec.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t kNewsFields = 15;
+constexpr std::size_t kNewsFields = 16;
 constexpr std::uint32_t kNoAge = 0xffffffff;
 constexpr std::size_t kStrikeFields = 2;
 // A datagram holds a few dozen entries at most.
@@ -23,6 +23,7 @@
   aWriter->Text(aNews.mCallerAddress.mHost);
   aWriter->Number(aNews.mCallerAddress.mPort);
   aWriter->Number(aNews.mPeerAddress.mPort);
+  aWriter->Number(aNews.mGatherAddress.mPort);
   aWriter->Id(aNews.mDomain);
   aWriter->Enumerator(aNews.mService);
   aWriter->Enumerator(aNews.mReach);
@@ -45,6 +46,8 @@
   news.mCallerAddress.mPort = aReader.Number<std::uint16_t>();
   news.mPeerAddress.mHost = news.mCallerAddress.mHost;
   news.mPeerAddress.mPort = aReader.Number<std::uint16_t>();
+  news.mGatherAddress.mHost = news.mCallerAddress.mHost;
+  news.mGatherAddress.mPort = aReader.Number<std::uint16_t>();
   news.mDomain = aReader.Id<FailureDomain>();
   news.mService = aReader.Enumerator(NodeService::Leaving);
   news.mReach = aReader.Enumerator(NodeReach::All);
--- a/Libraries/LibGossip/NodeNews.h
+++ b/Libraries/LibGossip/NodeNews.h
@@ -38,6 +38,8 @@
   std::uint64_t mCount = 0;
   SocketAddress mCallerAddress;
   SocketAddress mPeerAddress;
+  /// Where it takes delegations; port 0 if it takes none.
+  SocketAddress mGatherAddress;
   FailureDomain mDomain;
   NodeService mService = NodeService::Starting;
   NodeReach mReach = NodeReach::All;
--- a/Libraries/LibHttp/HttpClientStream.h
+++ b/Libraries/LibHttp/HttpClientStream.h
@@ -2,8 +2,8 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibHttp/MessageReader.h>
-#include <LibHttp/SocketOptions.h>
 #include <LibTransport/EventLoop.h>
+#include <LibTransport/SocketOptions.h>
 #include <LibTransport/Timer.h>
 
 #include <functional>
--- a/Libraries/LibHttp/HttpListener.cpp
+++ b/Libraries/LibHttp/HttpListener.cpp
@@ -1,7 +1,7 @@
 #include <LibHttp/HttpListener.h>
 
 #include <LibCore/SocketAddressText.h>
-#include <LibHttp/SocketOptions.h>
+#include <LibTransport/SocketOptions.h>
 
 #include <event2/listener.h>
 #include <utility>
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -1,7 +1,7 @@
 #include <LibHttp/HttpServerConnection.h>
 
 #include <LibCore/Verify.h>
-#include <LibHttp/SocketOptions.h>
+#include <LibTransport/SocketOptions.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
--- a/Libraries/LibObservation/MetricCatalogue.cpp
+++ b/Libraries/LibObservation/MetricCatalogue.cpp
@@ -31,6 +31,10 @@
     { "verbenachute_store_calls_total", "Calls to the platform's store." },
     { "verbenachute_store_failures_total",
       "Calls to the platform's store that failed." },
+    { "verbenachute_delegations_sent_total",
+      "Orders to peers to gather shards of their failure domain." },
+    { "verbenachute_delegations_taken_total",
+      "Orders of peers that this node has begun to gather." },
   } };
 
 constexpr std::array<MetricDescription,
--- a/Libraries/LibObservation/MetricCatalogue.h
+++ b/Libraries/LibObservation/MetricCatalogue.h
@@ -22,7 +22,9 @@
   HeartbeatsReceived,
   StoreCalls,
   StoreFailures,
-  Last = StoreFailures,
+  DelegationsSent,
+  DelegationsTaken,
+  Last = DelegationsTaken,
 };
 
 /// Values without labels that go up and down.
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -219,6 +219,7 @@
   settings.mDomain = FailureDomain(reader.Name("failure_domain"));
   settings.mCallerAddress = reader.Address("caller_address");
   settings.mPeerAddress = reader.Address("peer_address");
+  settings.mGatherAddress = reader.OptionalAddress("gather_address");
   settings.mOperatorAddress = reader.Address("operator_address");
   settings.mPlatformAddress = reader.Address("platform");
   settings.mSeeds = reader.Addresses("seeds");
@@ -244,6 +245,7 @@
     std::max(1.0,
              1000 * reader.Decimal("processor_share", 0.001, 1000) *
                reader.Decimal("processor_speed", 0.001, 1000)));
+  settings.mGathering = reader.OneOf("gathering", { "near", "direct" });
   settings.mPartialAnswers =
     reader.OneOf("partial_answers", { "at_objective", "last" });
   reader.RefuseUnknown();
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -32,6 +32,11 @@
   {
     return mPeerAddress;
   }
+  /// Where this node gathers shards for others; nothing if it does not.
+  [[nodiscard]] const std::optional<SocketAddress>& GatherAddress() const
+  {
+    return mGatherAddress;
+  }
   [[nodiscard]] const SocketAddress& OperatorAddress() const
   {
     return mOperatorAddress;
@@ -88,6 +93,8 @@
   [[nodiscard]] Duration Grace() const { return mGrace; }
   /// Processor of this VM in thousandths of a plain core; at least 1.
   [[nodiscard]] std::uint32_t ProcessorPower() const { return mProcessorPower; }
+  /// "near" or "direct".
+  [[nodiscard]] const std::string& GatheringName() const { return mGathering; }
   /// "at_objective" or "last".
   [[nodiscard]] const std::string& PartialAnswersName() const
   {
@@ -102,6 +109,7 @@
   FailureDomain mDomain;
   SocketAddress mCallerAddress;
   SocketAddress mPeerAddress;
+  std::optional<SocketAddress> mGatherAddress;
   SocketAddress mOperatorAddress;
   SocketAddress mPlatformAddress;
   std::vector<SocketAddress> mSeeds;
@@ -120,6 +128,7 @@
   double mRetrySlack = 0;
   Duration mGrace{ 0 };
   std::uint32_t mProcessorPower = 1;
+  std::string mGathering;
   std::string mPartialAnswers;
 };
 
--- a/Libraries/LibTransport/FrameLink.cpp
+++ b/Libraries/LibTransport/FrameLink.cpp
@@ -1,42 +1,30 @@
 #include <LibTransport/FrameLink.h>
+#include <LibTransport/SocketOptions.h>
 
-#include <arpa/inet.h>
 #include <cstring>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 
 namespace verbenachute {
 
 namespace {
 
 constexpr std::size_t kHeaderBytes = 5;
-constexpr std::uint32_t kMaximumFrameBytes = 16 * 1024 * 1024;
-
-// Batches are already formed by the sender; waiting for more would only add
-// delay.
-void
-DisableNagle(evutil_socket_t aSocket)
-{
-  const int enabled = 1;
-  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
-}
 
 } // namespace
 
 std::unique_ptr<FrameLink>
-FrameLink::Dial(EventLoop& aLoop, const SocketAddress& aAddress)
+FrameLink::Dial(EventLoop& aLoop,
+                const SocketAddress& aAddress,
+                std::uint32_t aMostBytes)
 {
   bufferevent* stream =
     bufferevent_socket_new(aLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
-  std::unique_ptr<FrameLink> link(new FrameLink(stream));
+  std::unique_ptr<FrameLink> link(new FrameLink(stream, aMostBytes));
   link->InstallCallbacks();
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aAddress.mPort);
-  inet_pton(AF_INET, aAddress.mHost.c_str(), &address.sin_addr);
+  sockaddr_in address = SocketAddressOf(aAddress);
   // A failure at once is reported through the event callback as well.
   static_cast<void>(bufferevent_socket_connect(
     stream, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
@@ -44,18 +32,20 @@
 }
 
 std::unique_ptr<FrameLink>
-FrameLink::Adopt(EventLoop& aLoop, int aSocket)
+FrameLink::Adopt(EventLoop& aLoop, int aSocket, std::uint32_t aMostBytes)
 {
   evutil_make_socket_nonblocking(aSocket);
-  DisableNagle(aSocket);
+  TuneSocket(aSocket, SilenceLimits());
   std::unique_ptr<FrameLink> link(new FrameLink(
-    bufferevent_socket_new(aLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE)));
+    bufferevent_socket_new(aLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE),
+    aMostBytes));
   link->InstallCallbacks();
   return link;
 }
 
-FrameLink::FrameLink(bufferevent* aStream)
+FrameLink::FrameLink(bufferevent* aStream, std::uint32_t aMostBytes)
   : mStream(aStream)
+  , mMostBytes(aMostBytes)
 {
 }
 
@@ -116,7 +106,7 @@
     [](bufferevent* aStream, short aEvents, void* aLink) {
       FrameLink* link = static_cast<FrameLink*>(aLink);
       if ((aEvents & BEV_EVENT_CONNECTED) != 0) {
-        DisableNagle(bufferevent_getfd(aStream));
+        TuneSocket(SocketOf(aStream), SilenceLimits());
         link->mConnected.emit();
         return;
       }
@@ -137,8 +127,8 @@
     std::memcpy(&length, header, sizeof(length));
     length = ntohl(length);
     const std::uint8_t kind = static_cast<std::uint8_t>(header[4]);
-    if (length > kMaximumFrameBytes ||
-        kind > static_cast<std::uint8_t>(FrameKind::ControlReply)) {
+    if (length > mMostBytes ||
+        kind > static_cast<std::uint8_t>(FrameKind::Gather)) {
       Close();
       return;
     }
--- a/Libraries/LibTransport/FrameLink.h
+++ b/Libraries/LibTransport/FrameLink.h
@@ -22,6 +22,8 @@
   ControlRequest,
   /// A JSON-RPC reply.
   ControlReply,
+  /// One message of GatherCodec.
+  Gather,
 };
 
 /// A TCP connection between two nodes that carries frames: four bytes of
@@ -31,13 +33,17 @@
 public:
   using FrameArrivedSignal = sigc::signal<void(FrameKind, const std::string&)>;
 
+  /// Bytes of the payload of one frame; a longer one breaks the link.
+  static constexpr std::uint32_t kMostBytes = 16 * 1024 * 1024;
+
   /// Starts to connect; the result shows in Connected or Closed.
   [[nodiscard]] static std::unique_ptr<FrameLink> Dial(
     EventLoop& aLoop,
-    const SocketAddress& aAddress);
+    const SocketAddress& aAddress,
+    std::uint32_t aMostBytes = kMostBytes);
   /// Takes over an accepted socket.
-  [[nodiscard]] static std::unique_ptr<FrameLink> Adopt(EventLoop& aLoop,
-                                                        int aSocket);
+  [[nodiscard]] static std::unique_ptr<FrameLink>
+  Adopt(EventLoop& aLoop, int aSocket, std::uint32_t aMostBytes = kMostBytes);
   ~FrameLink();
   FrameLink(const FrameLink&) = delete;
   FrameLink& operator=(const FrameLink&) = delete;
@@ -56,12 +62,13 @@
   [[nodiscard]] sigc::signal<void()>& Closed();
 
 private:
-  explicit FrameLink(bufferevent* aStream);
+  FrameLink(bufferevent* aStream, std::uint32_t aMostBytes);
   void InstallCallbacks();
   void ReadFrames();
   void Close();
 
   bufferevent* mStream;
+  std::uint32_t mMostBytes;
   bool mClosed = false;
   sigc::signal<void()> mConnected;
   FrameArrivedSignal mFrameArrived;
--- a/Libraries/LibTransport/FrameListener.cpp
+++ b/Libraries/LibTransport/FrameListener.cpp
@@ -1,10 +1,9 @@
 #include <LibTransport/FrameListener.h>
+#include <LibTransport/SocketOptions.h>
 
 #include <LibCore/SocketAddressText.h>
 
-#include <arpa/inet.h>
 #include <event2/listener.h>
-#include <netinet/in.h>
 
 namespace verbenachute {
 
@@ -15,18 +14,18 @@
 } // namespace
 
 Result<std::unique_ptr<FrameListener>>
-FrameListener::Create(EventLoop& aLoop, const SocketAddress& aAddress)
+FrameListener::Create(EventLoop& aLoop,
+                      const SocketAddress& aAddress,
+                      std::uint32_t aMostBytes)
 {
-  std::unique_ptr<FrameListener> listener(new FrameListener(aLoop));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aAddress.mPort);
-  inet_pton(AF_INET, aAddress.mHost.c_str(), &address.sin_addr);
+  std::unique_ptr<FrameListener> listener(new FrameListener(aLoop, aMostBytes));
+  sockaddr_in address = SocketAddressOf(aAddress);
   listener->mListener = evconnlistener_new_bind(
     aLoop.Base(),
     [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
       FrameListener* self = static_cast<FrameListener*>(aSelf);
-      self->mAccepted.emit(FrameLink::Adopt(self->mLoop, aSocket));
+      self->mAccepted.emit(
+        FrameLink::Adopt(self->mLoop, aSocket, self->mMostBytes));
     },
     listener.get(),
     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
@@ -42,8 +41,9 @@
   return listener;
 }
 
-FrameListener::FrameListener(EventLoop& aLoop)
+FrameListener::FrameListener(EventLoop& aLoop, std::uint32_t aMostBytes)
   : mLoop(aLoop)
+  , mMostBytes(aMostBytes)
 {
 }
 
--- a/Libraries/LibTransport/FrameListener.h
+++ b/Libraries/LibTransport/FrameListener.h
@@ -19,7 +19,8 @@
   /// Fails with step Settings when the address can not be bound.
   [[nodiscard]] static Result<std::unique_ptr<FrameListener>> Create(
     EventLoop& aLoop,
-    const SocketAddress& aAddress);
+    const SocketAddress& aAddress,
+    std::uint32_t aMostBytes = FrameLink::kMostBytes);
   ~FrameListener();
   FrameListener(const FrameListener&) = delete;
   FrameListener& operator=(const FrameListener&) = delete;
@@ -27,9 +28,10 @@
   [[nodiscard]] AcceptedSignal& Accepted();
 
 private:
-  explicit FrameListener(EventLoop& aLoop);
+  FrameListener(EventLoop& aLoop, std::uint32_t aMostBytes);
 
   EventLoop& mLoop;
+  std::uint32_t mMostBytes;
   evconnlistener* mListener = nullptr;
   AcceptedSignal mAccepted;
 };
--- a/Libraries/LibTransport/PeerLink.cpp
+++ b/Libraries/LibTransport/PeerLink.cpp
@@ -100,6 +100,7 @@
       mControlReplyArrived.emit(aPayload);
       return;
     case FrameKind::ControlRequest:
+    case FrameKind::Gather:
       Fail();
       return;
   }
--- a/Libraries/LibTransport/SocketOptions.cpp
+++ b/Libraries/LibTransport/SocketOptions.cpp
@@ -1,4 +1,4 @@
-#include <LibHttp/SocketOptions.h>
+#include <LibTransport/SocketOptions.h>
 
 #include <arpa/inet.h>
 #include <event2/bufferevent.h>
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -125,6 +125,7 @@
   }
   for (const NodeNews& news : aMessage.mNews) {
     mStore.OnPeerRevision(news.mStore);
+    mEngine.Peers().OnPlan(news.mIdentity.mName, news.mPlan);
   }
 }
 
@@ -146,6 +147,7 @@
   const std::vector<NodeNews> carriers =
     OfferPolicy::Choose(mGossip.Offered(aNow));
   mSenders.OnNamed(carriers, aNow);
+  NotePeers(carriers);
   const StoreDuty::Duty duty =
     StoreDuty::Decide(StoreDuty::Facts{ mSelf.mName,
                                         mGossip.Living(aNow),
@@ -164,6 +166,22 @@
   }
 }
 
+void
+EntryNode::Parts::NotePeers(const std::vector<NodeNews>& aCarriers)
+{
+  std::vector<PeerNode> peers;
+  mGatherAddresses.clear();
+  for (const NodeNews& node : aCarriers) {
+    if (node.mIdentity.mName == mSelf.mName || node.mGatherAddress.mPort == 0) {
+      continue;
+    }
+    peers.push_back(
+      PeerNode{ node.mIdentity.mName, node.mDomain, node.mPower, node.mPlan });
+    mGatherAddresses.emplace(node.mIdentity.mName, node.mGatherAddress);
+  }
+  mEngine.Peers().SetNodes(peers);
+}
+
 void
 EntryNode::Parts::UpdateService()
 {
@@ -281,7 +299,10 @@
           mPool.Send(aSend);
         },
         [this](const CancelAction& aCancel) { mPool.Cancel(aCancel.mAttempt); },
-        [this](const AnswerAction& aAnswer) { Answer(aAnswer); } },
+        [this](const AnswerAction& aAnswer) { Answer(aAnswer); },
+        [this](const DelegateAction& aDelegate) { Delegate(aDelegate); },
+        [this](const RecallAction& aRecall) { mGatherPort->Recall(aRecall); },
+        [this](const ReportAction& aReport) { mGatherPort->Report(aReport); } },
       action);
   }
   for (const PoisonStrike& strike : mEngine.TakeStrikes()) {
--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -3,6 +3,7 @@
 #include "EntryNode.h"
 
 #include "EntrySteering.h"
+#include "GatherPort.h"
 #include "GossipPort.h"
 #include "OperatorPort.h"
 #include "SettingsWatch.h"
@@ -49,6 +50,8 @@
   void OnPeerCall(const CallPointer& aCall);
   void OnGossip(const GossipMessage& aMessage);
   void OnGossipTick();
+  [[nodiscard]] GatherPort::Hooks GatherHooks();
+  void OnOrder(RequestNumber aNumber, const DelegatedOrder& aOrder);
   void OnKnowledge(const StoreMirror::Changes& aChanges);
   void OnOperatorTick();
   void OnSettingsChanged();
@@ -56,9 +59,12 @@
   void OnDepartureTick();
   void Perform(ForwardActions aActions);
   void Answer(const AnswerAction& aAction);
+  void Delegate(const DelegateAction& aAction);
   void ScheduleEngine();
   /// Takes note of the nodes that callers are sent to.
   void NoteCarriers(Instant aNow);
+  /// Tells the engine which of them may gather for this one.
+  void NotePeers(const std::vector<NodeNews>& aCarriers);
   void UpdateService();
   void TellMetrics(const CallPointer& aCall);
   [[nodiscard]] bool IsReady() const;
@@ -75,6 +81,9 @@
   GossipTable mGossip;
   std::unique_ptr<GossipPort> mGossipPort;
   TargetPool mPool;
+  std::unique_ptr<GatherPort> mGatherPort;
+  /// Where the peers take orders.
+  std::map<NodeName, SocketAddress> mGatherAddresses;
   StoreLink mStore;
   StoreKeys mKeys;
   EntrySteering mSteering;
--- a/Services/verbenachuted/EntryNodePorts.cpp
+++ b/Services/verbenachuted/EntryNodePorts.cpp
@@ -60,6 +60,12 @@
     }
     *port.mListener = TakeValue(std::move(listener));
   }
+  Result<std::unique_ptr<GatherPort>> gather =
+    GatherPort::Create(*mLoop, mSettings.GatherAddress(), GatherHooks());
+  if (IsError(gather)) {
+    return ErrorOf(gather);
+  }
+  mGatherPort = TakeValue(std::move(gather));
   Result<std::unique_ptr<OperatorPort>> operators = OperatorPort::Create(
     mSelf, mSettings.OperatorAddress(), { *mLoop, mKeys, mSteering });
   if (IsError(operators)) {
--- a/Services/verbenachuted/EntrySettings.cpp
+++ b/Services/verbenachuted/EntrySettings.cpp
@@ -24,6 +24,9 @@
   settings.mPartial = aSettings.PartialAnswersName() == "last"
                         ? PartialAnswers::WhenNothingIsLeft
                         : PartialAnswers::AtObjective;
+  settings.mGathering = aSettings.GatheringName() == "direct"
+                          ? ShardGathering::Direct
+                          : ShardGathering::NearTargets;
   settings.mMaximumRunning = aSettings.QueryLimit();
   settings.mFirstAttempt = AttemptId(aSelf.mIncarnation.value() << kLifeShift);
   settings.mSeed = aSelf.mIncarnation.value();
@@ -37,6 +40,9 @@
   news.mIdentity = aSelf;
   news.mCallerAddress = aSettings.CallerAddress();
   news.mPeerAddress = aSettings.PeerAddress();
+  if (aSettings.GatherAddress().has_value()) {
+    news.mGatherAddress = *aSettings.GatherAddress();
+  }
   news.mDomain = aSettings.HomeDomain();
   news.mPower = aSettings.ProcessorPower();
   return news;
--- a/Services/verbenachuted/GossipPort.cpp
+++ b/Services/verbenachuted/GossipPort.cpp
@@ -2,7 +2,7 @@
 
 #include <LibCore/SocketAddressText.h>
 #include <LibGossip/GossipCodec.h>
-#include <LibHttp/SocketOptions.h>
+#include <LibTransport/SocketOptions.h>
 
 #include <array>
 #include <event2/event.h>
--- a/Services/verbenachuted/OutcomeLog.cpp
+++ b/Services/verbenachuted/OutcomeLog.cpp
@@ -54,6 +54,8 @@
                  .With("hedges", summary.mHedges)
                  .With("retries", summary.mRetries)
                  .With("unpaid", summary.mUnpaid)
+                 .With("peers", summary.mPeers)
+                 .With("delegated", summary.mDelegated)
                  .With("missing", summary.mMissing));
 }
 
--- a/Tests/LibForward/ForwardRig.cpp
+++ b/Tests/LibForward/ForwardRig.cpp
@@ -69,7 +69,8 @@
 void
 ForwardRig::ListTarget(const std::string& aName,
                        const std::string& aService,
-                       TargetStanding aStanding)
+                       TargetStanding aStanding,
+                       const std::string& aDomain)
 {
   ListedTarget target;
   target.mName = TargetName(aName);
@@ -77,6 +78,7 @@
   target.mAddress = SocketAddress{ "10.0.0.1", 1 };
   target.mSlots = 2;
   target.mStanding = aStanding;
+  target.mDomain = FailureDomain(aDomain);
   mEngine.Targets().List(target, mNow);
 }
 
@@ -90,6 +92,22 @@
   }
 }
 
+void
+ForwardRig::ListSpread(std::size_t aOwn)
+{
+  const ShardSet& shards =
+    std::get<ShardSet>(mContent.mRoutes.front().mDestination);
+  for (std::size_t i = 0; i < shards.mShards.size(); ++i) {
+    const std::string service = shards.mShards[i].value();
+    const std::string first = i < aOwn ? "" : "far";
+    const std::string second = i < aOwn ? "far" : "back";
+    ListTarget(service + "-0", service, TargetStanding::Ready, first);
+    ListTarget(service + "-1", service, TargetStanding::Ready, second);
+  }
+  mEngine.Peers().SetNodes({ PeerNode{
+    NodeName("peer"), FailureDomain("far"), 250, mContent.mVersion } });
+}
+
 RequestNumber
 ForwardRig::Submit(const std::string& aPath,
                    std::optional<Duration> aPatience,
@@ -182,19 +200,26 @@
 {
   for (const ForwardAction& action : aActions) {
     std::visit(
-      Overloaded{ [this](const SendAction& aSend) {
-                   CHECK(aSend.mTimeLeft > Duration(0));
-                   mSent.push_back(aSend);
-                   mOpen.emplace(aSend.mAttempt, aSend);
-                 },
-                  [this](const CancelAction& aCancel) {
-                    mCancelled.push_back(aCancel.mAttempt);
-                    mOpen.erase(aCancel.mAttempt);
-                  },
-                  [this](const AnswerAction& aAnswer) {
-                    // Each request is answered once.
-                    CHECK(mAnswers.emplace(aAnswer.mNumber, aAnswer).second);
-                  } },
+      Overloaded{
+        [this](const SendAction& aSend) {
+          CHECK(aSend.mTimeLeft > Duration(0));
+          mSent.push_back(aSend);
+          mOpen.emplace(aSend.mAttempt, aSend);
+        },
+        [this](const CancelAction& aCancel) {
+          mCancelled.push_back(aCancel.mAttempt);
+          mOpen.erase(aCancel.mAttempt);
+        },
+        [this](const AnswerAction& aAnswer) {
+          // Each request is answered once.
+          CHECK(mAnswers.emplace(aAnswer.mNumber, aAnswer).second);
+        },
+        [this](const DelegateAction& aDelegate) {
+          CHECK(aDelegate.mOrder.mTimeLeft > Duration(0));
+          mDelegated.push_back(aDelegate);
+        },
+        [this](const RecallAction& aRecall) { mRecalls.push_back(aRecall); },
+        [this](const ReportAction& aReport) { mReports.push_back(aReport); } },
       action);
   }
 }
--- a/Tests/LibForward/ForwardRig.h
+++ b/Tests/LibForward/ForwardRig.h
@@ -22,7 +22,12 @@
 
   void ListTarget(const std::string& aName,
                   const std::string& aService,
-                  TargetStanding aStanding = TargetStanding::Ready);
+                  TargetStanding aStanding = TargetStanding::Ready,
+                  const std::string& aDomain = "");
+  /// Lists one target of each shard in this node's domain and one in the
+  /// peer's for the first aOwn shards, and two in the peer's domains "far" and
+  /// "back" for the rest; makes "peer" a peer in "far".
+  void ListSpread(std::size_t aOwn);
   /// Two targets, "-0" and "-1", for each service.
   void ListAll();
 
@@ -52,6 +57,9 @@
   Instant mNow{ seconds(1000) };
   std::vector<SendAction> mSent;
   std::vector<AttemptId> mCancelled;
+  std::vector<DelegateAction> mDelegated;
+  std::vector<RecallAction> mRecalls;
+  std::vector<ReportAction> mReports;
 
   void Take(ForwardActions aActions);
 
--- /dev/null
+++ b/Tests/LibForward/GatherWorld.cpp
@@ -0,0 +1,419 @@
+#include "GatherWorld.h"
+
+#include <LibCore/Overloaded.h>
+#include <LibForward/RecordMerger.h>
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+namespace verbenachute {
+
+namespace {
+
+constexpr const char* kHost = "h.example";
+constexpr Duration kCallerPatience = milliseconds(600);
+
+FailureDomain
+DomainOf(std::size_t aNode)
+{
+  return FailureDomain("d" + std::to_string(aNode));
+}
+
+NodeName
+NameOf(std::size_t aNode)
+{
+  return NodeName("n" + std::to_string(aNode));
+}
+
+std::string
+ShardOf(const std::string& aTarget)
+{
+  return aTarget.substr(0, aTarget.find('@'));
+}
+
+} // namespace
+
+GatherWorld::GatherWorld(std::uint32_t aSeed)
+  : mRandom(aSeed)
+  , mNodes(kNodes)
+{
+  ServingPlan::Content content;
+  content.mVersion = PlanVersion(1);
+  Route route;
+  route.mName = "gather";
+  route.mHost = kHost;
+  route.mPathPrefix = "/gather/";
+  route.mRepeatability = Repeatability::Repeatable;
+  route.mDeadline = kCallerPatience;
+  route.mLatencyObjective = milliseconds(100);
+  route.mMaximumAttempts = 2;
+  ShardSet shards;
+  shards.mGreatest = kGreatest;
+  shards.mLeastCoverage = 0.5;
+  for (std::size_t i = 0; i < kShards; ++i) {
+    shards.mShards.emplace_back("s" + std::to_string(i));
+    ServiceTerms terms;
+    terms.mName = shards.mShards.back();
+    terms.mMaximumConnections = 26;
+    content.mServices.push_back(terms);
+  }
+  route.mDestination = shards;
+  content.mRoutes = { route };
+  const ServingPlanPointer plan = std::make_shared<const ServingPlan>(content);
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    ForwardSettings settings;
+    settings.mDomain = DomainOf(node);
+    settings.mExtra = ExtraLimits{ 0.2, 400, seconds(10) };
+    settings.mFirstAttempt = AttemptId((node + 1) << 32);
+    settings.mSeed = aSeed + node;
+    mNodes[node].mEngine = std::make_unique<ForwardEngine>(settings);
+    ForwardEngine& engine = *mNodes[node].mEngine;
+    engine.SetPlan(plan);
+    std::vector<PeerNode> peers;
+    for (std::size_t peer = 0; peer < kNodes; ++peer) {
+      if (peer != node) {
+        peers.push_back(
+          PeerNode{ NameOf(peer), DomainOf(peer), 250, PlanVersion(1) });
+      }
+    }
+    engine.Peers().SetNodes(peers);
+    // Two targets of each shard, in two domains that follow each other.
+    for (std::size_t shard = 0; shard < kShards; ++shard) {
+      for (std::size_t copy = 0; copy < 2; ++copy) {
+        ListedTarget target;
+        const std::size_t domain = (shard + copy) % kNodes;
+        target.mService = shards.mShards[shard];
+        target.mName =
+          TargetName(target.mService.value() + "@" + DomainOf(domain).value());
+        target.mDomain = DomainOf(domain);
+        target.mSlots = 2;
+        engine.Targets().List(target, mNow);
+      }
+    }
+  }
+}
+
+Duration
+GatherWorld::Between(int aLeast, int aMost)
+{
+  return milliseconds(
+    aLeast +
+    static_cast<int>(mRandom() % static_cast<unsigned>(aMost - aLeast + 1)));
+}
+
+bool
+GatherWorld::Chance(unsigned aPercent)
+{
+  return mRandom() % 100 < aPercent;
+}
+
+std::string
+GatherWorld::BodyOf(const std::string& aSignature)
+{
+  // Two records that follow from the signature, so that the merged records can
+  // be worked out again from the signatures of an answer.
+  const std::size_t hash = std::hash<std::string>()(aSignature);
+  std::string body;
+  for (const std::size_t salt : { std::size_t{ 1 }, std::size_t{ 77777 } }) {
+    std::string record =
+      std::to_string(hash * salt) + std::string(kRecordBytes, '.');
+    body += record.substr(0, kRecordBytes);
+  }
+  return body;
+}
+
+void
+GatherWorld::After(Duration aDelay, Task aTask)
+{
+  mTasks.emplace(mNow + aDelay, std::move(aTask));
+}
+
+void
+GatherWorld::AfterAt(std::size_t aNode, Duration aDelay, Task aTask)
+{
+  After(aDelay, [this, aNode, task = std::move(aTask)]() {
+    if (mNow < mNodes[aNode].mFrozenUntil) {
+      AfterAt(aNode, mNodes[aNode].mFrozenUntil - mNow, task);
+      return;
+    }
+    task();
+  });
+}
+
+void
+GatherWorld::Play(std::size_t aRequests)
+{
+  for (std::size_t i = 0; i < aRequests; ++i) {
+    Submit();
+    if (Chance(3)) {
+      mNodes[mRandom() % kNodes].mFrozenUntil = mNow + Between(20, 900);
+    }
+    if (Chance(3)) {
+      BreakLinks(mRandom() % kNodes);
+    }
+    RunUntil(mNow + Between(0, 12));
+  }
+  RunUntil(mNow + seconds(5));
+  for (const Node& node : mNodes) {
+    CHECK(node.mCallers.empty());
+    CHECK(node.mEngine->Running() == 0);
+    CHECK(node.mOpen.empty());
+  }
+}
+
+void
+GatherWorld::RunUntil(Instant aEnd)
+{
+  while (mNow < aEnd) {
+    Instant next = aEnd;
+    if (!mTasks.empty()) {
+      next = std::min(next, mTasks.begin()->first);
+    }
+    for (const Node& node : mNodes) {
+      const std::optional<Instant> wake = node.mEngine->NextWake();
+      if (wake.has_value()) {
+        next = std::min(next, std::max(*wake, node.mFrozenUntil));
+      }
+    }
+    mNow = std::max(mNow, next);
+    while (!mTasks.empty() && mTasks.begin()->first <= mNow) {
+      const Task task = std::move(mTasks.begin()->second);
+      mTasks.erase(mTasks.begin());
+      task();
+    }
+    WakeAll();
+  }
+}
+
+void
+GatherWorld::WakeAll()
+{
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    if (mNow >= mNodes[node].mFrozenUntil) {
+      Take(node, mNodes[node].mEngine->OnTime(mNow));
+    }
+  }
+}
+
+void
+GatherWorld::Submit()
+{
+  const std::size_t node = mRandom() % kNodes;
+  const std::string id = "r" + std::to_string(mNextRequest++);
+  CallerRequest request;
+  request.mId = RequestId(id);
+  request.mMethod = "GET";
+  request.mTarget = "/gather/" + id;
+  request.mHost = kHost;
+  request.mPatience = kCallerPatience;
+  const bool leaves = Chance(10);
+  const Duration stay = Between(1, 60);
+  AfterAt(node, Duration(0), [this, node, id, request, leaves, stay]() mutable {
+    const RequestNumber number(mNodes[node].mNextNumber++);
+    request.mArrived = mNow;
+    mNodes[node].mCallers.emplace(number, id);
+    Take(node,
+         mNodes[node].mEngine->Submit(
+           number, std::make_shared<const CallerRequest>(request), mNow));
+    if (!leaves) {
+      return;
+    }
+    AfterAt(node, stay, [this, node, number, id]() {
+      if (mNodes[node].mCallers.erase(number) > 0) {
+        mGone.insert(id);
+        Take(node, mNodes[node].mEngine->OnCallerGone(number, mNow));
+      }
+    });
+  });
+}
+
+void
+GatherWorld::Take(std::size_t aNode, const ForwardActions& aActions)
+{
+  for (const ForwardAction& action : aActions) {
+    std::visit(
+      Overloaded{
+        [&](const SendAction& aSend) { OnSend(aNode, aSend); },
+        [&](const CancelAction& aCancel) {
+          mNodes[aNode].mOpen.erase(aCancel.mAttempt);
+        },
+        [&](const AnswerAction& aAnswer) { OnAnswer(aNode, aAnswer); },
+        [&](const DelegateAction& aOrder) { OnDelegate(aNode, aOrder); },
+        [&](const RecallAction& aRecall) { OnRecall(aNode, aRecall); },
+        [&](const ReportAction& aReport) { OnReport(aNode, aReport); } },
+      action);
+  }
+}
+
+void
+GatherWorld::OnSend(std::size_t aNode, const SendAction& aSend)
+{
+  const std::string id = aSend.mRequest->mId.value();
+  const std::string target = aSend.mTarget.value();
+  std::vector<std::string>& runs = mRuns[{ id, ShardOf(target) }];
+  ++mSends;
+  // A peer that has told nothing may have asked another target than its node
+  // presumes; only then a target is asked twice.
+  mTwiceAtOne += std::count(runs.begin(), runs.end(), target) > 0 ? 1 : 0;
+  runs.push_back(target);
+  // No more attempts over both nodes than the route allows.
+  CHECK(runs.size() <= 2);
+  const AttemptId attempt = aSend.mAttempt;
+  mNodes[aNode].mOpen.insert(attempt);
+  const unsigned luck = mRandom() % 100;
+  const Duration work = luck < 8 ? Between(40, 160) : Between(4, 15);
+  AfterAt(aNode, work, [this, aNode, id, target, attempt, luck]() {
+    Node& node = mNodes[aNode];
+    if (node.mOpen.erase(attempt) == 0) {
+      return;
+    }
+    if (luck >= 96) {
+      const AttemptFailure failure = luck == 99   ? AttemptFailure::NotSent
+                                     : luck == 98 ? AttemptFailure::Garbled
+                                                  : AttemptFailure::Lost;
+      Take(aNode, node.mEngine->OnFailure(attempt, failure, mNow));
+      return;
+    }
+    PartReply reply;
+    reply.mMeaning =
+      luck >= 92 ? ReplyMeaning::Declined : ReplyMeaning::Answered;
+    reply.mStatus = luck >= 92 ? 503 : 200;
+    reply.mSignature = luck >= 92 ? "" : id + "/" + target;
+    reply.mBody = BodyOf(reply.mSignature);
+    Take(aNode, node.mEngine->OnReply(attempt, reply, mNow));
+  });
+}
+
+void
+GatherWorld::OnDelegate(std::size_t aNode, const DelegateAction& aDelegate)
+{
+  ++mDelegations;
+  std::size_t peer = 0;
+  while (NameOf(peer) != aDelegate.mPeer) {
+    ++peer;
+  }
+  const DelegationNumber number = aDelegate.mDelegation;
+  mNodes[aNode].mSent.emplace(number, std::pair(peer, std::nullopt));
+  const DelegatedOrder order = aDelegate.mOrder;
+  const Instant sent = mNow;
+  AfterAt(peer, Between(1, 3), [this, aNode, peer, number, order, sent]() {
+    const auto open = mNodes[aNode].mSent.find(number);
+    if (open == mNodes[aNode].mSent.end()) {
+      // Taken back, or its link broke, on the way.
+      return;
+    }
+    const RequestNumber here(1'000'000 + mNodes[peer].mNextNumber++);
+    open->second.second = here;
+    mNodes[peer].mOrders.emplace(here, std::pair(aNode, number));
+    DelegatedOrder arrived = order;
+    arrived.mTimeLeft -= mNow - sent;
+    Take(peer, mNodes[peer].mEngine->SubmitDelegated(here, arrived, mNow));
+  });
+}
+
+void
+GatherWorld::OnRecall(std::size_t aNode, const RecallAction& aRecall)
+{
+  const auto open = mNodes[aNode].mSent.find(aRecall.mDelegation);
+  if (open == mNodes[aNode].mSent.end()) {
+    return;
+  }
+  const std::size_t peer = open->second.first;
+  const std::optional<RequestNumber> there = open->second.second;
+  mNodes[aNode].mSent.erase(open);
+  if (!there.has_value()) {
+    return;
+  }
+  const RecallReason reason = aRecall.mReason;
+  AfterAt(peer, Between(1, 3), [this, peer, there, reason]() {
+    if (mNodes[peer].mOrders.erase(*there) > 0) {
+      Take(peer, mNodes[peer].mEngine->OnRecalled(*there, reason, mNow));
+    }
+  });
+}
+
+void
+GatherWorld::OnReport(std::size_t aNode, const ReportAction& aReport)
+{
+  const auto order = mNodes[aNode].mOrders.find(aReport.mNumber);
+  if (order == mNodes[aNode].mOrders.end()) {
+    return;
+  }
+  const std::pair<std::size_t, DelegationNumber> asked = order->second;
+  if (aReport.mLast) {
+    mNodes[aNode].mOrders.erase(order);
+  }
+  const DelegationAnswer answer = aReport.mAnswer;
+  const bool last = aReport.mLast;
+  // One way takes the same time for all, so that reports stay in order.
+  AfterAt(asked.first, milliseconds(2), [this, asked, answer, last]() {
+    Node& node = mNodes[asked.first];
+    if (!node.mSent.contains(asked.second)) {
+      return;
+    }
+    if (last) {
+      node.mSent.erase(asked.second);
+    }
+    Take(asked.first,
+         node.mEngine->OnDelegationAnswer(asked.second, answer, mNow));
+  });
+}
+
+void
+GatherWorld::BreakLinks(std::size_t aNode)
+{
+  const auto sent = std::exchange(mNodes[aNode].mSent, {});
+  for (const auto& open : sent) {
+    const bool arrived = open.second.second.has_value();
+    if (arrived) {
+      const std::size_t peer = open.second.first;
+      const RequestNumber there = *open.second.second;
+      AfterAt(peer, Duration(0), [this, peer, there]() {
+        if (mNodes[peer].mOrders.erase(there) > 0) {
+          Take(peer,
+               mNodes[peer].mEngine->OnRecalled(
+                 there, RecallReason::CallerGone, mNow));
+        }
+      });
+    }
+    const DelegationNumber number = open.first;
+    AfterAt(aNode, Duration(0), [this, aNode, number, arrived]() {
+      Take(aNode,
+           mNodes[aNode].mEngine->OnDelegationFailure(
+             number,
+             arrived ? AttemptFailure::Lost : AttemptFailure::NotSent,
+             mNow));
+    });
+  }
+}
+
+void
+GatherWorld::OnAnswer(std::size_t aNode, const AnswerAction& aAnswer)
+{
+  const auto caller = mNodes[aNode].mCallers.find(aAnswer.mNumber);
+  REQUIRE(caller != mNodes[aNode].mCallers.end());
+  const std::string id = caller->second;
+  mNodes[aNode].mCallers.erase(caller);
+  CHECK(mAnswered.insert(id).second);
+  CHECK(!mGone.contains(id));
+  const GatheredOutcome* outcome =
+    std::get_if<GatheredOutcome>(&aAnswer.mOutcome);
+  if (outcome == nullptr) {
+    ++mOther;
+    return;
+  }
+  ++(outcome->mMissing == 0 ? mWhole : mPartial);
+  CHECK(outcome->mSignatures.size() + outcome->mMissing == kShards);
+  std::set<std::string> shards;
+  std::vector<std::string> bodies;
+  for (const std::string& signature : outcome->mSignatures) {
+    const std::size_t slash = signature.find('/');
+    CHECK(signature.substr(0, slash) == id);
+    CHECK(shards.insert(ShardOf(signature.substr(slash + 1))).second);
+    bodies.push_back(BodyOf(signature));
+  }
+  const std::vector<std::string_view> parts(bodies.begin(), bodies.end());
+  CHECK(outcome->mRecords == MergeGreatest(parts, kGreatest));
+}
+
+} // namespace verbenachute
--- /dev/null
+++ b/Tests/LibForward/TestDelegation.cpp
@@ -0,0 +1,418 @@
+#include "ForwardRig.h"
+
+#include <LibForward/RecordMerger.h>
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <set>
+
+namespace verbenachute {
+
+namespace {
+
+std::string
+Record(char aFirst)
+{
+  return std::string(1, aFirst) + std::string(kRecordBytes - 1, '.');
+}
+
+DelegationReport
+Answers(const std::vector<std::size_t>& aPlaces, const std::string& aRecords)
+{
+  DelegationReport report;
+  for (const std::size_t place : aPlaces) {
+    report.mAnswered.push_back(
+      AnsweredPlace{ place, "peer-" + std::to_string(place) });
+  }
+  report.mRecords = aRecords;
+  return report;
+}
+
+void
+Tell(ForwardRig* aRig, DelegationNumber aNumber, const DelegationAnswer& aWhat)
+{
+  aRig->Take(aRig->mEngine.OnDelegationAnswer(aNumber, aWhat, aRig->mNow));
+}
+
+void
+Lose(ForwardRig* aRig, DelegationNumber aNumber, AttemptFailure aFailure)
+{
+  aRig->Take(aRig->mEngine.OnDelegationFailure(aNumber, aFailure, aRig->mNow));
+}
+
+std::size_t
+SendsTo(const ForwardRig& aRig, const std::string& aTarget)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aRig.mSent.begin(), aRig.mSent.end(), [&](const SendAction& aSend) {
+      return aSend.mTarget.value() == aTarget;
+    }));
+}
+
+} // namespace
+
+TEST_CASE("Shards that no own target holds go to a peer in one message")
+{
+  ForwardRig rig(4, 0.5);
+  rig.ListSpread(2);
+  const RequestNumber number = rig.Submit("/gather/1", milliseconds(1000));
+  CHECK(rig.Open().size() == 2);
+  REQUIRE(rig.mDelegated.size() == 1);
+  const DelegateAction& delegate = rig.mDelegated.front();
+  CHECK(delegate.mPeer == NodeName("peer"));
+  CHECK(delegate.mOrder.mPlaces == std::vector<std::size_t>{ 2, 3 });
+  CHECK(delegate.mOrder.mPlan == PlanVersion(1));
+  CHECK(delegate.mOrder.mTimeLeft < milliseconds(1000));
+  rig.Answer(rig.Open()[0].mAttempt, Record('b'));
+  rig.Answer(rig.Open()[0].mAttempt, Record('z'));
+  Tell(
+    &rig, delegate.mDelegation, Answers({ 2, 3 }, Record('y') + Record('c')));
+  const GatheredOutcome* outcome = rig.OutcomeOf<GatheredOutcome>(number);
+  REQUIRE(outcome != nullptr);
+  CHECK(outcome->mRecords == Record('z') + Record('y'));
+  CHECK(outcome->mMissing == 0);
+  CHECK(outcome->mSignatures.size() == 4);
+  CHECK(rig.mRecalls.empty());
+  CHECK(rig.mEngine.Running() == 0);
+}
+
+TEST_CASE("Without a peer that knows the plan all targets are asked directly")
+{
+  ForwardRig rig(4, 0.5);
+  rig.ListSpread(2);
+  rig.mEngine.Peers().SetNodes({ PeerNode{
+    NodeName("peer"), FailureDomain("far"), 250, PlanVersion(0) } });
+  rig.Submit("/gather/1");
+  CHECK(rig.mDelegated.empty());
+  CHECK(rig.Open().size() == 4);
+}
+
+TEST_CASE("The baseline asks all targets directly")
+{
+  ForwardSettings settings = ForwardRig::Defaults();
+  settings.mGathering = ShardGathering::Direct;
+  ForwardRig rig(4, 0.5, settings);
+  rig.ListSpread(2);
+  rig.Submit("/gather/1");
+  CHECK(rig.mDelegated.empty());
+  CHECK(rig.Open().size() == 4);
+}
+
+TEST_CASE("A peer that refuses has run nothing: its shards start anew, unpaid")
+{
+  ForwardSettings settings = ForwardRig::Defaults();
+  settings.mExtra = ExtraLimits{ 0, 0, seconds(10) };
+  ForwardRig rig(4, 1, settings);
+  rig.ListSpread(2);
+  const RequestNumber number = rig.Submit("/gather/1");
+  const DelegationNumber delegation = rig.mDelegated.front().mDelegation;
+  SUBCASE("refused")
+  {
+    Tell(&rig, delegation, DelegationRefusal{ RefusalReason::Overloaded });
+  }
+  SUBCASE("not sent")
+  {
+    Lose(&rig, delegation, AttemptFailure::NotSent);
+  }
+  CHECK(rig.Open().size() == 4);
+  while (!rig.Open().empty()) {
+    rig.Answer(rig.Open().front().mAttempt, Record('a'));
+  }
+  CHECK(rig.OutcomeOf<GatheredOutcome>(number) != nullptr);
+}
+
+TEST_CASE("A silent peer costs its shards no more than a hedge")
+{
+  // The pattern of a frozen peer under the queries of a plain day.
+  ForwardRig rig(4, 1);
+  rig.ListSpread(2);
+  const RequestNumber number = rig.Submit("/gather/1", milliseconds(1000));
+  rig.Answer(rig.Open()[0].mAttempt, Record('a'));
+  rig.Answer(rig.Open()[0].mAttempt, Record('b'));
+  rig.Pass(milliseconds(56));
+  REQUIRE(rig.Open().size() == 2);
+  // The peer may have asked the targets of its own domain; others are asked.
+  CHECK(SendsTo(rig, "s2-1") == 1);
+  CHECK(SendsTo(rig, "s3-1") == 1);
+  rig.Answer(rig.Open()[0].mAttempt, Record('c'));
+  rig.Answer(rig.Open()[0].mAttempt, Record('d'));
+  const GatheredOutcome* outcome = rig.OutcomeOf<GatheredOutcome>(number);
+  REQUIRE(outcome != nullptr);
+  CHECK(outcome->mMissing == 0);
+  REQUIRE(rig.mRecalls.size() == 1);
+  CHECK(rig.mRecalls.front().mReason == RecallReason::Settled);
+  // The next query does not wait for that peer at all.
+  rig.Submit("/gather/2", milliseconds(1000));
+  CHECK(rig.mDelegated.size() == 1);
+  CHECK(rig.Open().size() == 4);
+}
+
+TEST_CASE("The first report of a peer names what is late, and only that is "
+          "asked elsewhere")
+{
+  ForwardRig rig(4, 1);
+  rig.ListSpread(2);
+  const RequestNumber number = rig.Submit("/gather/1", milliseconds(1000));
+  rig.Answer(rig.Open()[0].mAttempt, Record('a'));
+  rig.Answer(rig.Open()[0].mAttempt, Record('b'));
+  rig.Pass(milliseconds(30));
+  const DelegationNumber delegation = rig.mDelegated.front().mDelegation;
+  DelegationReport report = Answers({ 2 }, Record('y'));
+  report.mUnanswered.push_back(
+    UnansweredPlace{ 3, AttemptState::Running, TargetName("s3-1") });
+  Tell(&rig, delegation, report);
+  REQUIRE(rig.Open().size() == 1);
+  // Not where the peer has asked already.
+  CHECK(rig.Open().front().mTarget == TargetName("s3-0"));
+  SUBCASE("the second target answers first")
+  {
+    rig.Answer(rig.Open().front().mAttempt, Record('x'));
+    CHECK(rig.OutcomeOf<GatheredOutcome>(number) != nullptr);
+    CHECK(rig.mRecalls.size() == 1);
+    // The late answer of the peer changes nothing.
+    Tell(&rig, delegation, Answers({ 3 }, Record('x')));
+  }
+  SUBCASE("the peer answers first")
+  {
+    Tell(&rig, delegation, Answers({ 3 }, Record('x')));
+    const GatheredOutcome* outcome = rig.OutcomeOf<GatheredOutcome>(number);
+    REQUIRE(outcome != nullptr);
+    CHECK(outcome->mSignatures.size() == 4);
+    CHECK(rig.mRecalls.empty());
+  }
+}
+
+TEST_CASE("No signature stands twice when both ways answer")
+{
+  // A peer that was silent for a moment tells of shards that this node has
+  // got from other targets meanwhile: the block replaces those answers.
+  ForwardRig rig(5, 1);
+  rig.ListSpread(2);
+  const RequestNumber number = rig.Submit("/gather/1", milliseconds(1000));
+  rig.Pass(milliseconds(56));
+  for (const SendAction& send : rig.Open()) {
+    if (send.mTarget == TargetName("s2-1")) {
+      rig.Answer(send.mAttempt, Record('q'));
+    }
+  }
+  Tell(&rig,
+       rig.mDelegated.front().mDelegation,
+       Answers({ 2, 3, 4 }, Record('z') + Record('y')));
+  while (!rig.Open().empty()) {
+    rig.Answer(rig.Open().front().mAttempt, Record('a'));
+  }
+  const GatheredOutcome* outcome = rig.OutcomeOf<GatheredOutcome>(number);
+  REQUIRE(outcome != nullptr);
+  const std::set<std::string> distinct(outcome->mSignatures.begin(),
+                                       outcome->mSignatures.end());
+  CHECK(distinct.size() == 5);
+  CHECK(outcome->mSignatures.size() == 5);
+  CHECK(distinct.contains("peer-2"));
+  // The record of the answer that gave way is not among them.
+  CHECK(outcome->mRecords == Record('z') + Record('y'));
+}
+
+TEST_CASE("Reports that claim what was not asked change nothing")
+{
+  ForwardRig rig(4, 1);
+  rig.ListSpread(2);
+  const RequestNumber number = rig.Submit("/gather/1", milliseconds(1000));
+  DelegationReport report;
+  SUBCASE("a shard of this node's")
+  {
+    report = Answers({ 0, 2 }, Record('z'));
+  }
+  SUBCASE("a shard that does not exist")
+  {
+    report = Answers({ 2, 40 }, Record('z'));
+  }
+  SUBCASE("a shard twice")
+  {
+    report = Answers({ 2, 2 }, Record('z'));
+  }
+  SUBCASE("more records than the answer holds")
+  {
+    report = Answers({ 2, 3 }, Record('z') + Record('z') + Record('z'));
+  }
+  SUBCASE("half a record")
+  {
+    report = Answers({ 2, 3 }, "half");
+  }
+  SUBCASE("records of nothing")
+  {
+    report.mRecords = Record('z');
+    report.mUnanswered.push_back(
+      UnansweredPlace{ 2, AttemptState::Running, TargetName("s2-0") });
+  }
+  SUBCASE("no signature")
+  {
+    report = Answers({ 2, 3 }, Record('z'));
+    report.mAnswered.back().mSignature.clear();
+  }
+  Tell(&rig, rig.mDelegated.front().mDelegation, report);
+  CHECK(rig.mRecalls.size() == 1);
+  while (!rig.Open().empty()) {
+    rig.Answer(rig.Open().front().mAttempt, Record('a'));
+  }
+  const GatheredOutcome* outcome = rig.OutcomeOf<GatheredOutcome>(number);
+  REQUIRE(outcome != nullptr);
+  CHECK(outcome->mRecords == Record('a') + Record('a'));
+}
+
+TEST_CASE("A caller that leaves is told to the peer")
+{
+  ForwardRig rig(4, 1);
+  rig.ListSpread(2);
+  const RequestNumber number = rig.Submit("/gather/1", milliseconds(1000));
+  rig.Take(rig.mEngine.OnCallerGone(number, rig.mNow));
+  REQUIRE(rig.mRecalls.size() == 1);
+  CHECK(rig.mRecalls.front().mReason == RecallReason::CallerGone);
+}
+
+TEST_CASE("A peer asks one target of each shard, once")
+{
+  ForwardRig rig(4, 1);
+  rig.ListSpread(4);
+  CallerRequest request;
+  request.mMethod = "GET";
+  request.mTarget = "/gather/1";
+  request.mHost = "h.example";
+  const RequestNumber number(900);
+  const DelegatedOrder order{ std::make_shared<const CallerRequest>(request),
+                              PlanVersion(1),
+                              { 1, 3 },
+                              milliseconds(500) };
+  rig.Take(rig.mEngine.SubmitDelegated(number, order, rig.mNow));
+  REQUIRE(rig.Open().size() == 2);
+  CHECK(rig.mDelegated.empty());
+  SUBCASE("all answer in time: one report")
+  {
+    rig.Answer(rig.Open()[0].mAttempt, Record('a') + Record('d'));
+    CHECK(rig.mReports.empty());
+    rig.Answer(rig.Open()[0].mAttempt, Record('c') + Record('b'));
+    REQUIRE(rig.mReports.size() == 1);
+    const DelegationReport& report =
+      std::get<DelegationReport>(rig.mReports.front().mAnswer);
+    CHECK(report.mRecords == Record('d') + Record('c'));
+    CHECK(report.mAnswered.size() == 2);
+    CHECK(rig.mReports.front().mLast);
+    CHECK(rig.mEngine.Running() == 0);
+  }
+  SUBCASE("a late shard comes by itself")
+  {
+    rig.Answer(rig.Open()[0].mAttempt, Record('a'));
+    rig.Pass(milliseconds(46));
+    REQUIRE(rig.mReports.size() == 1);
+    CHECK(!rig.mReports.front().mLast);
+    const DelegationReport& first =
+      std::get<DelegationReport>(rig.mReports.front().mAnswer);
+    REQUIRE(first.mUnanswered.size() == 1);
+    CHECK(first.mUnanswered.front().mState == AttemptState::Running);
+    CHECK(!first.mUnanswered.front().mTarget.value().empty());
+    // No hedge of its own.
+    CHECK(rig.mSent.size() == 2);
+    rig.Answer(rig.Open()[0].mAttempt, Record('b'));
+    REQUIRE(rig.mReports.size() == 2);
+    CHECK(rig.mReports.back().mLast);
+    CHECK(std::get<DelegationReport>(rig.mReports.back().mAnswer).mRecords ==
+          Record('b'));
+  }
+  SUBCASE("a shard whose target declines is told, not tried again")
+  {
+    rig.Decline(rig.Open()[0].mAttempt);
+    rig.Break(rig.Open()[0].mAttempt, AttemptFailure::Lost);
+    CHECK(rig.mSent.size() == 2);
+    REQUIRE(rig.mReports.size() == 1);
+    const DelegationReport& report =
+      std::get<DelegationReport>(rig.mReports.front().mAnswer);
+    REQUIRE(report.mUnanswered.size() == 2);
+    CHECK(report.mUnanswered[0].mState == AttemptState::NotRun);
+    CHECK(report.mUnanswered[1].mState == AttemptState::Failed);
+  }
+  SUBCASE("recalled because the caller has gone: attempts end at once")
+  {
+    rig.Take(
+      rig.mEngine.OnRecalled(number, RecallReason::CallerGone, rig.mNow));
+    CHECK(rig.mCancelled.size() == 2);
+    CHECK(rig.mEngine.Running() == 0);
+  }
+  SUBCASE("recalled because it is settled: attempts end within 300 ms")
+  {
+    rig.Take(rig.mEngine.OnRecalled(number, RecallReason::Settled, rig.mNow));
+    CHECK(rig.mCancelled.empty());
+    rig.Pass(milliseconds(301));
+    CHECK(rig.mCancelled.size() == 2);
+    CHECK(rig.mReports.empty());
+  }
+  SUBCASE("nothing outlives the deadline")
+  {
+    rig.Pass(milliseconds(1000));
+    CHECK(rig.mEngine.Running() == 0);
+    CHECK(rig.mReports.back().mLast);
+    CHECK(rig.mCancelled.size() == 2);
+  }
+}
+
+TEST_CASE("A peer refuses what it can not gather")
+{
+  ForwardRig rig(4, 1);
+  rig.ListSpread(4);
+  CallerRequest request;
+  request.mMethod = "GET";
+  request.mTarget = "/gather/1";
+  request.mHost = "h.example";
+  DelegatedOrder order{ nullptr, PlanVersion(1), { 1 }, milliseconds(500) };
+  RefusalReason reason = RefusalReason::NoPlan;
+  SUBCASE("another plan")
+  {
+    order.mPlan = PlanVersion(7);
+  }
+  SUBCASE("no such shard")
+  {
+    order.mPlaces = { 4 };
+  }
+  SUBCASE("no shards")
+  {
+    order.mPlaces = {};
+  }
+  SUBCASE("no query over shards")
+  {
+    request.mTarget = "/single/1";
+  }
+  SUBCASE("no such route")
+  {
+    request.mTarget = "/elsewhere/1";
+  }
+  SUBCASE("no time")
+  {
+    order.mTimeLeft = Duration(0);
+    reason = RefusalReason::TooLate;
+  }
+  order.mRequest = std::make_shared<const CallerRequest>(request);
+  rig.Take(rig.mEngine.SubmitDelegated(RequestNumber(900), order, rig.mNow));
+  CHECK(rig.mSent.empty());
+  REQUIRE(rig.mReports.size() == 1);
+  CHECK(std::get<DelegationRefusal>(rig.mReports.front().mAnswer).mReason ==
+        reason);
+  CHECK(rig.mReports.front().mLast);
+}
+
+TEST_CASE("A peer still gathers by the plan before its own")
+{
+  ForwardRig rig(4, 1);
+  rig.ListSpread(4);
+  rig.mContent.mVersion = PlanVersion(2);
+  rig.mEngine.SetPlan(std::make_shared<const ServingPlan>(rig.mContent));
+  CallerRequest request;
+  request.mMethod = "GET";
+  request.mTarget = "/gather/1";
+  request.mHost = "h.example";
+  const DelegatedOrder order{ std::make_shared<const CallerRequest>(request),
+                              PlanVersion(1),
+                              { 1 },
+                              milliseconds(500) };
+  rig.Take(rig.mEngine.SubmitDelegated(RequestNumber(900), order, rig.mNow));
+  CHECK(rig.Open().size() == 1);
+}
+
+} // namespace verbenachute
