LibStore, verbenachuted: Give peers news of the store encoded once and compressed

Cause: a node that watches the store gave each peer that asked a JSON text of base64 values, made anew for each: on the large deployment a change of the configuration is some hundred KiB for each of 294 nodes, from four of them over links of 52 to 200 Mbit/s, and a node of 0.12 cores stands still while it makes or reads one.

--- /dev/null
+++ b/Libraries/LibStore/StoreNewsCodec.cpp
@@ -0,0 +1,165 @@
+#include <LibStore/StoreNewsCodec.h>
+
+#include <LibCore/Overloaded.h>
+#include <LibCore/Verify.h>
+#include <LibWire/FieldReader.h>
+#include <LibWire/FieldWriter.h>
+
+#include <array>
+#include <zlib.h>
+
+namespace verbenachute {
+
+namespace {
+
+enum class Kind
+{
+  Copy,
+  Changes,
+};
+
+constexpr std::size_t kItemFields = 3;
+constexpr std::size_t kChangeFields = 4;
+// The planned size has 84,000 targets of about 150 B and a configuration of
+// some megabytes; a message that inflates beyond this is hostile.
+constexpr std::size_t kMostBytes = 16UL * 1024 * 1024;
+constexpr std::size_t kPiece = 64UL * 1024;
+
+std::string
+Compressed(const std::string& aBytes)
+{
+  uLongf size = compressBound(static_cast<uLong>(aBytes.size()));
+  std::string compressed(size, '\0');
+  const int result = compress2(reinterpret_cast<Bytef*>(compressed.data()),
+                               &size,
+                               reinterpret_cast<const Bytef*>(aBytes.data()),
+                               static_cast<uLong>(aBytes.size()),
+                               Z_BEST_SPEED);
+  VERIFY(result == Z_OK);
+  compressed.resize(size);
+  return compressed;
+}
+
+std::string
+Inflated(std::string_view aBytes)
+{
+  z_stream stream{};
+  if (inflateInit(&stream) != Z_OK) {
+    throw MalformedField("zlib did not start");
+  }
+  // zlib does not change its input, but takes it without const.
+  stream.next_in =
+    const_cast<Bytef*>(reinterpret_cast<const Bytef*>(aBytes.data()));
+  stream.avail_in = static_cast<uInt>(aBytes.size());
+  std::string inflated;
+  std::array<char, kPiece> piece{};
+  int result = Z_OK;
+  while (result == Z_OK && inflated.size() <= kMostBytes) {
+    stream.next_out = reinterpret_cast<Bytef*>(piece.data());
+    stream.avail_out = static_cast<uInt>(piece.size());
+    result = inflate(&stream, Z_NO_FLUSH);
+    inflated.append(piece.data(), piece.size() - stream.avail_out);
+  }
+  const bool whole = result == Z_STREAM_END && stream.avail_in == 0;
+  inflateEnd(&stream);
+  if (!whole) {
+    throw MalformedField("compressed bytes that are cut, wrong or too many");
+  }
+  return inflated;
+}
+
+void
+Write(const StorePage& aPage, FieldWriter* aWriter)
+{
+  aWriter->Enumerator(Kind::Copy);
+  aWriter->Id(aPage.mAt);
+  aWriter->Array(aPage.mItems.size());
+  for (const StoreItem& item : aPage.mItems) {
+    aWriter->Array(kItemFields);
+    aWriter->Text(item.mKey);
+    aWriter->Text(item.mValue);
+    aWriter->Id(item.mRevision);
+  }
+}
+
+void
+Write(const StoreChanges& aChanges, FieldWriter* aWriter)
+{
+  aWriter->Enumerator(Kind::Changes);
+  aWriter->Id(aChanges.mAt);
+  aWriter->Array(aChanges.mChanges.size());
+  for (const StoreChange& change : aChanges.mChanges) {
+    aWriter->Array(kChangeFields);
+    aWriter->Text(change.mKey);
+    aWriter->Number(change.mValue.has_value() ? 1 : 0);
+    aWriter->Text(change.mValue.value_or(""));
+    aWriter->Id(change.mRevision);
+  }
+}
+
+StorePage
+ReadCopy(FieldReader* aReader)
+{
+  StorePage page;
+  page.mAt = aReader->Id<StoreRevision>();
+  FieldReader items = aReader->Array();
+  while (items.Remaining() > 0) {
+    FieldReader entry = items.Array();
+    StoreItem& item = page.mItems.emplace_back();
+    item.mKey = entry.Text();
+    item.mValue = entry.Text();
+    item.mRevision = entry.Id<StoreRevision>();
+  }
+  return page;
+}
+
+StoreChanges
+ReadChanges(FieldReader* aReader)
+{
+  StoreChanges changes;
+  changes.mAt = aReader->Id<StoreRevision>();
+  FieldReader entries = aReader->Array();
+  while (entries.Remaining() > 0) {
+    FieldReader entry = entries.Array();
+    StoreChange& change = changes.mChanges.emplace_back();
+    change.mKey = entry.Text();
+    const bool there = entry.Number<std::uint32_t>() != 0;
+    std::string value = entry.Text();
+    if (there) {
+      change.mValue = std::move(value);
+    }
+    change.mRevision = entry.Id<StoreRevision>();
+  }
+  return changes;
+}
+
+} // namespace
+
+std::string
+EncodeStoreNews(const StoreNews& aNews)
+{
+  FieldWriter writer(1);
+  writer.BeginMessage();
+  std::visit([&](const auto& aWhat) { Write(aWhat, &writer); }, aNews);
+  writer.EndMessage();
+  return Compressed(writer.TakeBytes());
+}
+
+Result<StoreNews>
+DecodeStoreNews(std::string_view aBytes)
+{
+  try {
+    const std::string plain = Inflated(aBytes);
+    const UnpackedBytes bytes(plain);
+    FieldReader batch = bytes.Root();
+    FieldReader reader = batch.Array();
+    if (reader.Enumerator(Kind::Changes) == Kind::Copy) {
+      return StoreNews(ReadCopy(&reader));
+    }
+    return StoreNews(ReadChanges(&reader));
+  } catch (const std::exception& problem) {
+    return Error{ Step::Store, ErrorCode::InvalidInput, "", problem.what() };
+  }
+}
+
+} // namespace verbenachute
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -84,6 +84,7 @@
                [this]() {
                  mPool.CloseIdle();
                  mKnowledge.OnTime(mLoop->Now());
+                 mNewsShelf.OnTime(mLoop->Now());
                  mLogger.ReportSuppressed();
                  mIdleTimer.Start(kIdleCheckPause);
                })
--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -17,6 +17,7 @@
 #include <LibEntry/OfferPolicy.h>
 #include <LibHttp/HttpListener.h>
 #include <LibObservation/BoostLogger.h>
+#include <LibStore/StoreNewsShelf.h>
 
 #include <memory>
 #include <unordered_map>
@@ -85,6 +86,7 @@
   /// Where the peers take orders.
   std::map<NodeName, SocketAddress> mGatherAddresses;
   StoreLink mStore;
+  StoreNewsShelf mNewsShelf;
   StoreKeys mKeys;
   EntrySteering mSteering;
   std::unique_ptr<OperatorPort> mOperatorPort;
--- a/Services/verbenachuted/EntryNodePorts.cpp
+++ b/Services/verbenachuted/EntryNodePorts.cpp
@@ -4,7 +4,6 @@
 #include "OutcomeLog.h"
 
 #include <platform/RequestWire.h>
-#include <platform/StoreWire.h>
 
 #include <LibEntry/OutcomeMetrics.h>
 
@@ -151,18 +150,19 @@
     aCall->Respond(kUnavailable, HttpFields(), "");
     return;
   }
-  std::optional<StoreChanges> changes;
-  if (path == "/changes") {
-    changes = mirror.Since(StoreRevision(std::strtoull(
-      QueryParameter(aCall->mTarget, "after").c_str(), nullptr, kDecimal)));
-  }
+  const Instant now = mLoop->Now();
+  const std::string& news =
+    path == "/copy"
+      ? mNewsShelf.Copy(mirror, now)
+      : mNewsShelf.Changes(mirror,
+                           StoreRevision(std::strtoull(
+                             QueryParameter(aCall->mTarget, "after").c_str(),
+                             nullptr,
+                             kDecimal)),
+                           now);
   HttpFields fields;
-  fields.Add("Content-Type", "application/json");
-  aCall->Respond(kOk,
-                 fields,
-                 changes.has_value()
-                   ? platform::EncodeChanges(*changes)
-                   : platform::EncodeCopy(mirror.Items(), mirror.At()));
+  fields.Add("Content-Type", "application/octet-stream");
+  aCall->Respond(kOk, fields, news);
 }
 
 void
--- a/Services/verbenachuted/StoreLink.cpp
+++ b/Services/verbenachuted/StoreLink.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Overloaded.h>
 #include <LibCore/SocketAddressText.h>
 #include <LibHttp/HttpText.h>
+#include <LibStore/StoreNewsCodec.h>
 
 #include <algorithm>
 #include <utility>
@@ -12,6 +13,7 @@
 
 namespace {
 
+constexpr int kOk = 200;
 constexpr Duration kCallTimeout = milliseconds(1500);
 // A watch that is answered late is broken off after its own wait and this.
 constexpr Duration kWatchSlack = milliseconds(1500);
@@ -240,15 +242,18 @@
 StoreLink::OnPeerAnswer(const StreamOutcome& aOutcome)
 {
   const Instant now = mDependencies.mLoop.Now();
-  const platform::StoreResult<StorePage> copy = platform::DecodeCopy(aOutcome);
-  const platform::StoreResult<StoreChanges> changes =
-    platform::WatchResult(aOutcome);
-  if (const StorePage* page = std::get_if<StorePage>(&copy)) {
+  const HttpResponse* response = std::get_if<HttpResponse>(&aOutcome);
+  const Result<StoreNews> news =
+    response != nullptr && response->mStatus == kOk
+      ? DecodeStoreNews(response->mBody)
+      : Error{ Step::Store, ErrorCode::Unreachable, "", "no answer" };
+  if (IsError(news)) {
+    mFollower.OnPeerFailure(now);
+  } else if (const StorePage* page = std::get_if<StorePage>(&ValueOf(news))) {
     mDependencies.mChanged(mFollower.OnPeerCopy(page->mItems, page->mAt, now));
-  } else if (const StoreChanges* told = std::get_if<StoreChanges>(&changes)) {
-    mDependencies.mChanged(mFollower.OnPeerChanges(*told, now));
   } else {
-    mFollower.OnPeerFailure(now);
+    mDependencies.mChanged(
+      mFollower.OnPeerChanges(std::get<StoreChanges>(ValueOf(news)), now));
   }
   Advance();
 }
@@ -311,7 +316,7 @@
        kCallTimeout,
        [this](const StreamOutcome& aOutcome) {
          const HttpResponse* response = std::get_if<HttpResponse>(&aOutcome);
-         if (response == nullptr || response->mStatus != 200) {
+         if (response == nullptr || response->mStatus != kOk) {
            RegisterLater();
            return;
          }
