LibTransport, LibHttp: Count what a request may have lain unread against its time

A node takes the arrival for the moment at which it reads, and its loop can be busy for a second on 0.12 of a core.

The loop now knows when it looked for events last: bytes read in a turn are at most as old as the turn before, or as a pause in which the process did not run. A request that may have waited 60 ms or more has spent that time; waiting to be accepted counts as well.

--- a/Libraries/LibHttp/HttpCall.h
+++ b/Libraries/LibHttp/HttpCall.h
@@ -30,7 +30,8 @@
   std::string mTarget;
   HttpFields mFields;
   std::string mBody;
-  /// When the last byte was read.
+  /// When the last byte was read, or earlier if it may have lain unread while
+  /// the loop was busy.
   Instant mArrived;
   ConnectionUse mUse = ConnectionUse::First;
 
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -20,6 +20,10 @@
 // made to wait by flow control.
 constexpr std::size_t kReadAhead = 64UL * 1024;
 
+// A request that may have lain unread for so long has spent that time; shorter
+// turns of the loop are within what every answer needs anyway.
+constexpr Duration kWaitThatCounts = milliseconds(60);
+
 constexpr int kRequestTimeout = 408;
 constexpr int kBadRequest = 400;
 constexpr int kBodyTooLarge = 413;
@@ -41,6 +45,7 @@
   , mReader(MessageSide::Requests, aLimits.mMessage)
   , mTimer(aLoop, [this]() { OnTimeout(); })
 {
+  mAcceptWait = aLoop.LongestWait();
   TuneSocket(aSocket, SilenceLimits());
   bufferevent_setcb(
     mStream,
@@ -152,7 +157,10 @@
   call->mTarget = mReader.Target();
   call->mFields = std::move(mReader.Fields());
   call->mBody = std::move(mReader.Body());
-  call->mArrived = mLoop.Now();
+  const Duration waited =
+    mLoop.LongestWait() + std::exchange(mAcceptWait, Duration(0));
+  call->mArrived =
+    mLoop.Now() - (waited >= kWaitThatCounts ? waited : Duration(0));
   call->mUse = std::exchange(mUse, ConnectionUse::Kept);
   call->mConnection = this;
   if (!mReader.KeepsAlive()) {
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -73,6 +73,9 @@
   Timer mTimer;
   std::shared_ptr<HttpCall> mCall;
   ConnectionUse mUse = ConnectionUse::First;
+  /// Longest time that the connection waited to be accepted, which its first
+  /// request may have spent as well.
+  Duration mAcceptWait{ 0 };
   bool mCloseAfterResponse = false;
   bool mLingering = false;
   bool mEnding = false;
--- a/Libraries/LibTransport/EventLoop.cpp
+++ b/Libraries/LibTransport/EventLoop.cpp
@@ -69,12 +69,17 @@
 void
 EventLoop::Run()
 {
-  event_base_loop(mBase, EVLOOP_NO_EXIT_ON_EMPTY);
+  while (!mStopped) {
+    event_base_loop(mBase, EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+    mGauge.OnTurnEnd(mClock.Now());
+  }
+  mStopped = false;
 }
 
 void
 EventLoop::Stop()
 {
+  mStopped = true;
   event_base_loopbreak(mBase);
 }
 
@@ -100,7 +105,15 @@
 Instant
 EventLoop::Now() const
 {
-  return mClock.Now();
+  const Instant now = mClock.Now();
+  mGauge.OnWork(now);
+  return now;
+}
+
+Duration
+EventLoop::LongestWait() const
+{
+  return mGauge.LongestWait(Now());
 }
 
 const Clock&
--- a/Libraries/LibTransport/EventLoop.h
+++ b/Libraries/LibTransport/EventLoop.h
@@ -4,6 +4,8 @@
 #include <LibCore/SystemClock.h>
 #include <LibCore/Time.h>
 
+#include <LibTransport/LoopGauge.h>
+
 #include <functional>
 #include <memory>
 #include <sigc++/sigc++.h>
@@ -37,6 +39,8 @@
   [[nodiscard]] sigc::signal<void()>& ReloadRequested();
 
   [[nodiscard]] Instant Now() const;
+  /// Longest time that bytes which are read now may have waited unread.
+  [[nodiscard]] Duration LongestWait() const;
   [[nodiscard]] const Clock& SystemTime() const;
   [[nodiscard]] event_base* Base() const;
 
@@ -51,6 +55,9 @@
   sigc::signal<void(int)> mSignalArrived;
   sigc::signal<void()> mReloadRequested;
   SystemClock mClock;
+  bool mStopped = false;
+  /// Whoever asks for the time is at work.
+  mutable LoopGauge mGauge;
 };
 
 } // namespace verbenachute
--- a/Tests/LibHttp/TestHttpStreams.cpp
+++ b/Tests/LibHttp/TestHttpStreams.cpp
@@ -23,6 +23,8 @@
     Close,
     Reset,
     Wait,
+    /// Sends the same bytes over and over until the other side closes.
+    Flood,
   };
 
   FixedServer(std::string aBytes, Ending aEnding)
@@ -49,6 +51,8 @@
         setsockopt(connection, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
       } else if (aEnding == Ending::Wait) {
         static_cast<void>(recv(connection, buffer, sizeof(buffer), 0));
+      } else if (aEnding == Ending::Flood) {
+        Flood(connection);
       }
       close(connection);
       static_cast<void>(got);
@@ -58,7 +62,9 @@
 
   ~FixedServer()
   {
-    mThread.join();
+    if (mThread.joinable()) {
+      mThread.join();
+    }
     close(mListener);
   }
 
@@ -67,7 +73,31 @@
     return SocketAddress{ "127.0.0.1", mPort };
   }
 
+  /// Bytes that were taken from the flood; call it when the client has gone.
+  std::size_t Taken()
+  {
+    mThread.join();
+    return mTaken;
+  }
+
 private:
+  void Flood(int aConnection)
+  {
+    const std::string piece(kPiece, 'x');
+    while (mTaken < kMostFlood) {
+      const ssize_t sent =
+        send(aConnection, piece.data(), piece.size(), MSG_NOSIGNAL);
+      if (sent <= 0) {
+        return;
+      }
+      mTaken += static_cast<std::size_t>(sent);
+    }
+  }
+
+  static constexpr std::size_t kPiece = 64UL * 1024;
+  static constexpr std::size_t kMostFlood = 256UL * 1024 * 1024;
+
+  std::size_t mTaken = 0;
   int mListener = -1;
   std::uint16_t mPort = 0;
   std::thread mThread;
@@ -159,4 +189,33 @@
         StreamFailure::ClosedWithinResponse);
 }
 
+TEST_CASE("Bytes without end are given up with bounded memory")
+{
+  const struct
+  {
+    const char* mBegin;
+    /// What may be read before the exchange is given up, with what the
+    /// sockets of both sides hold.
+    std::size_t mMost;
+  } floods[] = {
+    { "", 16UL * 1024 * 1024 },
+    { "HTTP/1.1 200 OK\r\nEndless: ", 16UL * 1024 * 1024 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\n", 24UL * 1024 * 1024 },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
+      24UL * 1024 * 1024 },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+      24UL * 1024 * 1024 },
+  };
+  for (const auto& flood : floods) {
+    CAPTURE(flood.mBegin);
+    FixedServer server(flood.mBegin, FixedServer::Ending::Flood);
+    bool reusable = true;
+    const StreamOutcome outcome = OutcomeOf(server.Address(), &reusable);
+    REQUIRE(std::holds_alternative<StreamFailure>(outcome));
+    CHECK(std::get<StreamFailure>(outcome) == StreamFailure::Malformed);
+    CHECK(!reusable);
+    CHECK(server.Taken() < flood.mMost);
+  }
+}
+
 } // namespace verbenachute
