--- a/Meta/fault-soak.sh
+++ b/Meta/fault-soak.sh
@@ -75,7 +75,7 @@
 # start_node NAME: again after it has ended, as a platform does.
 start_node() {
   local number=${1#node-} base
-  base=$((first_port + 10 + 4 * (number - 1)))
+  base=$((first_port + 10 + 5 * (number - 1)))
   if [ -n "${pid_of[$1]:-}" ]; then
     kill -KILL "${pid_of[$1]}" 2>/dev/null || true
     wait "${pid_of[$1]}" 2>/dev/null || true
@@ -86,6 +86,7 @@
     "--caller_address=127.0.0.1:$base" "--peer_address=127.0.0.1:$((base + 1))" \
     "--operator_address=127.0.0.1:$((base + 2))" \
     "--directory_address=127.0.0.1:$((base + 3))" \
+    "--gather_address=127.0.0.1:$((base + 4))" \
     "--platform=127.0.0.1:$first_port" --dispatch=direct \
     --address_validity_ms=1000 --retry_slack=60 --grace_s=6 \
     "--settings_file=$folder/$1.settings" >>"$folder/$1.log" 2>&1 &
