LibHttp: Reset the connection of a request that is given up

A connection that is closed still delivers what it holds once the cut is over; one that is reset does not. The test was seen failing without the reset.

--- a/Libraries/LibHttp/HttpClientStream.cpp
+++ b/Libraries/LibHttp/HttpClientStream.cpp
@@ -27,7 +27,11 @@
   , mSilence(aSilence)
   , mStream(bufferevent_socket_new(aLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE))
   , mReader(MessageSide::Responses, MessageLimits())
-  , mTimer(aLoop, [this]() { Break(StreamFailure::TimedOut); })
+  , mTimer(aLoop,
+           [this]() {
+             mTimedOut = true;
+             Break(StreamFailure::TimedOut);
+           })
   , mIdleSince(aLoop.Now())
   , mKeptFor(kKeptByDefault)
 {
@@ -49,6 +53,10 @@
 
 HttpClientStream::~HttpClientStream()
 {
+  if (mDone || mTimedOut) {
+    // A request that nobody waits for must not arrive once a cut is over.
+    ResetAtClose(SocketOf(mStream));
+  }
   bufferevent_free(mStream);
 }
 
--- a/Libraries/LibHttp/HttpClientStream.h
+++ b/Libraries/LibHttp/HttpClientStream.h
@@ -56,7 +56,8 @@
   HttpClientStream(EventLoop& aLoop,
                    const SocketAddress& aAddress,
                    const SilenceLimits& aSilence);
-  /// Closes the connection; a running exchange is dropped without a call.
+  /// Closes the connection; a running exchange is dropped without a call, and
+  /// its connection is reset.
   ~HttpClientStream();
   HttpClientStream(const HttpClientStream&) = delete;
   HttpClientStream& operator=(const HttpClientStream&) = delete;
@@ -105,6 +106,7 @@
   Done mDone;
   bool mConnected = false;
   bool mBroken = false;
+  bool mTimedOut = false;
   bool mAnyByte = false;
   std::size_t mExchanges = 0;
   Instant mIdleSince;
--- a/Libraries/LibTransport/SocketOptions.cpp
+++ b/Libraries/LibTransport/SocketOptions.cpp
@@ -37,6 +37,14 @@
   SetOption(aSocket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
 }
 
+void
+ResetAtClose(int aSocket)
+{
+  const linger now{ 1, 0 };
+  static_cast<void>(
+    setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &now, sizeof(now)));
+}
+
 sockaddr_in
 SocketAddressOf(const SocketAddress& aAddress)
 {
--- a/Tests/LibHttp/TestHttpStreams.cpp
+++ b/Tests/LibHttp/TestHttpStreams.cpp
@@ -2,6 +2,7 @@
 #include <LibHttp/HttpListener.h>
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <doctest/doctest.h>
 #include <sys/socket.h>
 #include <thread>
@@ -23,6 +24,8 @@
     Close,
     Reset,
     Wait,
+    /// Notes how the other side ends the connection.
+    SeeEnd,
     /// Sends the same bytes over and over until the other side closes.
     Flood,
   };
@@ -51,6 +54,9 @@
         setsockopt(connection, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
       } else if (aEnding == Ending::Wait) {
         static_cast<void>(recv(connection, buffer, sizeof(buffer), 0));
+      } else if (aEnding == Ending::SeeEnd) {
+        mReset = recv(connection, buffer, sizeof(buffer), 0) < 0 &&
+                 errno == ECONNRESET;
       } else if (aEnding == Ending::Flood) {
         Flood(connection);
       }
@@ -80,6 +86,13 @@
     return mTaken;
   }
 
+  /// Whether the client reset the connection; call it when it has gone.
+  bool WasReset()
+  {
+    mThread.join();
+    return mReset;
+  }
+
 private:
   void Flood(int aConnection)
   {
@@ -98,6 +111,7 @@
   static constexpr std::size_t kMostFlood = 256UL * 1024 * 1024;
 
   std::size_t mTaken = 0;
+  bool mReset = false;
   int mListener = -1;
   std::uint16_t mPort = 0;
   std::thread mThread;
@@ -189,6 +203,35 @@
         StreamFailure::ClosedWithinResponse);
 }
 
+TEST_CASE(
+  "A request that is given up resets its connection, an idle one is closed")
+{
+  const std::unique_ptr<EventLoop> loop = TakeValue(EventLoop::Create());
+  const auto endOf = [&](const std::string& aAnswer, Duration aTimeout) {
+    FixedServer server(aAnswer, FixedServer::Ending::SeeEnd);
+    {
+      HttpClientStream stream(*loop, server.Address(), SilenceLimits());
+      HttpClientStream::Exchange exchange;
+      exchange.mRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+      exchange.mTimeout = aTimeout;
+      Timer giveUp(*loop, [&]() { loop->Stop(); });
+      giveUp.Start(milliseconds(200));
+      stream.Send(std::move(exchange),
+                  [&](const StreamOutcome&) { loop->Stop(); });
+      loop->Run();
+    }
+    // The socket is closed from the loop.
+    Timer closed(*loop, [&]() { loop->Stop(); });
+    closed.Start(Duration(0));
+    loop->Run();
+    return server.WasReset();
+  };
+  // Cancelled while it runs, timed out, and answered.
+  CHECK(endOf("", seconds(5)));
+  CHECK(endOf("", milliseconds(50)));
+  CHECK(!endOf(Response("mine", "new"), seconds(5)));
+}
+
 TEST_CASE("Bytes without end are given up with bounded memory")
 {
   const struct
