--- a/Libraries/LibGossip/GossipTable.cpp
+++ b/Libraries/LibGossip/GossipTable.cpp
@@ -242,9 +242,8 @@
   chosen.resize(
     std::min(chosen.size(), mSettings.mEntries * mSettings.mMostDatagrams));
   // One more, so that a node that started late finds the others.
-  if (!rest.empty() && chosen.size() % mSettings.mEntries != 0) {
-    chosen.push_back(rest.front());
-  } else if (!rest.empty() && chosen.empty()) {
+  const bool fits = chosen.empty() || chosen.size() % mSettings.mEntries != 0;
+  if (fits && !rest.empty()) {
     chosen.push_back(rest.front());
   }
   std::vector<GossipMessage> messages(1);
