--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -1,6 +1,5 @@
 #include <LibForward/ForwardEngine.h>
 
-#include <LibCore/RendezvousHash.h>
 #include <LibCore/Verify.h>
 
 #include <algorithm>
@@ -208,10 +207,7 @@
     }
   }
   RecallAll(&found->second, RecallReason::CallerGone);
-  if (found->second.mWake.has_value()) {
-    mWakes.erase({ *found->second.mWake, aNumber });
-  }
-  mRequests.erase(found);
+  Forget(found);
   return TakeActions();
 }
 
@@ -320,11 +316,7 @@
 bool
 ForwardEngine::IsDomainGone(const FailureDomain& aDomain, Instant aNow) const
 {
-  const std::vector<FailureDomain>& domains = mTargets.Domains();
-  const auto found = std::find(domains.begin(), domains.end(), aDomain);
-  return found != domains.end() &&
-         mDomains.IsGone(static_cast<std::size_t>(found - domains.begin()),
-                         aNow);
+  return mDomains.IsGone(mTargets.KnownPlace(aDomain), aNow);
 }
 
 void
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -271,8 +271,15 @@
   void DelegateParts(RequestNumber aNumber, Request* aRequest, Instant aNow);
   /// For each part the domains, other than this node's, that hold its targets
   /// and have a peer; none for a part that this node asks for itself.
-  [[nodiscard]] std::vector<DomainSet> HoldersElsewhere(const Request& aRequest,
-                                                        Instant aNow) const;
+  [[nodiscard]] std::vector<DomainSet> HoldersElsewhere(
+    const Request& aRequest,
+    const std::vector<const NodeName*>& aPeers,
+    Instant aNow) const;
+  /// The peer to ask in each domain of the table of targets; null for this
+  /// node's own and where there is none.
+  [[nodiscard]] std::vector<const NodeName*> PeersByDomain(
+    const Request& aRequest,
+    Instant aNow) const;
   [[nodiscard]] TargetName PresumedTarget(const Request& aRequest,
                                           const Part& aPart,
                                           const FailureDomain& aDomain,
@@ -290,6 +297,11 @@
   void TakeBlock(const DelegationReport& aReport,
                  Request* aRequest,
                  Instant aNow);
+  /// Starts a part anew for which the peer has asked no target.
+  void StartAgain(RequestNumber aNumber,
+                  Request* aRequest,
+                  std::size_t aPart,
+                  Instant aNow);
   /// The peer has not asked any target.
   void UndoDelegation(DelegationNumber aDelegation,
                       Request* aRequest,
@@ -298,8 +310,11 @@
   void LoseDelegation(DelegationNumber aDelegation,
                       Request* aRequest,
                       Instant aNow);
-  /// Forgets a delegation; its parts do not refer to it any more.
+  /// Forgets a delegation whose parts do not refer to it any more.
   void EndDelegation(DelegationNumber aDelegation, Request* aRequest);
+  /// Takes the parts back whose end the peer has not told.
+  [[nodiscard]] std::set<std::size_t> TakeBack(DelegationNumber aDelegation,
+                                               Request* aRequest);
   void RecallAll(Request* aRequest, RecallReason aReason);
 
   // Delegations of peers.
@@ -325,6 +340,9 @@
   /// A request that lost all its connections and got no answer at all may be
   /// what broke the targets.
   void NoteStrikes(const Request& aRequest, Instant aNow);
+  /// Gives up what still runs for the request.
+  void AbandonAll(const Request& aRequest, Instant aNow);
+  void Forget(Requests::iterator aRequest);
   /// What follows the end of an attempt, whatever its result.
   [[nodiscard]] ForwardActions AfterAttempt(AttemptId aAttempt,
                                             const TargetRecord* aTarget,
--- a/Libraries/LibForward/ForwardEngineAdmission.cpp
+++ b/Libraries/LibForward/ForwardEngineAdmission.cpp
@@ -1,4 +1,5 @@
 #include <LibForward/ForwardEngine.h>
+#include <LibForward/RetryAfter.h>
 
 #include <LibCore/RendezvousHash.h>
 #include <LibCore/Verify.h>
@@ -17,11 +18,6 @@
 constexpr Duration kAnswerReserve = milliseconds(5);
 // Each step of priority leaves one of these parts of the room to those above.
 constexpr std::size_t kRoomSteps = 8;
-// When a refused caller may come back.
-constexpr Duration kRetryAfterNoPlan = milliseconds(500);
-constexpr Duration kRetryAfterNoTarget = milliseconds(250);
-constexpr Duration kRetryAfterOverload = milliseconds(40);
-constexpr Duration kRetryAfterPoison = seconds(30);
 
 } // namespace
 
--- a/Libraries/LibForward/ForwardEngineDelegated.cpp
+++ b/Libraries/LibForward/ForwardEngineDelegated.cpp
@@ -1,10 +1,10 @@
 #include <LibForward/ForwardEngine.h>
 #include <LibForward/RecordMerger.h>
 
-#include <LibCore/RendezvousHash.h>
 #include <LibCore/Verify.h>
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 // Shards that this node gathers for a peer. One target is asked for each,
@@ -100,14 +100,13 @@
   std::size_t open = 0;
   for (std::size_t i = 0; i < aRequest->mParts.size(); ++i) {
     Part& part = aRequest->mParts[i];
-    if (late && part.mState == PartState::Running) {
-      part.mState = PartState::Failed;
-      part.mMayHaveRun = true;
-    } else if (late && part.mState == PartState::Waiting) {
+    bool ended =
+      part.mState == PartState::Done || part.mState == PartState::Failed;
+    if (late && !ended) {
+      part.mMayHaveRun = part.mMayHaveRun || part.mState == PartState::Running;
       part.mState = PartState::Failed;
+      ended = true;
     }
-    const bool ended =
-      part.mState == PartState::Done || part.mState == PartState::Failed;
     open += ended ? 0 : 1;
     if (ended && !part.mTold) {
       news.push_back(i);
@@ -119,9 +118,7 @@
     }
     aRequest->mReported = true;
     news.resize(aRequest->mParts.size());
-    for (std::size_t i = 0; i < news.size(); ++i) {
-      news[i] = i;
-    }
+    std::iota(news.begin(), news.end(), std::size_t{ 0 });
     Report(aNumber, aRequest, news);
   } else {
     // One at a time, so that the peer may leave out any of them.
@@ -173,17 +170,9 @@
 {
   const auto found = mRequests.find(aNumber);
   VERIFY(found != mRequests.end());
-  Request& request = found->second;
-  for (const Part& part : request.mParts) {
-    for (const AttemptId attempt : part.mRunning) {
-      Abandon(attempt, aNow);
-    }
-  }
-  NoteStrikes(request, aNow);
-  if (request.mWake.has_value()) {
-    mWakes.erase({ *request.mWake, aNumber });
-  }
-  mRequests.erase(found);
+  AbandonAll(found->second, aNow);
+  NoteStrikes(found->second, aNow);
+  Forget(found);
 }
 
 } // namespace verbenachute
--- a/Libraries/LibForward/ForwardEngineDelegation.cpp
+++ b/Libraries/LibForward/ForwardEngineDelegation.cpp
@@ -20,19 +20,29 @@
 
 } // namespace
 
+std::vector<const NodeName*>
+ForwardEngine::PeersByDomain(const Request& aRequest, Instant aNow) const
+{
+  // FIXME: A peer in a domain that DomainWatch takes for dark is still asked,
+  // until its own silence avoids it.
+  std::vector<const NodeName*> peers;
+  for (const FailureDomain& domain : mTargets.Domains()) {
+    peers.push_back(domain == mSettings.mDomain
+                      ? nullptr
+                      : mPeers.Choose(domain, aRequest.mPlan->Version(), aNow));
+  }
+  return peers;
+}
+
 std::vector<DomainSet>
-ForwardEngine::HoldersElsewhere(const Request& aRequest, Instant aNow) const
+ForwardEngine::HoldersElsewhere(const Request& aRequest,
+                                const std::vector<const NodeName*>& aPeers,
+                                Instant aNow) const
 {
-  const std::vector<FailureDomain>& domains = mTargets.Domains();
+  const std::size_t own = mTargets.KnownPlace(mSettings.mDomain);
   DomainSet reachable;
-  std::size_t own = kMostDomains;
-  for (std::size_t place = 0; place < domains.size(); ++place) {
-    if (domains[place] == mSettings.mDomain) {
-      own = place;
-    } else if (mPeers.Choose(domains[place], aRequest.mPlan->Version(), aNow) !=
-               nullptr) {
-      reachable.set(place);
-    }
+  for (std::size_t place = 0; place < aPeers.size(); ++place) {
+    reachable.set(place, aPeers[place] != nullptr);
   }
   std::vector<DomainSet> holders(aRequest.mParts.size());
   for (std::size_t i = 0; reachable.any() && i < holders.size(); ++i) {
@@ -80,11 +90,11 @@
       aRequest->mDeadline - aNow <= 2 * kWayBack) {
     return;
   }
+  const std::vector<const NodeName*> peers = PeersByDomain(*aRequest, aNow);
   for (const DomainShards& shards :
-       CoverShards(HoldersElsewhere(*aRequest, aNow), kLeastDelegated)) {
+       CoverShards(HoldersElsewhere(*aRequest, peers, aNow), kLeastDelegated)) {
     const FailureDomain& domain = mTargets.Domains()[shards.mDomain];
-    const NodeName* peer =
-      mPeers.Choose(domain, aRequest->mPlan->Version(), aNow);
+    const NodeName* peer = peers[shards.mDomain];
     VERIFY(peer != nullptr);
     const DelegationNumber number(mNextDelegation++);
     OpenDelegation& open = mDelegations[number];
@@ -128,6 +138,17 @@
   mDelegations.erase(found);
 }
 
+std::set<std::size_t>
+ForwardEngine::TakeBack(DelegationNumber aDelegation, Request* aRequest)
+{
+  std::set<std::size_t> parts = std::move(mDelegations.at(aDelegation).mParts);
+  for (const std::size_t place : parts) {
+    aRequest->mParts[place].mDelegation.reset();
+  }
+  EndDelegation(aDelegation, aRequest);
+  return parts;
+}
+
 void
 ForwardEngine::RecallAll(Request* aRequest, RecallReason aReason)
 {
@@ -263,10 +284,7 @@
     part.mDelegation.reset();
     const bool none = unanswered.mTarget.value().empty();
     if (none && unanswered.mState == AttemptState::NotRun) {
-      part.mTried.erase(part.mTried.begin());
-      if (part.mState == PartState::Running && part.mRunning.empty()) {
-        StartPart(number, aRequest, unanswered.mPlace, aNow);
-      }
+      StartAgain(number, aRequest, unanswered.mPlace, aNow);
       continue;
     }
     part.mMayHaveRun =
@@ -280,6 +298,20 @@
   }
 }
 
+void
+ForwardEngine::StartAgain(RequestNumber aNumber,
+                          Request* aRequest,
+                          std::size_t aPart,
+                          Instant aNow)
+{
+  Part& part = aRequest->mParts[aPart];
+  VERIFY(!part.mTried.empty());
+  part.mTried.erase(part.mTried.begin());
+  if (part.mState == PartState::Running && part.mRunning.empty()) {
+    StartPart(aNumber, aRequest, aPart, aNow);
+  }
+}
+
 void
 ForwardEngine::TakeBlock(const DelegationReport& aReport,
                          Request* aRequest,
@@ -319,15 +351,9 @@
                               Request* aRequest,
                               Instant aNow)
 {
-  const OpenDelegation open = mDelegations.at(aDelegation);
-  EndDelegation(aDelegation, aRequest);
-  for (const std::size_t place : open.mParts) {
-    Part& part = aRequest->mParts[place];
-    part.mDelegation.reset();
-    part.mTried.erase(part.mTried.begin());
-    if (part.mState == PartState::Running && part.mRunning.empty()) {
-      StartPart(open.mNumber, aRequest, place, aNow);
-    }
+  const RequestNumber number = mDelegations.at(aDelegation).mNumber;
+  for (const std::size_t place : TakeBack(aDelegation, aRequest)) {
+    StartAgain(number, aRequest, place, aNow);
   }
 }
 
@@ -336,14 +362,12 @@
                               Request* aRequest,
                               Instant aNow)
 {
-  const OpenDelegation open = mDelegations.at(aDelegation);
-  EndDelegation(aDelegation, aRequest);
-  for (const std::size_t place : open.mParts) {
+  const RequestNumber number = mDelegations.at(aDelegation).mNumber;
+  for (const std::size_t place : TakeBack(aDelegation, aRequest)) {
     Part& part = aRequest->mParts[place];
-    part.mDelegation.reset();
     part.mMayHaveRun = true;
     if (part.mState == PartState::Running) {
-      RetryPart(open.mNumber, aRequest, place, aNow);
+      RetryPart(number, aRequest, place, aNow);
     }
   }
 }
--- a/Libraries/LibForward/ForwardEngineOutcomes.cpp
+++ b/Libraries/LibForward/ForwardEngineOutcomes.cpp
@@ -1,5 +1,6 @@
 #include <LibForward/ForwardEngine.h>
 #include <LibForward/RecordMerger.h>
+#include <LibForward/RetryAfter.h>
 
 #include <LibCore/Verify.h>
 
@@ -15,9 +16,6 @@
 // An attempt that lost the race to another may end by itself for this long;
 // its connection stays in use then. After that the target is spared the work.
 constexpr Duration kLeftOverTime = milliseconds(300);
-// When a refused caller may come back.
-constexpr Duration kRetryAfterDeclined = milliseconds(60);
-constexpr Duration kRetryAfterNoTarget = milliseconds(250);
 
 } // namespace
 
@@ -155,6 +153,25 @@
   mLeftOvers.insert({ aNow + kLeftOverTime, aAttempt });
 }
 
+void
+ForwardEngine::AbandonAll(const Request& aRequest, Instant aNow)
+{
+  for (const Part& part : aRequest.mParts) {
+    for (const AttemptId attempt : part.mRunning) {
+      Abandon(attempt, aNow);
+    }
+  }
+}
+
+void
+ForwardEngine::Forget(Requests::iterator aRequest)
+{
+  if (aRequest->second.mWake.has_value()) {
+    mWakes.erase({ *aRequest->second.mWake, aRequest->first });
+  }
+  mRequests.erase(aRequest);
+}
+
 void
 ForwardEngine::Finish(RequestNumber aNumber,
                       ForwardOutcome aOutcome,
@@ -163,22 +180,17 @@
   const auto found = mRequests.find(aNumber);
   VERIFY(found != mRequests.end());
   Request& request = found->second;
+  AbandonAll(request, aNow);
   for (const Part& part : request.mParts) {
-    for (const AttemptId attempt : part.mRunning) {
-      Abandon(attempt, aNow);
-    }
     if (part.mState != PartState::Done) {
       request.mSummary.AddMissing(part.mService);
     }
   }
   NoteStrikes(request, aNow);
   RecallAll(&request, RecallReason::Settled);
-  if (request.mWake.has_value()) {
-    mWakes.erase({ *request.mWake, aNumber });
-  }
   request.mSummary.mElapsed = aNow - request.mRequest->mArrived;
   AnswerAtOnce(aNumber, std::move(aOutcome), std::move(request.mSummary));
-  mRequests.erase(found);
+  Forget(found);
 }
 
 void
--- a/Libraries/LibForward/TargetRecords.cpp
+++ b/Libraries/LibForward/TargetRecords.cpp
@@ -52,15 +52,21 @@
 std::size_t
 TargetRecords::DomainPlace(const FailureDomain& aDomain)
 {
-  const auto found = std::find(mDomains.begin(), mDomains.end(), aDomain);
-  if (found != mDomains.end()) {
-    return static_cast<std::size_t>(found - mDomains.begin());
-  }
-  if (mDomains.size() < kMostDomains) {
-    mDomains.push_back(aDomain);
-    return mDomains.size() - 1;
+  const std::size_t known = KnownPlace(aDomain);
+  if (known < kMostDomains || mDomains.size() >= kMostDomains) {
+    return known;
   }
-  return kMostDomains;
+  mDomains.push_back(aDomain);
+  return mDomains.size() - 1;
+}
+
+std::size_t
+TargetRecords::KnownPlace(const FailureDomain& aDomain) const
+{
+  const auto found = std::find(mDomains.begin(), mDomains.end(), aDomain);
+  return found == mDomains.end()
+           ? kMostDomains
+           : static_cast<std::size_t>(found - mDomains.begin());
 }
 
 std::vector<const TargetRecord*>
--- a/Libraries/LibForward/TargetRecords.h
+++ b/Libraries/LibForward/TargetRecords.h
@@ -27,6 +27,8 @@
   /// Place of a domain in the table of those seen; kMostDomains for those that
   /// found the table full.
   [[nodiscard]] std::size_t DomainPlace(const FailureDomain& aDomain);
+  /// The same without adding it; kMostDomains if it was not seen.
+  [[nodiscard]] std::size_t KnownPlace(const FailureDomain& aDomain) const;
   [[nodiscard]] const std::vector<FailureDomain>& Domains() const
   {
     return mDomains;
--- a/Libraries/LibGather/GatherCodec.cpp
+++ b/Libraries/LibGather/GatherCodec.cpp
@@ -1,8 +1,7 @@
 #include <LibGather/GatherCodec.h>
 
 #include <LibCore/Overloaded.h>
-#include <LibWire/FieldReader.h>
-#include <LibWire/FieldWriter.h>
+#include <LibWire/SingleMessage.h>
 
 #include <memory>
 
@@ -124,6 +123,19 @@
   }
 }
 
+void
+WriteAnswer(const GatherAnswer& aAnswer, FieldWriter* aWriter)
+{
+  if (const DelegationReport* report =
+        std::get_if<DelegationReport>(&aAnswer.mAnswer)) {
+    WriteReport(aAnswer, *report, aWriter);
+    return;
+  }
+  aWriter->Enumerator(Kind::Refusal);
+  aWriter->Id(aAnswer.mNumber);
+  aWriter->Enumerator(std::get<DelegationRefusal>(aAnswer.mAnswer).mReason);
+}
+
 DelegationReport
 ReadReport(FieldReader* aReader)
 {
@@ -173,42 +185,25 @@
 std::string
 EncodeGather(const GatherMessage& aMessage)
 {
-  FieldWriter writer(1);
-  writer.BeginMessage();
-  std::visit(
-    Overloaded{ [&](const GatherOrder& aOrder) { WriteOrder(aOrder, &writer); },
-                [&](const GatherRecall& aRecall) {
-                  writer.Enumerator(Kind::Recall);
-                  writer.Id(aRecall.mNumber);
-                  writer.Enumerator(aRecall.mReason);
-                },
-                [&](const GatherAnswer& aAnswer) {
-                  if (const DelegationReport* report =
-                        std::get_if<DelegationReport>(&aAnswer.mAnswer)) {
-                    WriteReport(aAnswer, *report, &writer);
-                    return;
-                  }
-                  writer.Enumerator(Kind::Refusal);
-                  writer.Id(aAnswer.mNumber);
-                  writer.Enumerator(
-                    std::get<DelegationRefusal>(aAnswer.mAnswer).mReason);
-                } },
-    aMessage);
-  writer.EndMessage();
-  return writer.TakeBytes();
+  return EncodeSingleMessage([&](FieldWriter* aWriter) {
+    std::visit(
+      Overloaded{
+        [&](const GatherOrder& aOrder) { WriteOrder(aOrder, aWriter); },
+        [&](const GatherRecall& aRecall) {
+          aWriter->Enumerator(Kind::Recall);
+          aWriter->Id(aRecall.mNumber);
+          aWriter->Enumerator(aRecall.mReason);
+        },
+        [&](const GatherAnswer& aAnswer) { WriteAnswer(aAnswer, aWriter); } },
+      aMessage);
+  });
 }
 
 Result<GatherMessage>
 DecodeGather(std::string_view aBytes)
 {
-  try {
-    const UnpackedBytes bytes(aBytes);
-    FieldReader batch = bytes.Root();
-    FieldReader reader = batch.Array();
-    return ReadMessage(&reader);
-  } catch (const std::exception& problem) {
-    return Error{ Step::Dispatch, ErrorCode::InvalidInput, "", problem.what() };
-  }
+  return DecodeSingleMessage<GatherMessage>(
+    aBytes, Step::Dispatch, ReadMessage);
 }
 
 } // namespace verbenachute
--- a/Libraries/LibGossip/GossipCodec.cpp
+++ b/Libraries/LibGossip/GossipCodec.cpp
@@ -1,7 +1,6 @@
 #include <LibGossip/GossipCodec.h>
 
-#include <LibWire/FieldReader.h>
-#include <LibWire/FieldWriter.h>
+#include <LibWire/SingleMessage.h>
 
 namespace verbenachute {
 
@@ -73,52 +72,53 @@
   return count;
 }
 
-} // namespace
-
-std::string
-EncodeGossip(const GossipMessage& aMessage)
+void
+WriteMessage(const GossipMessage& aMessage, FieldWriter* aWriter)
 {
-  FieldWriter writer(1);
-  writer.BeginMessage();
-  writer.Number(aMessage.mNews.size());
+  aWriter->Number(aMessage.mNews.size());
   for (const NodeNews& news : aMessage.mNews) {
-    WriteNews(news, &writer);
+    WriteNews(news, aWriter);
   }
-  writer.Number(aMessage.mStrikes.size());
+  aWriter->Number(aMessage.mStrikes.size());
   for (const PoisonStrike& strike : aMessage.mStrikes) {
-    writer.Array(kStrikeFields);
-    writer.Id(strike.mFingerprint);
-    writer.Id(strike.mTarget);
+    aWriter->Array(kStrikeFields);
+    aWriter->Id(strike.mFingerprint);
+    aWriter->Id(strike.mTarget);
+  }
+}
+
+GossipMessage
+ReadMessage(FieldReader* aReader)
+{
+  GossipMessage message;
+  const std::size_t news = CheckedCount(aReader);
+  for (std::size_t i = 0; i < news; ++i) {
+    message.mNews.push_back(ReadNews(aReader->Array()));
   }
-  writer.EndMessage();
-  return writer.TakeBytes();
+  const std::size_t strikes = CheckedCount(aReader);
+  for (std::size_t i = 0; i < strikes; ++i) {
+    FieldReader strike = aReader->Array();
+    const Fingerprint fingerprint = strike.Id<Fingerprint>();
+    message.mStrikes.push_back(
+      PoisonStrike{ fingerprint, strike.Id<TargetName>() });
+  }
+  return message;
+}
+
+} // namespace
+
+std::string
+EncodeGossip(const GossipMessage& aMessage)
+{
+  return EncodeSingleMessage(
+    [&](FieldWriter* aWriter) { WriteMessage(aMessage, aWriter); });
 }
 
 Result<GossipMessage>
 DecodeGossip(std::string_view aBytes)
 {
-  try {
-    const UnpackedBytes bytes(aBytes);
-    FieldReader batch = bytes.Root();
-    FieldReader reader = batch.Array();
-    GossipMessage message;
-    const std::size_t news = CheckedCount(&reader);
-    for (std::size_t i = 0; i < news; ++i) {
-      message.mNews.push_back(ReadNews(reader.Array()));
-    }
-    const std::size_t strikes = CheckedCount(&reader);
-    for (std::size_t i = 0; i < strikes; ++i) {
-      FieldReader strike = reader.Array();
-      const Fingerprint fingerprint = strike.Id<Fingerprint>();
-      message.mStrikes.push_back(
-        PoisonStrike{ fingerprint, strike.Id<TargetName>() });
-    }
-    return message;
-  } catch (const std::exception& problem) {
-    return Error{
-      Step::Membership, ErrorCode::InvalidInput, "", problem.what()
-    };
-  }
+  return DecodeSingleMessage<GossipMessage>(
+    aBytes, Step::Membership, ReadMessage);
 }
 
 } // namespace verbenachute
--- a/Libraries/LibHttp/HttpClientStream.cpp
+++ b/Libraries/LibHttp/HttpClientStream.cpp
@@ -29,7 +29,7 @@
   , mReader(MessageSide::Responses, MessageLimits())
   , mTimer(aLoop,
            [this]() {
-             mTimedOut = true;
+             GiveUp();
              Break(StreamFailure::TimedOut);
            })
   , mIdleSince(aLoop.Now())
@@ -53,9 +53,8 @@
 
 HttpClientStream::~HttpClientStream()
 {
-  if (mDone || mTimedOut) {
-    // A request that nobody waits for must not arrive once a cut is over.
-    ResetAtClose(SocketOf(mStream));
+  if (mDone) {
+    GiveUp();
   }
   bufferevent_free(mStream);
 }
@@ -211,6 +210,13 @@
   Finish(std::move(response));
 }
 
+void
+HttpClientStream::GiveUp()
+{
+  // A request that nobody waits for must not arrive once a cut is over.
+  ResetAtClose(SocketOf(mStream));
+}
+
 void
 HttpClientStream::Break(StreamFailure aFailure)
 {
--- a/Libraries/LibHttp/HttpClientStream.h
+++ b/Libraries/LibHttp/HttpClientStream.h
@@ -92,6 +92,7 @@
   void ReadInput();
   void FinishMessage();
   void NoteKeepAlive();
+  void GiveUp();
   void Break(StreamFailure aFailure);
   void Finish(StreamOutcome aOutcome);
   [[nodiscard]] StreamFailure ClosedFailure() const;
@@ -106,7 +107,6 @@
   Done mDone;
   bool mConnected = false;
   bool mBroken = false;
-  bool mTimedOut = false;
   bool mAnyByte = false;
   std::size_t mExchanges = 0;
   Instant mIdleSince;
--- a/Libraries/LibStore/StoreNewsCodec.cpp
+++ b/Libraries/LibStore/StoreNewsCodec.cpp
@@ -1,9 +1,7 @@
 #include <LibStore/StoreNewsCodec.h>
 
-#include <LibCore/Overloaded.h>
 #include <LibCore/Verify.h>
-#include <LibWire/FieldReader.h>
-#include <LibWire/FieldWriter.h>
+#include <LibWire/SingleMessage.h>
 
 #include <array>
 #include <zlib.h>
@@ -40,12 +38,14 @@
   return compressed;
 }
 
-std::string
+Result<std::string>
 Inflated(std::string_view aBytes)
 {
   z_stream stream{};
   if (inflateInit(&stream) != Z_OK) {
-    throw MalformedField("zlib did not start");
+    return Error{
+      Step::Store, ErrorCode::InvalidInput, "", "zlib did not start"
+    };
   }
   // zlib does not change its input, but takes it without const.
   stream.next_in =
@@ -63,7 +63,10 @@
   const bool whole = result == Z_STREAM_END && stream.avail_in == 0;
   inflateEnd(&stream);
   if (!whole) {
-    throw MalformedField("compressed bytes that are cut, wrong or too many");
+    return Error{ Step::Store,
+                  ErrorCode::InvalidInput,
+                  "",
+                  "compressed bytes that are cut, wrong or too many" };
   }
   return inflated;
 }
@@ -133,33 +136,33 @@
   return changes;
 }
 
+StoreNews
+ReadNews(FieldReader* aReader)
+{
+  if (aReader->Enumerator(Kind::Changes) == Kind::Copy) {
+    return ReadCopy(aReader);
+  }
+  return ReadChanges(aReader);
+}
+
 } // namespace
 
 std::string
 EncodeStoreNews(const StoreNews& aNews)
 {
-  FieldWriter writer(1);
-  writer.BeginMessage();
-  std::visit([&](const auto& aWhat) { Write(aWhat, &writer); }, aNews);
-  writer.EndMessage();
-  return Compressed(writer.TakeBytes());
+  return Compressed(EncodeSingleMessage([&](FieldWriter* aWriter) {
+    std::visit([&](const auto& aWhat) { Write(aWhat, aWriter); }, aNews);
+  }));
 }
 
 Result<StoreNews>
 DecodeStoreNews(std::string_view aBytes)
 {
-  try {
-    const std::string plain = Inflated(aBytes);
-    const UnpackedBytes bytes(plain);
-    FieldReader batch = bytes.Root();
-    FieldReader reader = batch.Array();
-    if (reader.Enumerator(Kind::Changes) == Kind::Copy) {
-      return StoreNews(ReadCopy(&reader));
-    }
-    return StoreNews(ReadChanges(&reader));
-  } catch (const std::exception& problem) {
-    return Error{ Step::Store, ErrorCode::InvalidInput, "", problem.what() };
+  const Result<std::string> plain = Inflated(aBytes);
+  if (IsError(plain)) {
+    return ErrorOf(plain);
   }
+  return DecodeSingleMessage<StoreNews>(ValueOf(plain), Step::Store, ReadNews);
 }
 
 } // namespace verbenachute
--- a/Tests/LibForward/TestDelegation.cpp
+++ b/Tests/LibForward/TestDelegation.cpp
@@ -28,6 +28,20 @@
   return report;
 }
 
+/// An order of another node for a path of the rig.
+DelegatedOrder
+Order(std::vector<std::size_t> aPlaces, const std::string& aPath = "/gather/1")
+{
+  CallerRequest request;
+  request.mMethod = "GET";
+  request.mTarget = aPath;
+  request.mHost = "h.example";
+  return DelegatedOrder{ std::make_shared<const CallerRequest>(request),
+                         PlanVersion(1),
+                         std::move(aPlaces),
+                         milliseconds(500) };
+}
+
 void
 Tell(ForwardRig* aRig, DelegationNumber aNumber, const DelegationAnswer& aWhat)
 {
@@ -273,16 +287,8 @@
 {
   ForwardRig rig(4, 1);
   rig.ListSpread(4);
-  CallerRequest request;
-  request.mMethod = "GET";
-  request.mTarget = "/gather/1";
-  request.mHost = "h.example";
   const RequestNumber number(900);
-  const DelegatedOrder order{ std::make_shared<const CallerRequest>(request),
-                              PlanVersion(1),
-                              { 1, 3 },
-                              milliseconds(500) };
-  rig.Take(rig.mEngine.SubmitDelegated(number, order, rig.mNow));
+  rig.Take(rig.mEngine.SubmitDelegated(number, Order({ 1, 3 }), rig.mNow));
   REQUIRE(rig.Open().size() == 2);
   CHECK(rig.mDelegated.empty());
   SUBCASE("all answer in time: one report")
@@ -357,11 +363,7 @@
 {
   ForwardRig rig(4, 1);
   rig.ListSpread(4);
-  CallerRequest request;
-  request.mMethod = "GET";
-  request.mTarget = "/gather/1";
-  request.mHost = "h.example";
-  DelegatedOrder order{ nullptr, PlanVersion(1), { 1 }, milliseconds(500) };
+  DelegatedOrder order = Order({ 1 });
   RefusalReason reason = RefusalReason::NoPlan;
   SUBCASE("another plan")
   {
@@ -377,18 +379,17 @@
   }
   SUBCASE("no query over shards")
   {
-    request.mTarget = "/single/1";
+    order = Order({ 1 }, "/single/1");
   }
   SUBCASE("no such route")
   {
-    request.mTarget = "/elsewhere/1";
+    order = Order({ 1 }, "/elsewhere/1");
   }
   SUBCASE("no time")
   {
     order.mTimeLeft = Duration(0);
     reason = RefusalReason::TooLate;
   }
-  order.mRequest = std::make_shared<const CallerRequest>(request);
   rig.Take(rig.mEngine.SubmitDelegated(RequestNumber(900), order, rig.mNow));
   CHECK(rig.mSent.empty());
   REQUIRE(rig.mReports.size() == 1);
@@ -403,15 +404,8 @@
   rig.ListSpread(4);
   rig.mContent.mVersion = PlanVersion(2);
   rig.mEngine.SetPlan(std::make_shared<const ServingPlan>(rig.mContent));
-  CallerRequest request;
-  request.mMethod = "GET";
-  request.mTarget = "/gather/1";
-  request.mHost = "h.example";
-  const DelegatedOrder order{ std::make_shared<const CallerRequest>(request),
-                              PlanVersion(1),
-                              { 1 },
-                              milliseconds(500) };
-  rig.Take(rig.mEngine.SubmitDelegated(RequestNumber(900), order, rig.mNow));
+  rig.Take(
+    rig.mEngine.SubmitDelegated(RequestNumber(900), Order({ 1 }), rig.mNow));
   CHECK(rig.Open().size() == 1);
 }
 
