--- a/Libraries/LibForward/AttemptBudget.h
+++ b/Libraries/LibForward/AttemptBudget.h
@@ -8,9 +8,11 @@
 
 namespace verbenachute {
 
-/// Purpose of an attempt beyond the first.
+/// Purpose of an attempt at a target.
 enum class AttemptPurpose
 {
+  /// The first attempt of a part, which takes nothing from the budget.
+  First,
   /// A second target is sent the request while the first may still answer.
   /// Hedges leave a reserve for retries.
   Hedge,
--- a/Libraries/LibForward/ForwardAction.h
+++ b/Libraries/LibForward/ForwardAction.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
+#include <LibForward/AttemptBudget.h>
 #include <LibForward/CallerRequest.h>
 #include <LibForward/Delegation.h>
 #include <LibForward/PartReply.h>
@@ -102,6 +103,9 @@
   Duration mTimeLeft{ 0 };
   /// Maximum number of connections from this node to the target.
   std::uint32_t mMaximumConnections = 1;
+  AttemptPurpose mPurpose = AttemptPurpose::First;
+  /// Whether the target is in another failure domain than this node.
+  bool mCrossesDomains = false;
 };
 
 /// Closes the connection of an attempt whose result is not needed any more.
--- a/Libraries/LibHttp/HttpClientStream.cpp
+++ b/Libraries/LibHttp/HttpClientStream.cpp
@@ -74,11 +74,24 @@
     mReader.ExpectNoBody();
   }
   if (mConnected) {
-    bufferevent_write(
-      mStream, mExchange.mRequest.data(), mExchange.mRequest.size());
+    WriteRequest();
   }
 }
 
+void
+HttpClientStream::WriteRequest()
+{
+  mTransferredBytes += mExchange.mRequest.size();
+  bufferevent_write(
+    mStream, mExchange.mRequest.data(), mExchange.mRequest.size());
+}
+
+std::size_t
+HttpClientStream::TakeTransferredBytes()
+{
+  return std::exchange(mTransferredBytes, 0);
+}
+
 void
 HttpClientStream::OnReadable(bufferevent*, void* aSelf)
 {
@@ -92,9 +105,7 @@
   if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
     self->mConnected = true;
     if (self->mDone) {
-      bufferevent_write(self->mStream,
-                        self->mExchange.mRequest.data(),
-                        self->mExchange.mRequest.size());
+      self->WriteRequest();
     }
     return;
   }
@@ -137,6 +148,7 @@
     const std::size_t used = mReader.Feed(
       std::string_view(reinterpret_cast<const char*>(bytes), size));
     evbuffer_drain(input, used);
+    mTransferredBytes += used;
     const MessageReader::State state = mReader.Current();
     if (state == MessageReader::State::Complete) {
       if (ShouldSkipResponse()) {
--- a/Libraries/LibHttp/HttpClientStream.h
+++ b/Libraries/LibHttp/HttpClientStream.h
@@ -87,11 +87,14 @@
   /// How long the server keeps an idle connection open, from the Keep-Alive
   /// field of its last response that had one; 60 s without one.
   [[nodiscard]] Duration KeepAliveTimeout() const { return mKeepAliveTimeout; }
+  /// Bytes written and received on this connection since the last call.
+  [[nodiscard]] std::size_t TakeTransferredBytes();
 
 private:
   static void OnReadable(bufferevent* aStream, void* aSelf);
   static void OnEvent(bufferevent* aStream, short aWhat, void* aSelf);
 
+  void WriteRequest();
   void ReadInput();
   void FinishMessage();
   void ReadKeepAliveTimeout();
@@ -112,6 +115,7 @@
   bool mBroken = false;
   bool mResponseStarted = false;
   std::size_t mExchanges = 0;
+  std::size_t mTransferredBytes = 0;
   Instant mIdleSince;
   Duration mKeepAliveTimeout;
 };
--- a/Libraries/LibObservation/MetricCatalogue.cpp
+++ b/Libraries/LibObservation/MetricCatalogue.cpp
@@ -54,8 +54,19 @@
       "Revision of the configuration in force on this node." },
   } };
 
+constexpr std::array<const char*,
+                     static_cast<std::size_t>(TrafficCause::Last) + 1>
+  kTrafficCauses = { "first_attempt", "hedge",     "retry",       "delegation",
+                     "report",        "heartbeat", "store_update" };
+
 } // namespace
 
+const char*
+TrafficCauseName(TrafficCause aCause)
+{
+  return kTrafficCauses[static_cast<std::size_t>(aCause)];
+}
+
 const MetricDescription&
 DescriptionOf(Counter aCounter)
 {
--- a/Libraries/LibObservation/MetricCatalogue.h
+++ b/Libraries/LibObservation/MetricCatalogue.h
@@ -41,6 +41,27 @@
   Last = ConfigurationRevision,
 };
 
+/// What causes bytes between failure domains.
+enum class TrafficCause
+{
+  /// First attempts at targets, with their answers.
+  FirstAttempt,
+  Hedge,
+  Retry,
+  /// Delegations to peers, and their cancellations.
+  Delegation,
+  /// Reports to delegating nodes.
+  Report,
+  Heartbeat,
+  /// Store updates fetched from peers.
+  StoreUpdate,
+  Last = StoreUpdate,
+};
+
+/// The value of the label "cause".
+[[nodiscard]] const char*
+TrafficCauseName(TrafficCause aCause);
+
 /// One row of docs/METRICS.md. The name ends in the unit of the value.
 struct MetricDescription
 {
@@ -62,6 +83,10 @@
   "verbenachute_refused_requests_total",
   "Requests refused, by step, error code and what is known of execution."
 };
+inline constexpr MetricDescription kTrafficMetric = {
+  "verbenachute_cross_domain_bytes_total",
+  "Payload bytes between failure domains that this node has caused, by cause."
+};
 inline constexpr MetricDescription kClassLatencyMetric = {
   "verbenachute_class_latency_seconds",
   "Time from the arrival of a query to its answer, by caller class."
--- a/Libraries/LibObservation/MetricsRegistry.cpp
+++ b/Libraries/LibObservation/MetricsRegistry.cpp
@@ -109,6 +109,12 @@
   ++mSteps[aStep];
 }
 
+void
+MetricsRegistry::AddTraffic(TrafficCause aCause, std::size_t aBytes)
+{
+  mTraffic[static_cast<std::size_t>(aCause)] += aBytes;
+}
+
 void
 MetricsRegistry::CountRefusal(const Error& aError, Execution aExecution)
 {
@@ -142,6 +148,12 @@
     AppendValue(
       &text, DescriptionOf(static_cast<Gauge>(i)), "gauge", mGauges[i]);
   }
+  AppendHeader(&text, kTrafficMetric, "counter");
+  for (std::size_t i = 0; i < mTraffic.size(); ++i) {
+    const char* cause = TrafficCauseName(static_cast<TrafficCause>(i));
+    absl::StrAppend(&text, kTrafficMetric.mName, "{cause=\"", cause);
+    absl::StrAppend(&text, "\"} ", mTraffic[i], "\n");
+  }
   AppendHeader(&text, kStepMetric, "counter");
   for (const auto& [step, count] : mSteps) {
     absl::StrAppend(&text, kStepMetric.mName, "{step=\"", StepName(step));
--- a/Libraries/LibObservation/MetricsRegistry.h
+++ b/Libraries/LibObservation/MetricsRegistry.h
@@ -27,6 +27,8 @@
   void Add(Counter aCounter, std::uint64_t aAmount = 1);
   void Set(Gauge aGauge, std::uint64_t aValue);
   void CountStep(Step aStep);
+  /// Adds payload bytes between this node's failure domain and another one.
+  void AddTraffic(TrafficCause aCause, std::size_t aBytes);
   void CountRefusal(const Error& aError, Execution aExecution);
   void ObserveLatency(const CallerClass& aClass,
                       const CallerId& aCaller,
@@ -45,6 +47,8 @@
     mCounters{};
   std::array<std::uint64_t, static_cast<std::size_t>(Gauge::Last) + 1>
     mGauges{};
+  std::array<std::uint64_t, static_cast<std::size_t>(TrafficCause::Last) + 1>
+    mTraffic{};
   std::map<Step, std::uint64_t> mSteps;
   std::map<RefusalKey, std::uint64_t> mRefusals;
   Histograms mClasses;
--- a/Services/verbenachuted/StoreLink.cpp
+++ b/Services/verbenachuted/StoreLink.cpp
@@ -221,24 +221,30 @@
 void
 StoreLink::Execute(const FetchFromPeerAction& aAction)
 {
-  const std::optional<SocketAddress> peer =
-    mDependencies.mFindPeer(aAction.mNewerThan);
-  if (!peer.has_value()) {
+  const NodeStatus* peer = mDependencies.mFindPeer(aAction.mNewerThan);
+  if (peer == nullptr) {
     mFollower.OnPeerFailure(mDependencies.mLoop.Now());
     return;
   }
   mPeerStream.reset();
   HttpFields fields;
-  fields.Add("Host", SocketAddressText(*peer));
+  fields.Add("Host", SocketAddressText(peer->mPeerAddress));
   const std::string target =
     mFollower.HasCopy()
       ? "/changes?after=" + std::to_string(aAction.mNewerThan.value())
       : "/copy";
+  const bool crossesDomains = peer->mDomain != mDependencies.mDomain;
   Call(&mPeerStream,
-       *peer,
+       peer->mPeerAddress,
        SerializeRequest("GET", target, fields, ""),
        kPeerTimeout,
-       [this](const StreamOutcome& aOutcome) { OnPeerResponse(aOutcome); });
+       [this, crossesDomains](const StreamOutcome& aOutcome) {
+         const std::size_t bytes = mPeerStream->TakeTransferredBytes();
+         if (crossesDomains) {
+           mDependencies.mMetrics.AddTraffic(TrafficCause::StoreUpdate, bytes);
+         }
+         OnPeerResponse(aOutcome);
+       });
 }
 
 void
--- a/Services/verbenachuted/StoreLink.h
+++ b/Services/verbenachuted/StoreLink.h
@@ -25,9 +25,11 @@
   {
     EventLoop& mLoop;
     Logger& mLogger;
-    /// Returns the address of a peer that knows changes after a revision; empty
+    /// Failure domain of this node.
+    FailureDomain mDomain;
+    /// Returns the status of a peer that knows changes after a revision; null
     /// if there is none.
-    std::function<std::optional<SocketAddress>(StoreRevision)> mFindPeer;
+    std::function<const NodeStatus*(StoreRevision)> mFindPeer;
     /// Called with the changes to the mirror, which may be none.
     std::function<void(const StoreMirror::Changes&)> mOnChanged;
     MetricsRegistry& mMetrics;
--- a/Services/verbenachuted/TargetConnectionPool.cpp
+++ b/Services/verbenachuted/TargetConnectionPool.cpp
@@ -2,6 +2,7 @@
 
 #include <platform/RequestWire.h>
 
+#include <LibCore/Verify.h>
 #include <LibForward/IdleConnections.h>
 
 #include <algorithm>
@@ -23,12 +24,28 @@
                          aStream.KeepAliveTimeout() };
 }
 
+TrafficCause
+TrafficCauseOf(AttemptPurpose aPurpose)
+{
+  switch (aPurpose) {
+    case AttemptPurpose::First:
+      return TrafficCause::FirstAttempt;
+    case AttemptPurpose::Hedge:
+      return TrafficCause::Hedge;
+    case AttemptPurpose::Retry:
+      return TrafficCause::Retry;
+  }
+  VERIFY(!"unknown purpose");
+}
+
 } // namespace
 
 TargetConnectionPool::TargetConnectionPool(EventLoop& aLoop,
+                                           MetricsRegistry& aMetrics,
                                            ReplyArrived aReplyArrived,
                                            AttemptFailed aAttemptFailed)
   : mLoop(aLoop)
+  , mMetrics(aMetrics)
   , mReplyArrived(std::move(aReplyArrived))
   , mAttemptFailed(std::move(aAttemptFailed))
 {
@@ -93,6 +110,10 @@
     return;
   }
   connection->mAttempt = attempt;
+  connection->mTrafficCause.reset();
+  if (aAction.mCrossesDomains) {
+    connection->mTrafficCause = TrafficCauseOf(aAction.mPurpose);
+  }
   const SocketAddress address = aAction.mAddress;
   mAttempts[attempt] = { address, connection };
   connection->mStream->Send(
@@ -113,6 +134,7 @@
     return;
   }
   aConnection->mAttempt.reset();
+  CountTraffic(*aConnection);
   if (aConnection->mStream->IsBroken()) {
     Drop(aAddress, aConnection);
   }
@@ -125,6 +147,15 @@
     platform::ReadTargetResponse(std::move(std::get<HttpResponse>(aOutcome))));
 }
 
+void
+TargetConnectionPool::CountTraffic(Connection& aConnection)
+{
+  const std::size_t bytes = aConnection.mStream->TakeTransferredBytes();
+  if (aConnection.mTrafficCause.has_value()) {
+    mMetrics.AddTraffic(*aConnection.mTrafficCause, bytes);
+  }
+}
+
 void
 TargetConnectionPool::Drop(const SocketAddress& aAddress,
                            const std::shared_ptr<Connection>& aConnection)
@@ -155,6 +186,7 @@
   const std::pair<SocketAddress, std::shared_ptr<Connection>> entry =
     found->second;
   mAttempts.erase(found);
+  CountTraffic(*entry.second);
   Drop(entry.first, entry.second);
   // The callback of the running exchange refers to the connection, which owns
   // the stream. Taking the stream out breaks this cycle, and the deferred task
--- a/Services/verbenachuted/TargetConnectionPool.h
+++ b/Services/verbenachuted/TargetConnectionPool.h
@@ -2,6 +2,7 @@
 
 #include <LibForward/ForwardAction.h>
 #include <LibHttp/HttpClientStream.h>
+#include <LibObservation/MetricsRegistry.h>
 #include <LibTransport/EventLoop.h>
 
 #include <functional>
@@ -20,7 +21,9 @@
   using ReplyArrived = std::function<void(AttemptId, PartReply)>;
   using AttemptFailed = std::function<void(AttemptId, AttemptFailure)>;
 
+  /// Bytes of attempts that cross failure domains are added to aMetrics.
   TargetConnectionPool(EventLoop& aLoop,
+                       MetricsRegistry& aMetrics,
                        ReplyArrived aReplyArrived,
                        AttemptFailed aAttemptFailed);
 
@@ -43,6 +46,9 @@
   {
     std::unique_ptr<HttpClientStream> mStream;
     std::optional<AttemptId> mAttempt;
+    /// Cause of the bytes of the running attempt; empty if it stays within the
+    /// failure domain.
+    std::optional<TrafficCause> mTrafficCause;
   };
   using Connections = std::vector<std::shared_ptr<Connection>>;
 
@@ -52,10 +58,12 @@
               const SocketAddress& aAddress,
               AttemptId aAttempt,
               StreamOutcome aOutcome);
+  void CountTraffic(Connection& aConnection);
   void Drop(const SocketAddress& aAddress,
             const std::shared_ptr<Connection>& aConnection);
 
   EventLoop& mLoop;
+  MetricsRegistry& mMetrics;
   ReplyArrived mReplyArrived;
   AttemptFailed mAttemptFailed;
   std::map<SocketAddress, Connections> mConnections;
--- a/Tests/LibObservation/TestMetricsRegistry.cpp
+++ b/Tests/LibObservation/TestMetricsRegistry.cpp
@@ -21,6 +21,8 @@
   registry.Add(Counter::Hedges, 3);
   registry.Set(Gauge::MembersAlive, 9);
   registry.CountStep(Step::Gate);
+  registry.AddTraffic(TrafficCause::Hedge, 1200);
+  registry.AddTraffic(TrafficCause::Hedge, 50);
   registry.CountRefusal(Error{ Step::Admission, ErrorCode::Overloaded, "", "" },
                         Execution::NotRun);
   registry.ObserveLatency(
@@ -30,6 +32,8 @@
   for (const char* line :
        { "verbenachute_hedges_total 3\n",
          "verbenachute_members_alive_nodes 9\n",
+         "verbenachute_cross_domain_bytes_total{cause=\"hedge\"} 1250\n",
+         "verbenachute_cross_domain_bytes_total{cause=\"report\"} 0\n",
          "verbenachute_step_requests_total{step=\"gate\"} 1\n",
          "verbenachute_refused_requests_total{step=\"admission\","
          "code=\"overloaded\",ran=\"not run\"} 1\n",
