LibGossip: Announce store changes within the failure domain only

A new plan and readiness still go everywhere at once. Unchanged entries go along in each fourth round.

Ruled out: leaving the plan to the rounds as well.

--- a/Libraries/LibGossip/GossipTable.cpp
+++ b/Libraries/LibGossip/GossipTable.cpp
@@ -141,9 +141,11 @@
   selected.insert(selected.end(), relayedPeers.begin(), relayedPeers.end());
   selected.resize(std::min(
     selected.size(), mSettings.mMaximumEntries * mSettings.mMaximumDatagrams));
-  // One more entry, so that a node that started late finds the others.
+  const bool isDue = mSelf.mGossipRole == GossipRole::Relayed ||
+                     mRoundCount % mSettings.mUnchangedEntryInterval == 0;
   const bool hasRoom =
-    selected.empty() || selected.size() % mSettings.mMaximumEntries != 0;
+    isDue &&
+    (selected.empty() || selected.size() % mSettings.mMaximumEntries != 0);
   if (hasRoom && !others.empty()) {
     selected.push_back(others.front());
   }
@@ -164,7 +166,7 @@
 }
 
 std::vector<GossipTable::Datagram>
-GossipTable::BuildDatagrams(Instant aNow)
+GossipTable::BuildDatagrams(AnnouncementScope aScope, Instant aNow)
 {
   std::vector<Datagram> datagrams;
   const auto add = [&](const std::vector<SocketAddress>& aTo,
@@ -182,7 +184,9 @@
   }
   const Receivers receivers = DirectNodeReceivers(aNow);
   add(receivers.mOwnDomain, &Peer::mRelayToOwnDomain);
-  add(receivers.mOtherDomains, &Peer::mRelayToOtherDomains);
+  if (aScope != AnnouncementScope::OwnDomain) {
+    add(receivers.mOtherDomains, &Peer::mRelayToOtherDomains);
+  }
   return datagrams;
 }
 
@@ -193,12 +197,14 @@
   std::erase_if(mPeers, [&](const auto& aEntry) {
     return aNow - aEntry.second.mLastUpdate > kForgetTimeout;
   });
+  ++mRoundCount;
   const bool skipsRound = mSelf.mGossipRole == GossipRole::Relayed &&
-                          ++mRoundCount % mSettings.mRelayedRoundInterval != 0;
+                          mRoundCount % mSettings.mRelayedRoundInterval != 0;
   if (skipsRound) {
     return {};
   }
-  std::vector<Datagram> datagrams = BuildDatagrams(aNow);
+  std::vector<Datagram> datagrams =
+    BuildDatagrams(AnnouncementScope::GossipPeers, aNow);
   for (auto observation = mPoisonObservations.begin();
        observation != mPoisonObservations.end();) {
     observation = --observation->second == 0
@@ -212,8 +218,8 @@
 GossipTable::Announce(AnnouncementScope aScope, Instant aNow)
 {
   ++mSelf.mHeartbeatCount;
-  if (aScope == AnnouncementScope::GossipPeers) {
-    return BuildDatagrams(aNow);
+  if (aScope != AnnouncementScope::AllNodes) {
+    return BuildDatagrams(aScope, aNow);
   }
   Datagram datagram;
   datagram.mMessage.mStatuses.push_back(mSelf);
@@ -327,6 +333,18 @@
   });
 }
 
+std::size_t
+GossipTable::CountInOtherDomains(
+  const std::vector<SocketAddress>& aAddresses) const
+{
+  const std::set<SocketAddress> addresses(aAddresses.begin(), aAddresses.end());
+  return static_cast<std::size_t>(
+    std::count_if(mPeers.begin(), mPeers.end(), [&](const auto& aEntry) {
+      return !IsInOwnDomain(aEntry.second) &&
+             addresses.contains(aEntry.second.mStatus.mPeerAddress);
+    }));
+}
+
 std::vector<NodeStatus>
 GossipTable::RecentNodesOfOtherDomains(Instant aNow) const
 {
--- a/Libraries/LibGossip/GossipTable.h
+++ b/Libraries/LibGossip/GossipTable.h
@@ -12,6 +12,9 @@
 /// Receivers of an announcement.
 enum class AnnouncementScope
 {
+  /// The receivers of a regular round within this node's failure domain. Nodes
+  /// of other domains hear of it in the next round.
+  OwnDomain,
   /// The receivers of a regular round, which relay it.
   GossipPeers,
   /// Every node that is alive.
@@ -49,6 +52,9 @@
     /// simultaneous start of all nodes, a round goes to mStartupFanout of them.
     std::size_t mStartupThreshold = 24;
     std::size_t mStartupFanout = 6;
+    /// Rounds from one entry of an unchanged node to the next. Such entries let
+    /// a node that started late find the others.
+    unsigned mUnchangedEntryInterval = 4;
     /// With up to this number of peers each node sends to all of them.
     std::size_t mFullMeshLimit = 12;
     std::uint64_t mSeed = 1;
@@ -100,6 +106,10 @@
   [[nodiscard]] std::vector<NodeStatus> ServingNodes(Instant aNow) const;
   /// Whether a node of another failure domain is alive.
   [[nodiscard]] bool ReachesOtherDomains(Instant aNow) const;
+  /// Number of the addresses that belong to nodes known to be in another
+  /// failure domain.
+  [[nodiscard]] std::size_t CountInOtherDomains(
+    const std::vector<SocketAddress>& aAddresses) const;
   /// Nodes of other failure domains whose latest status is Serving and not
   /// older than kOtherDomainRetention; sorted by name.
   [[nodiscard]] std::vector<NodeStatus> RecentNodesOfOtherDomains(
@@ -156,7 +166,8 @@
                                                          Instant aNow);
   [[nodiscard]] static bool IsRecentlyChanged(const Peer& aPeer, Instant aNow);
   [[nodiscard]] bool IsInOwnDomain(const Peer& aPeer) const;
-  [[nodiscard]] std::vector<Datagram> BuildDatagrams(Instant aNow);
+  [[nodiscard]] std::vector<Datagram> BuildDatagrams(AnnouncementScope aScope,
+                                                     Instant aNow);
   [[nodiscard]] Receivers DirectNodeReceivers(Instant aNow);
   [[nodiscard]] std::vector<SocketAddress> RelayedNodeReceivers(Instant aNow);
   /// Nodes in domains without a direct node, if this node is one of those that
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -48,6 +48,7 @@
   , mGossipPort(std::move(aGossipPort))
   , mPool(
       *mLoop,
+      mMetrics,
       [this](AttemptId aAttempt, PartReply aReply) {
         Perform(mEngine.OnReply(aAttempt, std::move(aReply), mLoop->Now()));
       },
@@ -58,11 +59,9 @@
            aSettings.PlatformAddress(),
            { *mLoop,
              mLogger,
+             mGossip.Self().mDomain,
              [this](StoreRevision aNewerThan) {
-               const NodeStatus* peer =
-                 mGossip.PeerWithNewerStore(aNewerThan, mLoop->Now());
-               return peer == nullptr ? std::nullopt
-                                      : std::optional(peer->mPeerAddress);
+               return mGossip.PeerWithNewerStore(aNewerThan, mLoop->Now());
              },
              [this](const StoreMirror::Changes& aChanges) {
                OnStoreChanges(aChanges);
@@ -78,8 +77,8 @@
   , mGossipTimer(*mLoop, [this]() { OnGossipTick(); })
   , mAnnounceTimer(*mLoop,
                    [this]() {
-                     mGossipPort->Send(mGossip.Announce(
-                       AnnouncementScope::GossipPeers, mLoop->Now()));
+                     SendGossip(mGossip.Announce(AnnouncementScope::OwnDomain,
+                                                 mLoop->Now()));
                    })
   , mShutdownTimer(*mLoop, [this]() { OnShutdownTick(); })
   , mIdleTimer(*mLoop,
@@ -140,13 +139,25 @@
   }
 }
 
+void
+EntryNode::Parts::SendGossip(
+  const std::vector<GossipTable::Datagram>& aDatagrams)
+{
+  for (const GossipTable::Datagram& datagram : aDatagrams) {
+    const std::size_t bytes = mGossipPort->Send(datagram);
+    mMetrics.AddTraffic(TrafficCause::Heartbeat,
+                        bytes *
+                          mGossip.CountInOtherDomains(datagram.mReceivers));
+  }
+}
+
 void
 EntryNode::Parts::OnGossipTick()
 {
   const Instant now = mLoop->Now();
   UpdateOwnStatus();
   mGossip.SetUsedMillicores(mCpuUsage.Millicores(now));
-  mGossipPort->Send(mGossip.Round(now));
+  SendGossip(mGossip.Round(now));
   UpdateAdvertisedNodes(now);
   mEngine.SetNodes(mRecentlyAdvertised.Current(now), mSelf.mName);
   mGossipTimer.Start(GossipTable::Settings().mPeriod);
@@ -174,7 +185,7 @@
   mGossip.SetGossipRole(isAdvertised ? GossipRole::Direct
                                      : GossipRole::Relayed);
   if (mGossip.Self().mGossipRole != before) {
-    mGossipPort->Send(mGossip.Announce(AnnouncementScope::GossipPeers, aNow));
+    SendGossip(mGossip.Announce(AnnouncementScope::GossipPeers, aNow));
   }
 }
 
@@ -218,6 +229,7 @@
 EntryNode::Parts::OnStoreChanges(const StoreMirror::Changes& aChanges)
 {
   const bool wasReady = IsReady();
+  const ServingPlanPointer planBefore = mEngine.Plan();
   const Revision before = mEntryState.Intent().RevisionInForce();
   mEntryState.Apply(aChanges, mStore.Follower(), mLoop->Now());
   const std::string nodes = platform::OwnKeyText("nodes/");
@@ -241,9 +253,14 @@
   if (mEngine.Plan() && mCallerListener) {
     mCallerListener->SetLimits(LimitsOf(mEngine.Plan()->Limits()));
   }
-  // Peers may fetch these changes from this node, so they are announced without
-  // waiting for the next round.
-  if (!aChanges.empty() || (!wasReady && IsReady())) {
+  if ((!wasReady && IsReady()) || mEngine.Plan() != planBefore) {
+    // Nodes of other domains send callers here and delegate shards by the same
+    // plan from now on.
+    UpdateOwnStatus();
+    SendGossip(mGossip.Announce(AnnouncementScope::GossipPeers, mLoop->Now()));
+  } else if (!aChanges.empty()) {
+    // Peers may fetch these changes from this node, so they are announced
+    // without waiting for the next round.
     UpdateOwnStatus();
     if (!mAnnounceTimer.IsRunning()) {
       mAnnounceTimer.Start(kAnnounceDelay);
@@ -283,7 +300,7 @@
   mLogger.Log(LogEvent(EventNumber::ShutdownStarted).At(Step::Shutdown));
   mShutdown.OnStop(now);
   UpdateOwnStatus();
-  mGossipPort->Send(mGossip.Announce(AnnouncementScope::AllNodes, now));
+  SendGossip(mGossip.Announce(AnnouncementScope::AllNodes, now));
   OnShutdownTick();
 }
 
--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -52,6 +52,7 @@
   void OnPeerCall(const CallPointer& aCall);
   void OnGossip(const GossipMessage& aMessage);
   void OnGossipTick();
+  void SendGossip(const std::vector<GossipTable::Datagram>& aDatagrams);
   [[nodiscard]] GatherPort::Hooks GatherHooks();
   void OnDelegationRequest(RequestNumber aNumber,
                            const DelegationRequest& aRequest);
--- a/Services/verbenachuted/GossipPort.cpp
+++ b/Services/verbenachuted/GossipPort.cpp
@@ -57,21 +57,20 @@
   }
 }
 
-void
-GossipPort::Send(const std::vector<GossipTable::Datagram>& aDatagrams) const
+std::size_t
+GossipPort::Send(const GossipTable::Datagram& aDatagram) const
 {
-  for (const GossipTable::Datagram& datagram : aDatagrams) {
-    const std::string bytes = EncodeGossip(datagram.mMessage);
-    for (const SocketAddress& receiver : datagram.mReceivers) {
-      const sockaddr_in address = SocketAddressOf(receiver);
-      static_cast<void>(sendto(mSocket,
-                               bytes.data(),
-                               bytes.size(),
-                               0,
-                               reinterpret_cast<const sockaddr*>(&address),
-                               sizeof(address)));
-    }
+  const std::string bytes = EncodeGossip(aDatagram.mMessage);
+  for (const SocketAddress& receiver : aDatagram.mReceivers) {
+    const sockaddr_in address = SocketAddressOf(receiver);
+    static_cast<void>(sendto(mSocket,
+                             bytes.data(),
+                             bytes.size(),
+                             0,
+                             reinterpret_cast<const sockaddr*>(&address),
+                             sizeof(address)));
   }
+  return bytes.size();
 }
 
 void
--- a/Services/verbenachuted/GossipPort.h
+++ b/Services/verbenachuted/GossipPort.h
@@ -29,9 +29,10 @@
   {
     mOnReceived = std::move(aOnReceived);
   }
+  /// Sends one message to all of its receivers and returns its size in bytes.
   /// Send errors are ignored: datagrams may be lost in any case, and gossip is
   /// repeated in later rounds.
-  void Send(const std::vector<GossipTable::Datagram>& aDatagrams) const;
+  std::size_t Send(const GossipTable::Datagram& aDatagram) const;
   /// Number of datagrams that could not be decoded.
   [[nodiscard]] std::uint64_t Malformed() const { return mMalformed; }
 
--- a/Tests/LibGossip/TestGossipTable.cpp
+++ b/Tests/LibGossip/TestGossipTable.cpp
@@ -305,6 +305,29 @@
   CHECK(fleet.mLargestBytes < 250);
 }
 
+TEST_CASE("Changes of the store that come in quick succession cost nothing "
+          "between domains, and are known there after the next round")
+{
+  Fleet fleet(9);
+  fleet.Advance(seconds(5));
+  fleet.mCrossDomainBytes = 0;
+  for (std::uint64_t revision = 1; revision <= 20; ++revision) {
+    fleet.At(1).SetVersions(
+      StoreRevision(revision), milliseconds(1), PlanVersion(1), Revision(0));
+    fleet.Deliver(
+      fleet.At(1).Announce(AnnouncementScope::OwnDomain, fleet.mNow));
+  }
+  CHECK(fleet.mCrossDomainBytes == 0);
+  // Node 5 is in the same domain.
+  CHECK(fleet.At(5).PeerWithNewerStore(StoreRevision(19), fleet.mNow) !=
+        nullptr);
+  CHECK(fleet.At(2).PeerWithNewerStore(StoreRevision(19), fleet.mNow) ==
+        nullptr);
+  fleet.Advance(GossipTable::Settings().mPeriod);
+  CHECK(fleet.At(2).PeerWithNewerStore(StoreRevision(19), fleet.mNow) !=
+        nullptr);
+}
+
 TEST_CASE("A poison observation reaches each node once")
 {
   Fleet fleet(8);
