--- a/Libraries/LibForward/Delegation.h
+++ b/Libraries/LibForward/Delegation.h
@@ -15,6 +15,16 @@
 /// Number of a delegation, unique within the delegating node and never reused.
 using DelegationNumber = Strong<struct DelegationNumberTag, std::uint64_t>;
 
+/// Whether a peer may leave a shard to others.
+enum class DelegationUrgency
+{
+  /// The peer asks no target of a shard if targets elsewhere would answer
+  /// sooner.
+  IfPreferred,
+  /// The peer asks a target in any case: there is no better one.
+  Always,
+};
+
 /// Shards of a query that a node delegates to a peer in the failure domain of
 /// their targets. The peer makes one attempt for each shard. Hedges and retries
 /// are left to the delegating node, so that the attempts of both nodes are
@@ -28,6 +38,9 @@
   std::vector<std::size_t> mShardIndexes;
   /// Time until the deadline of the request.
   Duration mTimeLeft{ 0 };
+  DelegationUrgency mUrgency = DelegationUrgency::IfPreferred;
+  /// Records below this one are not needed; empty if all are.
+  std::string mFloor;
 };
 
 /// A shard whose target has answered.
@@ -36,6 +49,8 @@
   std::size_t mShardIndex = 0;
   /// Proof that the target answered this request; never empty.
   std::string mSignature;
+  /// Its records among the greatest of the report, in descending order.
+  std::string mRecords;
 
   friend bool operator==(const AnsweredShard&, const AnsweredShard&) = default;
 };
@@ -67,8 +82,8 @@
 struct DelegationReport
 {
   std::vector<AnsweredShard> mAnswered;
-  /// The greatest records of all answers in this report, in descending order.
-  std::string mRecords;
+  /// Answers may lack records below this one; empty if none is missing.
+  std::string mFloor;
   std::vector<UnansweredShard> mUnanswered;
 
   friend bool operator==(const DelegationReport&,
--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -266,6 +266,7 @@
        std::vector<DelegationNumber>(request.mDelegations)) {
     HedgeOverdueDelegation(delegation, &request, aNow);
   }
+  std::vector<std::size_t> late;
   for (std::size_t i = 0; i < request.mParts.size(); ++i) {
     Part& part = request.mParts[i];
     if (part.mState == PartState::Waiting && aNow >= request.mWaitUntil) {
@@ -275,9 +276,10 @@
         aNow >= *part.mHedgeAt) {
       part.mHedgeAt.reset();
       RecordUnresponsiveTargets(part, aNow);
-      HedgePart(aNumber, &request, i, aNow);
+      late.push_back(i);
     }
   }
+  HedgeParts(aNumber, &request, late, aNow);
   Evaluate(aNumber, aNow);
 }
 
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -124,23 +124,17 @@
     bool mMayHaveRun = false;
     /// The answer, or the last failure that a target has signed.
     std::optional<PartReply> mReply;
-    /// Delegation of this part, until the peer reports its end.
-    std::optional<DelegationNumber> mDelegation;
-    /// Index of the peer answer that holds this part, if a peer gathered it.
-    std::optional<std::size_t> mPeerAnswerIndex;
+    /// Domains whose peers have asked no target of this part.
+    DomainSet mDecliningDomains;
+    /// Delegations of this part of which the peer has not reported the end.
+    std::vector<DelegationNumber> mDelegations;
+    /// Records of the answer below this one may be missing; empty if it is
+    /// complete.
+    std::string mFloor;
     /// Whether the delegating node has got a report of the end of this part.
     bool mIsEndReported = false;
   };
 
-  /// Merged answers of several shards from one report of a peer. It is used
-  /// either with all of its shards or not at all, since merged records do not
-  /// show the shard that they come from.
-  struct PeerAnswer
-  {
-    std::string mRecords;
-    std::vector<std::string> mSignatures;
-  };
-
   struct Request
   {
     CallerRequestPointer mRequest;
@@ -148,7 +142,6 @@
     const Route* mRoute = nullptr;
     const ShardSet* mShards = nullptr;
     std::vector<Part> mParts;
-    std::vector<PeerAnswer> mPeerAnswers;
     /// Delegations that have not ended.
     std::vector<DelegationNumber> mDelegations;
     /// Maximum number of targets that are tried for each part, delegated
@@ -158,6 +151,9 @@
     /// of callers.
     std::optional<Instant> mReportAt;
     bool mHasReported = false;
+    /// The delegating node needs no records below this one; empty if it needs
+    /// all.
+    std::string mFloor;
     Instant mDeadline;
     /// Time from which an incomplete answer is preferred to a late one.
     Instant mPartialAnswerAt;
@@ -189,8 +185,9 @@
     /// Index of the peer's failure domain in the table of targets.
     std::size_t mDomain = 0;
     Instant mSent;
-    /// Parts whose end the peer has not reported.
-    std::set<std::size_t> mParts;
+    /// Parts whose end the peer has not reported, each with the target that the
+    /// peer is presumed to have asked.
+    std::map<std::size_t, TargetName> mParts;
     /// When the parts are hedged for lack of a report; empty once the peer has
     /// reported or the time has passed.
     std::optional<Instant> mReportDue;
@@ -202,6 +199,12 @@
     std::deque<std::pair<RequestNumber, std::size_t>> mWaiting;
   };
 
+  enum class TargetScope
+  {
+    AllDomains,
+    OwnDomain,
+  };
+
   struct Choice
   {
     /// Null if no target can be asked now.
@@ -211,6 +214,15 @@
     bool mHasBusyTarget = false;
   };
 
+  /// Parts that a peer gathers for one request.
+  struct PeerBatch
+  {
+    NodeName mPeer;
+    std::vector<std::size_t> mParts;
+  };
+  /// By index of the peer's failure domain.
+  using PeerBatches = std::map<std::size_t, PeerBatch>;
+
   using Requests = std::map<RequestNumber, Request>;
   using WakeQueue = std::set<std::pair<Instant, RequestNumber>>;
 
@@ -236,19 +248,37 @@
                                    Instant aNow) const;
 
   // Parts.
-  void StartPart(RequestNumber aNumber,
-                 Request* aRequest,
-                 std::size_t aPart,
-                 Instant aNow);
+  /// Chooses a target of a part that is not delegated. Without one that can be
+  /// asked now, the part waits or fails.
+  [[nodiscard]] TargetRecord* ChooseFirstTarget(RequestNumber aNumber,
+                                                Request* aRequest,
+                                                std::size_t aPart,
+                                                Instant aNow);
+  /// Counts an attempt as the probe of a suspected target or domain.
+  void BeginProbes(TargetRecord* aTarget, Instant aNow);
   void Send(RequestNumber aNumber,
             Request* aRequest,
             std::size_t aPart,
             TargetRecord* aTarget,
+            AttemptPurpose aPurpose,
             Instant aNow);
-  void HedgePart(RequestNumber aNumber,
-                 Request* aRequest,
-                 std::size_t aPart,
-                 Instant aNow);
+  /// Sends a part to the chosen target, or adds it to the batch of a peer near
+  /// the target.
+  void SendOrBatch(RequestNumber aNumber,
+                   Request* aRequest,
+                   std::size_t aPart,
+                   TargetRecord* aTarget,
+                   AttemptPurpose aPurpose,
+                   PeerBatches* aBatches,
+                   Instant aNow);
+  void DelegateBatches(RequestNumber aNumber,
+                       Request* aRequest,
+                       const PeerBatches& aBatches,
+                       Instant aNow);
+  void HedgeParts(RequestNumber aNumber,
+                  Request* aRequest,
+                  const std::vector<std::size_t>& aParts,
+                  Instant aNow);
   /// Sends a part without a running attempt to a further target, or marks it as
   /// failed.
   void RetryPart(RequestNumber aNumber,
@@ -263,6 +293,7 @@
   [[nodiscard]] static bool HasTimeLeft(const Request& aRequest, Instant aNow);
   [[nodiscard]] Choice ChooseTarget(const Request& aRequest,
                                     const Part& aPart,
+                                    TargetScope aScope,
                                     Instant aNow);
   /// Whether the target is ready and the operators' rules let it take work of
   /// the caller.
@@ -295,13 +326,34 @@
   void RecordUnresponsiveTargets(const Part& aPart, Instant aNow);
 
   // Delegations of this node.
-  void DelegateParts(RequestNumber aNumber, Request* aRequest, Instant aNow);
-  /// For each part the failure domains that hold a target of it and have a
-  /// peer; none for a part that has a usable target in this node's domain.
-  [[nodiscard]] std::vector<DomainSet> RemoteHolders(
+  /// Delegates those of the parts that a peer is expected to gather sooner than
+  /// this node, or that have no target in this node's domain.
+  void DelegateParts(RequestNumber aNumber,
+                     Request* aRequest,
+                     const std::vector<std::size_t>& aParts,
+                     Instant aNow);
+  void Delegate(RequestNumber aNumber,
+                Request* aRequest,
+                const DomainShards& aShards,
+                const NodeName& aPeer,
+                DelegationUrgency aUrgency,
+                Instant aNow);
+  /// The least record that can belong to the answer, as far as this node knows
+  /// or expects; empty if it expects nothing.
+  [[nodiscard]] std::string RecordFloor(const Request& aRequest);
+  /// The peer that asks a target of the part in the chosen target's domain;
+  /// null if this node asks the target itself.
+  [[nodiscard]] const NodeName* PeerNear(const Request& aRequest,
+                                         const Part& aPart,
+                                         const TargetRecord& aTarget,
+                                         Instant aNow);
+  /// The failure domains whose peers are expected to gather the part soonest;
+  /// none if this node's own domain has a target that is about as fast.
+  [[nodiscard]] DomainSet PreferredRemoteDomains(
     const Request& aRequest,
+    const Part& aPart,
     const std::vector<const NodeName*>& aPeers,
-    Instant aNow) const;
+    Instant aNow);
   /// The peer to use in each failure domain of the table of targets; null for
   /// this node's domain and for domains without a suitable peer.
   [[nodiscard]] std::vector<const NodeName*> PeersByDomain(
@@ -326,14 +378,20 @@
                    const DelegationReport& aReport,
                    Request* aRequest,
                    Instant aNow);
-  void AddPeerAnswer(const DelegationReport& aReport,
-                     Request* aRequest,
-                     Instant aNow);
-  /// Restarts a part for which the peer has asked no target.
-  void RestartPart(RequestNumber aNumber,
-                   Request* aRequest,
-                   std::size_t aPart,
-                   Instant aNow);
+  /// Takes the answers of a report for the parts that have none yet.
+  void AddPeerAnswers(const DelegationReport& aReport,
+                      Request* aRequest,
+                      Instant aNow);
+  /// Delegates or sends the parts that neither run nor have ended.
+  void StartParts(RequestNumber aNumber,
+                  Request* aRequest,
+                  const std::vector<std::size_t>& aParts,
+                  Instant aNow);
+  /// Restarts the parts for which the peer has asked no target.
+  void RestartParts(RequestNumber aNumber,
+                    Request* aRequest,
+                    const std::map<std::size_t, TargetName>& aParts,
+                    Instant aNow);
   /// Ends a delegation for which the peer has asked no target, and restarts its
   /// parts.
   void RestartDelegatedParts(DelegationNumber aDelegation,
@@ -347,12 +405,21 @@
   /// Removes a delegation to which no part refers any more.
   void EndDelegation(DelegationNumber aDelegation, Request* aRequest);
   /// Ends a delegation and returns the parts whose end the peer has not
-  /// reported.
-  [[nodiscard]] std::set<std::size_t> ReclaimParts(DelegationNumber aDelegation,
-                                                   Request* aRequest);
+  /// reported, each with its presumed target.
+  [[nodiscard]] std::map<std::size_t, TargetName> ReclaimParts(
+    DelegationNumber aDelegation,
+    Request* aRequest);
   void CancelDelegations(Request* aRequest, CancelReason aReason);
 
   // Delegations of peers.
+  /// Sends a delegated part to a target in this node's domain. If a target
+  /// elsewhere would answer sooner, the part ends without an attempt, so that
+  /// the delegating node can turn to a peer there.
+  void StartDelegatedPart(RequestNumber aNumber,
+                          Request* aRequest,
+                          std::size_t aPart,
+                          DelegationUrgency aUrgency,
+                          Instant aNow);
   /// The current or the previous plan; null for any other version.
   [[nodiscard]] ServingPlanPointer PlanOf(PlanVersion aVersion) const;
   void RefuseDelegated(RequestNumber aNumber, RefusalReason aReason);
@@ -373,7 +440,19 @@
   /// Ends a request without an answer: as refused if it has not run, else as
   /// failed.
   void FinishUnanswered(RequestNumber aNumber, Request* aRequest, Instant aNow);
-  [[nodiscard]] ForwardOutcome MergeParts(const Request& aRequest) const;
+  [[nodiscard]] GatheredOutcome MergeParts(const Request& aRequest) const;
+  /// The greatest records of the parts that are done, up to the number that
+  /// the caller gets.
+  [[nodiscard]] static std::string MergedRecords(const Request& aRequest);
+  /// Indexes of the parts of which a missing record might belong to the answer.
+  [[nodiscard]] static std::vector<std::size_t> InexactParts(
+    const Request& aRequest,
+    const std::string& aRecords);
+  /// Drops the answers of these parts and asks again.
+  void RepeatParts(RequestNumber aNumber,
+                   Request* aRequest,
+                   const std::vector<std::size_t>& aParts,
+                   Instant aNow);
   void Finish(RequestNumber aNumber, ForwardOutcome aOutcome, Instant aNow);
   /// Records a poison observation for each target whose connection was lost,
   /// unless some part of the request was answered: the request may have crashed
--- a/Libraries/LibForward/ForwardEngineAdmission.cpp
+++ b/Libraries/LibForward/ForwardEngineAdmission.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/Verify.h>
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 // Admission of callers' requests.
@@ -68,12 +69,9 @@
   }
   Request& accepted =
     mRequests.emplace(aNumber, std::move(request)).first->second;
-  DelegateParts(aNumber, &accepted, aNow);
-  for (std::size_t i = 0; i < accepted.mParts.size(); ++i) {
-    if (!accepted.mParts[i].mDelegation.has_value()) {
-      StartPart(aNumber, &accepted, i, aNow);
-    }
-  }
+  std::vector<std::size_t> parts(accepted.mParts.size());
+  std::iota(parts.begin(), parts.end(), std::size_t{ 0 });
+  StartParts(aNumber, &accepted, parts, aNow);
   Evaluate(aNumber, aNow);
   return TakeActions();
 }
--- a/Libraries/LibForward/ForwardEngineDelegated.cpp
+++ b/Libraries/LibForward/ForwardEngineDelegated.cpp
@@ -4,7 +4,6 @@
 #include <LibCore/Verify.h>
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 // Delegations that this node serves for a peer. It makes one attempt for each
@@ -54,6 +53,7 @@
   request.mFingerprint = FingerprintOfRequest(*request.mRequest);
   request.mDeadline = aNow + aRequest.mTimeLeft;
   request.mPartialAnswerAt = request.mDeadline;
+  request.mFloor = aRequest.mFloor;
   for (const std::size_t shard : aRequest.mShardIndexes) {
     Part& part = request.mParts.emplace_back();
     part.mShardIndex = shard;
@@ -70,13 +70,42 @@
   }
   Request& accepted =
     mRequests.emplace(aNumber, std::move(request)).first->second;
+  std::vector<std::size_t> notAsked;
   for (std::size_t i = 0; i < accepted.mParts.size(); ++i) {
-    StartPart(aNumber, &accepted, i, aNow);
+    StartDelegatedPart(aNumber, &accepted, i, aRequest.mUrgency, aNow);
+    if (accepted.mParts[i].mState == PartState::Failed) {
+      notAsked.push_back(i);
+    }
+  }
+  if (!notAsked.empty() && notAsked.size() < accepted.mParts.size()) {
+    Report(aNumber, &accepted, notAsked);
   }
   Evaluate(aNumber, aNow);
   return TakeActions();
 }
 
+void
+ForwardEngine::StartDelegatedPart(RequestNumber aNumber,
+                                  Request* aRequest,
+                                  std::size_t aPart,
+                                  DelegationUrgency aUrgency,
+                                  Instant aNow)
+{
+  Part& part = aRequest->mParts[aPart];
+  const Choice choice = ChooseTarget(*aRequest,
+                                     part,
+                                     aUrgency == DelegationUrgency::Always
+                                       ? TargetScope::OwnDomain
+                                       : TargetScope::AllDomains,
+                                     aNow);
+  if (choice.mTarget == nullptr ||
+      choice.mTarget->Listed().mDomain != mSettings.mDomain) {
+    part.mState = PartState::Failed;
+    return;
+  }
+  Send(aNumber, aRequest, aPart, choice.mTarget, AttemptPurpose::First, aNow);
+}
+
 ForwardActions
 ForwardEngine::OnDelegationCancelled(RequestNumber aNumber,
                                      CancelReason aReason,
@@ -97,6 +126,7 @@
                                  Instant aNow)
 {
   const bool isPastDeadline = aNow >= aRequest->mDeadline;
+  std::vector<std::size_t> unreportedParts;
   std::vector<std::size_t> endedParts;
   std::size_t openParts = 0;
   for (std::size_t i = 0; i < aRequest->mParts.size(); ++i) {
@@ -109,8 +139,11 @@
       ended = true;
     }
     openParts += ended ? 0 : 1;
-    if (ended && !part.mIsEndReported) {
-      endedParts.push_back(i);
+    if (!part.mIsEndReported) {
+      unreportedParts.push_back(i);
+      if (ended) {
+        endedParts.push_back(i);
+      }
     }
   }
   if (!aRequest->mHasReported) {
@@ -118,9 +151,7 @@
       return;
     }
     aRequest->mHasReported = true;
-    endedParts.resize(aRequest->mParts.size());
-    std::iota(endedParts.begin(), endedParts.end(), std::size_t{ 0 });
-    Report(aNumber, aRequest, endedParts);
+    Report(aNumber, aRequest, unreportedParts);
   } else {
     // Each part has a report of its own, so that the peer can discard any of
     // them.
@@ -145,7 +176,7 @@
     part.mIsEndReported = part.mState != PartState::Running;
     if (part.mState == PartState::Done) {
       report.mAnswered.push_back(
-        AnsweredShard{ part.mShardIndex, part.mReply->mSignature });
+        AnsweredShard{ part.mShardIndex, part.mReply->mSignature, "" });
       bodies.push_back(part.mReply->mBody);
       continue;
     }
@@ -160,7 +191,12 @@
         part.mMayHaveRun ? AttemptState::Failed : AttemptState::NotRun;
     }
   }
-  report.mRecords = MergeTopRecords(bodies, aRequest->mShards->mMaximumRecords);
+  SelectedRecords selected = SelectTopRecords(
+    bodies, aRequest->mShards->mMaximumRecords, aRequest->mFloor);
+  report.mFloor = std::move(selected.mFloor);
+  for (std::size_t i = 0; i < report.mAnswered.size(); ++i) {
+    report.mAnswered[i].mRecords = std::move(selected.mParts[i]);
+  }
   const bool last =
     std::all_of(aRequest->mParts.begin(),
                 aRequest->mParts.end(),
--- a/Libraries/LibForward/ForwardEngineDelegation.cpp
+++ b/Libraries/LibForward/ForwardEngineDelegation.cpp
@@ -12,9 +12,10 @@
 
 namespace {
 
-// Minimum number of shards for a delegation. With fewer, the message to the
-// peer costs about as much as asking the targets directly.
-constexpr std::size_t kMinimumDelegatedShards = 2;
+// Minimum number of shards for a delegation. The report on a single shard holds
+// no more records than the answer to the caller, so it is shorter than the
+// part.
+constexpr std::size_t kMinimumDelegatedShards = 1;
 // Part of the remaining time that is reserved for the peer's report on its way
 // back.
 constexpr Duration kReportReserve = milliseconds(2);
@@ -24,8 +25,6 @@
 std::vector<const NodeName*>
 ForwardEngine::PeersByDomain(const Request& aRequest, Instant aNow) const
 {
-  // FIXME: A peer in a domain that DomainReachability suspects is still
-  // used, until it is avoided because it did not answer itself.
   std::vector<const NodeName*> peers;
   for (const FailureDomain& domain : mTargets.Domains()) {
     peers.push_back(domain == mSettings.mDomain
@@ -35,35 +34,55 @@
   return peers;
 }
 
-std::vector<DomainSet>
-ForwardEngine::RemoteHolders(const Request& aRequest,
-                             const std::vector<const NodeName*>& aPeers,
-                             Instant aNow) const
+DomainSet
+ForwardEngine::PreferredRemoteDomains(
+  const Request& aRequest,
+  const Part& aPart,
+  const std::vector<const NodeName*>& aPeers,
+  Instant aNow)
 {
-  const std::size_t own = mTargets.FindDomainIndex(mSettings.mDomain);
-  DomainSet reachable;
-  for (std::size_t index = 0; index < aPeers.size(); ++index) {
-    reachable.set(index, aPeers[index] != nullptr);
-  }
-  std::vector<DomainSet> holders(aRequest.mParts.size());
-  for (std::size_t i = 0; reachable.any() && i < holders.size(); ++i) {
-    for (const TargetRecord* target :
-         mTargets.Of(aRequest.mParts[i].mService)) {
-      if (!MayServe(*target, aRequest.mRequest->mCaller) ||
-          target->IsDown(aNow) || target->IsSuspect(aNow)) {
-        continue;
-      }
-      const std::size_t index = target->DomainIndex();
-      if (index == own) {
-        holders[i].reset();
-        break;
-      }
-      if (index < kMaximumDomains && reachable.test(index)) {
-        holders[i].set(index);
+  const std::uint32_t share =
+    ConnectionShare(aRequest.mPlan->FindService(aPart.mService));
+  const Duration medianLatency = StatisticsOf(*aRequest.mRoute).MedianLatency();
+  std::optional<Duration> ownLatency;
+  std::vector<std::pair<std::size_t, Duration>> remoteLatencies;
+  for (const TargetRecord* target : mTargets.Of(aPart.mService)) {
+    if (!MayServe(*target, aRequest.mRequest->mCaller) ||
+        target->IsDown(aNow) || target->IsSuspect(aNow)) {
+      continue;
+    }
+    const std::size_t domain = target->DomainIndex();
+    const Duration latency = target->ExpectedLatency(medianLatency, aNow);
+    if (target->Listed().mDomain == mSettings.mDomain) {
+      if (target->InFlight() < share) {
+        ownLatency = std::min(ownLatency.value_or(latency), latency);
       }
+    } else if (domain < aPeers.size() && aPeers[domain] != nullptr &&
+               !aPart.mDecliningDomains.test(domain) &&
+               !mDomains.IsSuspected(domain, aNow)) {
+      remoteLatencies.emplace_back(domain, latency);
     }
   }
-  return holders;
+  DomainSet domains;
+  const auto soonest =
+    std::min_element(remoteLatencies.begin(),
+                     remoteLatencies.end(),
+                     [](const auto& aOne, const auto& aOther) {
+                       return aOne.second < aOther.second;
+                     });
+  if (soonest == remoteLatencies.end()) {
+    return domains;
+  }
+  const Duration limit = soonest->second + mSettings.mCrossDomainCost;
+  if (ownLatency.has_value() && *ownLatency <= limit) {
+    return domains;
+  }
+  for (const std::pair<std::size_t, Duration>& remote : remoteLatencies) {
+    if (remote.second <= limit) {
+      domains.set(remote.first);
+    }
+  }
+  return domains;
 }
 
 TargetName
@@ -73,7 +92,12 @@
                               Instant aNow) const
 {
   for (const TargetRecord* target : mTargets.Of(aPart.mService)) {
-    if (target->Listed().mDomain == aDomain && !target->IsDown(aNow) &&
+    const bool wasTried =
+      std::find(aPart.mTriedTargets.begin(),
+                aPart.mTriedTargets.end(),
+                target->Listed().mName) != aPart.mTriedTargets.end();
+    if (target->Listed().mDomain == aDomain && !wasTried &&
+        !target->IsDown(aNow) &&
         MayServe(*target, aRequest.mRequest->mCaller)) {
       return target->Listed().mName;
     }
@@ -84,6 +108,7 @@
 void
 ForwardEngine::DelegateParts(RequestNumber aNumber,
                              Request* aRequest,
+                             const std::vector<std::size_t>& aParts,
                              Instant aNow)
 {
   if (mSettings.mGathering == ShardGathering::Direct ||
@@ -92,42 +117,81 @@
     return;
   }
   const std::vector<const NodeName*> peers = PeersByDomain(*aRequest, aNow);
-  for (const DomainShards& shards : CoverShards(
-         RemoteHolders(*aRequest, peers, aNow), kMinimumDelegatedShards)) {
-    const FailureDomain& domain = mTargets.Domains()[shards.mDomain];
+  std::vector<DomainSet> holders(aRequest->mParts.size());
+  for (const std::size_t part : aParts) {
+    holders[part] =
+      PreferredRemoteDomains(*aRequest, aRequest->mParts[part], peers, aNow);
+  }
+  for (const DomainShards& shards :
+       CoverShards(std::move(holders), kMinimumDelegatedShards)) {
     const NodeName* peer = peers[shards.mDomain];
     VERIFY(peer != nullptr);
-    const DelegationNumber number(mNextDelegation++);
-    OpenDelegation& open = mDelegations[number];
-    open.mNumber = aNumber;
-    open.mPeer = *peer;
-    open.mDomain = shards.mDomain;
-    open.mSent = aNow;
-    open.mReportDue =
-      aNow + StatisticsOf(*aRequest->mRoute).DelegationTimeout();
-    for (const std::size_t index : shards.mShardIndexes) {
-      Part& part = aRequest->mParts[index];
-      VERIFY(part.mShardIndex == index);
-      open.mParts.insert(index);
-      part.mState = PartState::Running;
-      part.mDelegation = number;
-      part.mTriedTargets.push_back(
-        PresumedTarget(*aRequest, part, domain, aNow));
+    Delegate(
+      aNumber, aRequest, shards, *peer, DelegationUrgency::IfPreferred, aNow);
+  }
+}
+
+void
+ForwardEngine::Delegate(RequestNumber aNumber,
+                        Request* aRequest,
+                        const DomainShards& aShards,
+                        const NodeName& aPeer,
+                        DelegationUrgency aUrgency,
+                        Instant aNow)
+{
+  const FailureDomain& domain = mTargets.Domains()[aShards.mDomain];
+  const DelegationNumber number(mNextDelegation++);
+  OpenDelegation& open = mDelegations[number];
+  open.mNumber = aNumber;
+  open.mPeer = aPeer;
+  open.mDomain = aShards.mDomain;
+  open.mSent = aNow;
+  open.mReportDue = aNow + StatisticsOf(*aRequest->mRoute).DelegationTimeout();
+  for (const std::size_t index : aShards.mShardIndexes) {
+    Part& part = aRequest->mParts[index];
+    VERIFY(part.mShardIndex == index);
+    const TargetName target = PresumedTarget(*aRequest, part, domain, aNow);
+    open.mParts.emplace(index, target);
+    part.mState = PartState::Running;
+    part.mDelegations.push_back(number);
+    part.mTriedTargets.push_back(target);
+  }
+  mPeers.OnSent(open.mPeer);
+  aRequest->mDelegations.push_back(number);
+  aRequest->mSummary.mDelegatedParts +=
+    static_cast<std::uint32_t>(aShards.mShardIndexes.size());
+  aRequest->mSummary.mPeerNames +=
+    (aRequest->mSummary.mPeerNames.empty() ? "" : " ") + open.mPeer.value();
+  mActions.push_back(DelegateAction{
+    number,
+    open.mPeer,
+    DelegationRequest{ aRequest->mRequest,
+                       aRequest->mPlan->Version(),
+                       aShards.mShardIndexes,
+                       aRequest->mDeadline - aNow - kReportReserve,
+                       aUrgency,
+                       RecordFloor(*aRequest) } });
+}
+
+void
+ForwardEngine::StartParts(RequestNumber aNumber,
+                          Request* aRequest,
+                          const std::vector<std::size_t>& aParts,
+                          Instant aNow)
+{
+  DelegateParts(aNumber, aRequest, aParts, aNow);
+  PeerBatches batches;
+  for (const std::size_t part : aParts) {
+    if (!aRequest->mParts[part].mDelegations.empty()) {
+      continue;
+    }
+    TargetRecord* target = ChooseFirstTarget(aNumber, aRequest, part, aNow);
+    if (target != nullptr) {
+      SendOrBatch(
+        aNumber, aRequest, part, target, AttemptPurpose::First, &batches, aNow);
     }
-    mPeers.OnSent(open.mPeer);
-    aRequest->mDelegations.push_back(number);
-    aRequest->mSummary.mDelegatedParts +=
-      static_cast<std::uint32_t>(shards.mShardIndexes.size());
-    aRequest->mSummary.mPeerNames +=
-      (aRequest->mSummary.mPeerNames.empty() ? "" : " ") + open.mPeer.value();
-    mActions.push_back(DelegateAction{
-      number,
-      open.mPeer,
-      DelegationRequest{ aRequest->mRequest,
-                         aRequest->mPlan->Version(),
-                         shards.mShardIndexes,
-                         aRequest->mDeadline - aNow - kReportReserve } });
   }
+  DelegateBatches(aNumber, aRequest, batches, aNow);
 }
 
 void
@@ -140,12 +204,13 @@
   mDelegations.erase(found);
 }
 
-std::set<std::size_t>
+std::map<std::size_t, TargetName>
 ForwardEngine::ReclaimParts(DelegationNumber aDelegation, Request* aRequest)
 {
-  std::set<std::size_t> parts = std::move(mDelegations.at(aDelegation).mParts);
-  for (const std::size_t index : parts) {
-    aRequest->mParts[index].mDelegation.reset();
+  std::map<std::size_t, TargetName> parts =
+    std::move(mDelegations.at(aDelegation).mParts);
+  for (const auto& entry : parts) {
+    std::erase(aRequest->mParts[entry.first].mDelegations, aDelegation);
   }
   EndDelegation(aDelegation, aRequest);
   return parts;
@@ -173,11 +238,14 @@
   open.mReportDue.reset();
   StatisticsOf(*aRequest->mRoute).ObserveDelegation(aNow - open.mSent);
   mPeers.OnFailed(open.mPeer, aNow);
-  for (const std::size_t index : open.mParts) {
-    if (aRequest->mParts[index].mState == PartState::Running) {
-      HedgePart(open.mNumber, aRequest, index, aNow);
+  const RequestNumber number = open.mNumber;
+  std::vector<std::size_t> overdue;
+  for (const auto& entry : open.mParts) {
+    if (aRequest->mParts[entry.first].mState == PartState::Running) {
+      overdue.push_back(entry.first);
     }
   }
+  HedgeParts(number, aRequest, overdue, aNow);
 }
 
 ForwardActions
@@ -238,20 +306,22 @@
   const auto isExpected = [&](std::size_t aIndex) {
     return aDelegation.mParts.contains(aIndex) && named.insert(aIndex).second;
   };
+  std::size_t records = 0;
   for (const AnsweredShard& answered : aReport.mAnswered) {
-    if (!isExpected(answered.mShardIndex) || answered.mSignature.empty()) {
+    if (!isExpected(answered.mShardIndex) || answered.mSignature.empty() ||
+        answered.mRecords.size() % kRecordBytes != 0) {
       return false;
     }
+    records += answered.mRecords.size() / kRecordBytes;
   }
   for (const UnansweredShard& unanswered : aReport.mUnanswered) {
     if (!isExpected(unanswered.mShardIndex)) {
       return false;
     }
   }
-  const std::size_t bytes = aReport.mRecords.size();
-  return bytes % kRecordBytes == 0 &&
-         bytes / kRecordBytes <= aRequest.mShards->mMaximumRecords &&
-         (bytes == 0 || !aReport.mAnswered.empty());
+  const bool hasFloor =
+    aReport.mFloor.empty() || aReport.mFloor.size() == kRecordBytes;
+  return hasFloor && records <= aRequest.mShards->mMaximumRecords;
 }
 
 void
@@ -262,102 +332,173 @@
 {
   OpenDelegation& open = mDelegations.at(aDelegation);
   const RequestNumber number = open.mNumber;
-  if (open.mReportDue.has_value()) {
-    open.mReportDue.reset();
-    StatisticsOf(*aRequest->mRoute).ObserveDelegation(aNow - open.mSent);
-  }
+  const bool isFirstReport = open.mReportDue.has_value();
   for (const AnsweredShard& answered : aReport.mAnswered) {
     open.mParts.erase(answered.mShardIndex);
-    aRequest->mParts[answered.mShardIndex].mDelegation.reset();
+    std::erase(aRequest->mParts[answered.mShardIndex].mDelegations,
+               aDelegation);
     mDomains.OnResponse(open.mDomain);
   }
-  AddPeerAnswer(aReport, aRequest, aNow);
+  AddPeerAnswers(aReport, aRequest, aNow);
+  const std::size_t domain = open.mDomain;
+  std::map<std::size_t, TargetName> notAsked;
+  std::vector<std::size_t> late;
   for (const UnansweredShard& unanswered : aReport.mUnanswered) {
+    const auto entry = open.mParts.find(unanswered.mShardIndex);
+    VERIFY(entry != open.mParts.end());
     Part& part = aRequest->mParts[unanswered.mShardIndex];
-    // Replaces the presumed target by the one that the peer has asked.
-    VERIFY(!part.mTriedTargets.empty());
-    part.mTriedTargets.front() = unanswered.mTarget;
+    if (unanswered.mState == AttemptState::NotRun &&
+        unanswered.mTarget.value().empty()) {
+      notAsked.insert(*entry);
+      std::erase(part.mDelegations, aDelegation);
+      open.mParts.erase(entry);
+      continue;
+    }
+    std::replace(part.mTriedTargets.begin(),
+                 part.mTriedTargets.end(),
+                 entry->second,
+                 unanswered.mTarget);
+    entry->second = unanswered.mTarget;
     if (unanswered.mState == AttemptState::Running) {
       if (part.mState == PartState::Running && part.mRunning.empty()) {
-        HedgePart(number, aRequest, unanswered.mShardIndex, aNow);
+        late.push_back(unanswered.mShardIndex);
       }
       continue;
     }
-    open.mParts.erase(unanswered.mShardIndex);
-    part.mDelegation.reset();
-    const bool noTargetAsked = unanswered.mTarget.value().empty();
-    if (noTargetAsked && unanswered.mState == AttemptState::NotRun) {
-      RestartPart(number, aRequest, unanswered.mShardIndex, aNow);
-      continue;
-    }
+    std::erase(part.mDelegations, aDelegation);
+    open.mParts.erase(entry);
     part.mMayHaveRun =
       part.mMayHaveRun || unanswered.mState == AttemptState::Failed;
     if (part.mState == PartState::Running) {
       RetryPart(number, aRequest, unanswered.mShardIndex, aNow);
     }
   }
+  // A report of parts that are not asked comes at once and says nothing about
+  // how long the others take.
+  const bool hasOnlyNotAsked = !notAsked.empty() &&
+                               notAsked.size() == aReport.mUnanswered.size() &&
+                               aReport.mAnswered.empty();
+  if (isFirstReport && (!hasOnlyNotAsked || open.mParts.empty())) {
+    open.mReportDue.reset();
+    if (!hasOnlyNotAsked) {
+      StatisticsOf(*aRequest->mRoute).ObserveDelegation(aNow - open.mSent);
+    }
+  }
   if (open.mParts.empty()) {
     EndDelegation(aDelegation, aRequest);
   }
+  for (const auto& entry : notAsked) {
+    aRequest->mParts[entry.first].mDecliningDomains.set(domain);
+    TargetRecord* target = mTargets.Find(entry.second);
+    if (target != nullptr) {
+      target->OnDeclinedByPeer(aNow);
+    }
+  }
+  HedgeParts(number, aRequest, late, aNow);
+  RestartParts(number, aRequest, notAsked, aNow);
 }
 
 void
-ForwardEngine::RestartPart(RequestNumber aNumber,
-                           Request* aRequest,
-                           std::size_t aPart,
-                           Instant aNow)
+ForwardEngine::RestartParts(RequestNumber aNumber,
+                            Request* aRequest,
+                            const std::map<std::size_t, TargetName>& aParts,
+                            Instant aNow)
 {
-  Part& part = aRequest->mParts[aPart];
-  VERIFY(!part.mTriedTargets.empty());
-  part.mTriedTargets.erase(part.mTriedTargets.begin());
-  if (part.mState == PartState::Running && part.mRunning.empty()) {
-    StartPart(aNumber, aRequest, aPart, aNow);
+  std::vector<std::size_t> idle;
+  for (const auto& entry : aParts) {
+    Part& part = aRequest->mParts[entry.first];
+    const auto tried = std::find(
+      part.mTriedTargets.begin(), part.mTriedTargets.end(), entry.second);
+    VERIFY(tried != part.mTriedTargets.end());
+    part.mTriedTargets.erase(tried);
+    if (part.mState == PartState::Running && part.mRunning.empty() &&
+        part.mDelegations.empty()) {
+      idle.push_back(entry.first);
+    }
   }
+  StartParts(aNumber, aRequest, idle, aNow);
 }
 
 void
-ForwardEngine::AddPeerAnswer(const DelegationReport& aReport,
-                             Request* aRequest,
-                             Instant aNow)
+ForwardEngine::AddPeerAnswers(const DelegationReport& aReport,
+                              Request* aRequest,
+                              Instant aNow)
 {
-  const bool addsAnswers = std::any_of(
-    aReport.mAnswered.begin(),
-    aReport.mAnswered.end(),
-    [&](const AnsweredShard& aAnswered) {
-      return aRequest->mParts[aAnswered.mShardIndex].mState != PartState::Done;
-    });
-  if (!addsAnswers) {
-    return;
-  }
-  PeerAnswer& peerAnswer = aRequest->mPeerAnswers.emplace_back();
-  peerAnswer.mRecords = aReport.mRecords;
   for (const AnsweredShard& answered : aReport.mAnswered) {
     Part& part = aRequest->mParts[answered.mShardIndex];
-    VERIFY(!part.mPeerAnswerIndex.has_value());
-    if (part.mState != PartState::Done) {
-      ++aRequest->mSummary.mPartsDone;
+    if (part.mState == PartState::Done) {
+      continue;
     }
-    // Replaces an answer that this node has received itself, since the records
-    // of a single shard can not be removed from the peer's merged answer.
     part.mState = PartState::Done;
-    part.mReply.reset();
-    part.mPeerAnswerIndex = aRequest->mPeerAnswers.size() - 1;
-    peerAnswer.mSignatures.push_back(answered.mSignature);
+    PartReply& reply = part.mReply.emplace();
+    reply.mKind = ReplyKind::Answered;
+    reply.mSignature = answered.mSignature;
+    reply.mBody = answered.mRecords;
+    part.mFloor = aReport.mFloor;
+    ++aRequest->mSummary.mPartsDone;
     for (const AttemptId superseded : std::exchange(part.mRunning, {})) {
       Abandon(superseded, aNow);
     }
   }
 }
 
+std::string
+ForwardEngine::RecordFloor(const Request& aRequest)
+{
+  const std::size_t count = aRequest.mShards->mMaximumRecords;
+  std::string floor = StatisticsOf(*aRequest.mRoute)
+                        .RecordFloor()
+                        .Estimate(aRequest.mParts.size(), count);
+  if (aRequest.mSummary.mPartsDone == 0 || count == 0) {
+    return floor;
+  }
+  const std::string merged = MergedRecords(aRequest);
+  if (merged.size() == count * kRecordBytes) {
+    floor = std::max(floor, merged.substr(merged.size() - kRecordBytes));
+  }
+  return floor;
+}
+
+const NodeName*
+ForwardEngine::PeerNear(const Request& aRequest,
+                        const Part& aPart,
+                        const TargetRecord& aTarget,
+                        Instant aNow)
+{
+  const FailureDomain& domain = aTarget.Listed().mDomain;
+  if (mSettings.mGathering == ShardGathering::Direct ||
+      aRequest.mShards == nullptr || aRequest.mReportAt.has_value() ||
+      domain == mSettings.mDomain ||
+      mDomains.IsSuspected(aTarget.DomainIndex(), aNow) ||
+      aRequest.mDeadline - aNow <= 2 * kReportReserve) {
+    return nullptr;
+  }
+  // The peer could not tell a target of its domain that has been asked before.
+  const bool wasAskedThere =
+    std::any_of(aPart.mTriedTargets.begin(),
+                aPart.mTriedTargets.end(),
+                [&](const TargetName& aName) {
+                  const TargetRecord* tried = mTargets.Find(aName);
+                  return tried == nullptr || tried->Listed().mDomain == domain;
+                });
+  const bool isDelegatedThere = std::any_of(
+    aPart.mDelegations.begin(),
+    aPart.mDelegations.end(),
+    [&](DelegationNumber aNumber) {
+      return mDelegations.at(aNumber).mDomain == aTarget.DomainIndex();
+    });
+  return wasAskedThere || isDelegatedThere
+           ? nullptr
+           : mPeers.Choose(domain, aRequest.mPlan->Version(), aNow);
+}
+
 void
 ForwardEngine::RestartDelegatedParts(DelegationNumber aDelegation,
                                      Request* aRequest,
                                      Instant aNow)
 {
   const RequestNumber number = mDelegations.at(aDelegation).mNumber;
-  for (const std::size_t index : ReclaimParts(aDelegation, aRequest)) {
-    RestartPart(number, aRequest, index, aNow);
-  }
+  RestartParts(number, aRequest, ReclaimParts(aDelegation, aRequest), aNow);
 }
 
 void
@@ -366,11 +507,11 @@
                               Instant aNow)
 {
   const RequestNumber number = mDelegations.at(aDelegation).mNumber;
-  for (const std::size_t index : ReclaimParts(aDelegation, aRequest)) {
-    Part& part = aRequest->mParts[index];
+  for (const auto& entry : ReclaimParts(aDelegation, aRequest)) {
+    Part& part = aRequest->mParts[entry.first];
     part.mMayHaveRun = true;
     if (part.mState == PartState::Running) {
-      RetryPart(number, aRequest, index, aNow);
+      RetryPart(number, aRequest, entry.first, aNow);
     }
   }
 }
--- a/Libraries/LibForward/ForwardEngineOutcomes.cpp
+++ b/Libraries/LibForward/ForwardEngineOutcomes.cpp
@@ -84,7 +84,18 @@
   const bool hasMinimum = done >= minimum;
   const bool settled = done + failed == total;
   if (hasMinimum && (settled || aNow >= aRequest->mPartialAnswerAt)) {
-    Finish(aNumber, MergeParts(*aRequest), aNow);
+    GatheredOutcome outcome = MergeParts(*aRequest);
+    const std::vector<std::size_t> inexact =
+      InexactParts(*aRequest, outcome.mRecords);
+    if (!inexact.empty()) {
+      RepeatParts(aNumber, aRequest, inexact, aNow);
+      EvaluateGather(aNumber, aRequest, aNow);
+      return;
+    }
+    StatisticsOf(*aRequest->mRoute)
+      .RecordFloor()
+      .Observe(outcome.mRecords, total, aRequest->mShards->mMaximumRecords);
+    Finish(aNumber, std::move(outcome), aNow);
     return;
   }
   if (total - failed < minimum) {
@@ -104,7 +115,7 @@
   const bool mayHaveRun = std::any_of(
     aRequest->mParts.begin(), aRequest->mParts.end(), [](const Part& aPart) {
       return aPart.mMayHaveRun || !aPart.mRunning.empty() ||
-             aPart.mDelegation.has_value();
+             !aPart.mDelegations.empty();
     });
   if (mayHaveRun) {
     Finish(aNumber, FailedOutcome{ FailureReason::AttemptsFailed }, aNow);
@@ -117,35 +128,73 @@
          aNow);
 }
 
-ForwardOutcome
-ForwardEngine::MergeParts(const Request& aRequest) const
+std::string
+ForwardEngine::MergedRecords(const Request& aRequest)
 {
-  GatheredOutcome outcome;
   std::vector<std::string_view> parts;
   for (const Part& part : aRequest.mParts) {
-    if (part.mState != PartState::Done) {
-      ++outcome.mMissingParts;
-      continue;
-    }
-    if (part.mPeerAnswerIndex.has_value()) {
-      continue;
+    if (part.mState == PartState::Done) {
+      parts.push_back(part.mReply->mBody);
     }
-    parts.push_back(part.mReply->mBody);
-    outcome.mSignatures.push_back(part.mReply->mSignature);
   }
-  for (const PeerAnswer& peerAnswer : aRequest.mPeerAnswers) {
-    parts.push_back(peerAnswer.mRecords);
-    outcome.mSignatures.insert(outcome.mSignatures.end(),
-                               peerAnswer.mSignatures.begin(),
-                               peerAnswer.mSignatures.end());
+  return MergeTopRecords(parts, aRequest.mShards->mMaximumRecords);
+}
+
+GatheredOutcome
+ForwardEngine::MergeParts(const Request& aRequest) const
+{
+  GatheredOutcome outcome;
+  for (const Part& part : aRequest.mParts) {
+    if (part.mState == PartState::Done) {
+      outcome.mSignatures.push_back(part.mReply->mSignature);
+    }
   }
-  VERIFY(outcome.mSignatures.size() + outcome.mMissingParts ==
-         aRequest.mParts.size());
+  outcome.mMissingParts = aRequest.mParts.size() - outcome.mSignatures.size();
   VERIFY(outcome.mSignatures.size() >= aRequest.mShards->MinimumShards());
-  outcome.mRecords = MergeTopRecords(parts, aRequest.mShards->mMaximumRecords);
+  outcome.mRecords = MergedRecords(aRequest);
   return outcome;
 }
 
+std::vector<std::size_t>
+ForwardEngine::InexactParts(const Request& aRequest,
+                            const std::string& aRecords)
+{
+  // What a part lacks is not above its floor. If the answer is full and its
+  // least record is not below the floor, nothing that is missing belongs to it.
+  const std::size_t fullBytes =
+    aRequest.mShards->mMaximumRecords * kRecordBytes;
+  const std::string_view least =
+    aRecords.size() < fullBytes
+      ? std::string_view()
+      : std::string_view(aRecords).substr(aRecords.size() - kRecordBytes);
+  std::vector<std::size_t> inexact;
+  for (std::size_t i = 0; i < aRequest.mParts.size(); ++i) {
+    const Part& part = aRequest.mParts[i];
+    if (part.mState == PartState::Done && part.mFloor > least) {
+      inexact.push_back(i);
+    }
+  }
+  return inexact;
+}
+
+void
+ForwardEngine::RepeatParts(RequestNumber aNumber,
+                           Request* aRequest,
+                           const std::vector<std::size_t>& aParts,
+                           Instant aNow)
+{
+  StatisticsOf(*aRequest->mRoute).RecordFloor().OnMiss();
+  for (const std::size_t index : aParts) {
+    Part& part = aRequest->mParts[index];
+    part.mReply.reset();
+    part.mFloor.clear();
+    part.mState = PartState::Running;
+    part.mMayHaveRun = true;
+    --aRequest->mSummary.mPartsDone;
+    RetryPart(aNumber, aRequest, index, aNow);
+  }
+}
+
 void
 ForwardEngine::Abandon(AttemptId aAttempt, Instant aNow)
 {
@@ -198,7 +247,11 @@
 void
 ForwardEngine::RecordPoisonObservations(const Request& aRequest, Instant aNow)
 {
-  if (aRequest.mLostTargets.empty() || aRequest.mSummary.mPartsDone > 0) {
+  // A delegation may consist of one shard, whose target may have crashed for
+  // another reason. The delegating node sees the other shards.
+  const std::size_t minimumLost = aRequest.mReportAt.has_value() ? 2 : 1;
+  if (aRequest.mLostTargets.size() < minimumLost ||
+      aRequest.mSummary.mPartsDone > 0) {
     return;
   }
   for (const TargetName& target : aRequest.mLostTargets) {
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -116,6 +116,7 @@
 ForwardEngine::Choice
 ForwardEngine::ChooseTarget(const Request& aRequest,
                             const Part& aPart,
+                            TargetScope aScope,
                             Instant aNow)
 {
   const ServiceSettings* serviceSettings =
@@ -132,7 +133,9 @@
     const bool tried =
       std::find(aPart.mTriedTargets.begin(), aPart.mTriedTargets.end(), name) !=
       aPart.mTriedTargets.end();
-    if (tried || !MayServe(*target, aRequest.mRequest->mCaller) ||
+    const bool inScope = aScope == TargetScope::AllDomains ||
+                         target->Listed().mDomain == mSettings.mDomain;
+    if (tried || !inScope || !MayServe(*target, aRequest.mRequest->mCaller) ||
         target->IsDown(aNow) ||
         !MayConnect(aPart.mService, index, targets.size(), serviceSettings)) {
       continue;
@@ -179,24 +182,62 @@
   }
 }
 
-void
-ForwardEngine::StartPart(RequestNumber aNumber,
-                         Request* aRequest,
-                         std::size_t aPart,
-                         Instant aNow)
+TargetRecord*
+ForwardEngine::ChooseFirstTarget(RequestNumber aNumber,
+                                 Request* aRequest,
+                                 std::size_t aPart,
+                                 Instant aNow)
 {
   Part& part = aRequest->mParts[aPart];
-  const Choice choice = ChooseTarget(*aRequest, part, aNow);
+  const Choice choice =
+    ChooseTarget(*aRequest, part, TargetScope::AllDomains, aNow);
   if (choice.mTarget != nullptr) {
-    Send(aNumber, aRequest, aPart, choice.mTarget, aNow);
-    return;
+    return choice.mTarget;
   }
   if (choice.mHasBusyTarget && aNow < aRequest->mWaitUntil) {
     part.mState = PartState::Waiting;
     StateOf(part.mService).mWaiting.emplace_back(aNumber, aPart);
-    return;
+    return nullptr;
   }
   part.mState = PartState::Failed;
+  return nullptr;
+}
+
+void
+ForwardEngine::SendOrBatch(RequestNumber aNumber,
+                           Request* aRequest,
+                           std::size_t aPart,
+                           TargetRecord* aTarget,
+                           AttemptPurpose aPurpose,
+                           PeerBatches* aBatches,
+                           Instant aNow)
+{
+  const NodeName* peer =
+    PeerNear(*aRequest, aRequest->mParts[aPart], *aTarget, aNow);
+  if (peer == nullptr) {
+    Send(aNumber, aRequest, aPart, aTarget, aPurpose, aNow);
+    return;
+  }
+  BeginProbes(aTarget, aNow);
+  PeerBatch& batch = (*aBatches)[aTarget->DomainIndex()];
+  batch.mPeer = *peer;
+  batch.mParts.push_back(aPart);
+}
+
+void
+ForwardEngine::DelegateBatches(RequestNumber aNumber,
+                               Request* aRequest,
+                               const PeerBatches& aBatches,
+                               Instant aNow)
+{
+  for (const auto& entry : aBatches) {
+    Delegate(aNumber,
+             aRequest,
+             DomainShards{ entry.first, entry.second.mParts },
+             entry.second.mPeer,
+             DelegationUrgency::Always,
+             aNow);
+  }
 }
 
 Duration
@@ -223,11 +264,21 @@
                       Duration(static_cast<Duration::rep>(crossDomainDelay)));
 }
 
+void
+ForwardEngine::BeginProbes(TargetRecord* aTarget, Instant aNow)
+{
+  aTarget->BeginProbe(aNow);
+  if (mDomains.IsSuspected(aTarget->DomainIndex(), aNow)) {
+    mDomains.BeginProbe(aTarget->DomainIndex(), aNow);
+  }
+}
+
 void
 ForwardEngine::Send(RequestNumber aNumber,
                     Request* aRequest,
                     std::size_t aPart,
                     TargetRecord* aTarget,
+                    AttemptPurpose aPurpose,
                     Instant aNow)
 {
   Part& part = aRequest->mParts[aPart];
@@ -250,10 +301,7 @@
   }
   mAttempts.emplace(
     id, Attempt{ aNumber, aPart, listed.mName, aNow, route.mName, false });
-  aTarget->BeginProbe(aNow);
-  if (mDomains.IsSuspected(aTarget->DomainIndex(), aNow)) {
-    mDomains.BeginProbe(aTarget->DomainIndex(), aNow);
-  }
+  BeginProbes(aTarget, aNow);
   aTarget->OnSent(id, tailLatency, aNow);
   ++aRequest->mSummary.mAttempts;
   mActions.push_back(
@@ -262,30 +310,43 @@
                 listed.mAddress,
                 aRequest->mRequest,
                 aRequest->mDeadline - aNow,
-                ConnectionShare(aRequest->mPlan->FindService(part.mService)) });
+                ConnectionShare(aRequest->mPlan->FindService(part.mService)),
+                aPurpose,
+                listed.mDomain != mSettings.mDomain });
 }
 
 void
-ForwardEngine::HedgePart(RequestNumber aNumber,
-                         Request* aRequest,
-                         std::size_t aPart,
-                         Instant aNow)
+ForwardEngine::HedgeParts(RequestNumber aNumber,
+                          Request* aRequest,
+                          const std::vector<std::size_t>& aParts,
+                          Instant aNow)
 {
-  Part& part = aRequest->mParts[aPart];
-  if (part.mTriedTargets.size() >= aRequest->mMaximumAttempts ||
-      !HasTimeLeft(*aRequest, aNow)) {
-    return;
-  }
-  const Choice choice = ChooseTarget(*aRequest, part, aNow);
-  if (choice.mTarget == nullptr || choice.mTarget->IsStalled(aNow)) {
-    return;
-  }
-  if (!TakeExtraAttempt(part.mService, AttemptPurpose::Hedge, aNow)) {
-    ++aRequest->mSummary.mOverBudget;
-    return;
+  PeerBatches batches;
+  for (const std::size_t index : aParts) {
+    Part& part = aRequest->mParts[index];
+    if (part.mTriedTargets.size() >= aRequest->mMaximumAttempts ||
+        !HasTimeLeft(*aRequest, aNow)) {
+      continue;
+    }
+    const Choice choice =
+      ChooseTarget(*aRequest, part, TargetScope::AllDomains, aNow);
+    if (choice.mTarget == nullptr || choice.mTarget->IsStalled(aNow)) {
+      continue;
+    }
+    if (!TakeExtraAttempt(part.mService, AttemptPurpose::Hedge, aNow)) {
+      ++aRequest->mSummary.mOverBudget;
+      continue;
+    }
+    ++aRequest->mSummary.mHedges;
+    SendOrBatch(aNumber,
+                aRequest,
+                index,
+                choice.mTarget,
+                AttemptPurpose::Hedge,
+                &batches,
+                aNow);
   }
-  ++aRequest->mSummary.mHedges;
-  Send(aNumber, aRequest, aPart, choice.mTarget, aNow);
+  DelegateBatches(aNumber, aRequest, batches, aNow);
 }
 
 void
@@ -295,7 +356,7 @@
                          Instant aNow)
 {
   Part& part = aRequest->mParts[aPart];
-  if (!part.mRunning.empty() || part.mDelegation.has_value()) {
+  if (!part.mRunning.empty() || !part.mDelegations.empty()) {
     return;
   }
   const bool mayRepeat = !part.mMayHaveRun || aRequest->mRoute->mRepeatPolicy ==
@@ -305,7 +366,8 @@
     part.mState = PartState::Failed;
     return;
   }
-  const Choice choice = ChooseTarget(*aRequest, part, aNow);
+  const Choice choice =
+    ChooseTarget(*aRequest, part, TargetScope::AllDomains, aNow);
   if (choice.mTarget == nullptr) {
     part.mState = PartState::Failed;
     return;
@@ -316,7 +378,7 @@
     return;
   }
   ++aRequest->mSummary.mRetries;
-  Send(aNumber, aRequest, aPart, choice.mTarget, aNow);
+  Send(aNumber, aRequest, aPart, choice.mTarget, AttemptPurpose::Retry, aNow);
 }
 
 void
@@ -338,8 +400,10 @@
       waiting.pop_front();
       continue;
     }
-    const Choice choice =
-      ChooseTarget(request->second, request->second.mParts[next.second], aNow);
+    const Choice choice = ChooseTarget(request->second,
+                                       request->second.mParts[next.second],
+                                       TargetScope::AllDomains,
+                                       aNow);
     if (choice.mTarget == nullptr) {
       return;
     }
@@ -348,7 +412,12 @@
       // The timer of the request ends it.
       continue;
     }
-    Send(next.first, &request->second, next.second, choice.mTarget, aNow);
+    Send(next.first,
+         &request->second,
+         next.second,
+         choice.mTarget,
+         AttemptPurpose::First,
+         aNow);
     ScheduleWake(next.first, &request->second, aNow);
   }
 }
--- a/Libraries/LibForward/RecordMerger.cpp
+++ b/Libraries/LibForward/RecordMerger.cpp
@@ -29,4 +29,36 @@
   return merged;
 }
 
+SelectedRecords
+SelectTopRecords(const std::vector<std::string_view>& aParts,
+                 std::size_t aCount,
+                 std::string_view aFloor)
+{
+  std::vector<std::pair<std::string_view, std::size_t>> records;
+  std::size_t total = 0;
+  for (std::size_t part = 0; part < aParts.size(); ++part) {
+    for (std::size_t offset = 0; offset + kRecordBytes <= aParts[part].size();
+         offset += kRecordBytes) {
+      const std::string_view record = aParts[part].substr(offset, kRecordBytes);
+      ++total;
+      if (record >= aFloor) {
+        records.emplace_back(record, part);
+      }
+    }
+  }
+  std::sort(records.begin(), records.end(), std::greater<>());
+  SelectedRecords selected;
+  if (records.size() > aCount) {
+    records.resize(aCount);
+    selected.mFloor = aCount > 0 ? records.back().first : aFloor;
+  } else if (records.size() < total) {
+    selected.mFloor = aFloor;
+  }
+  selected.mParts.resize(aParts.size());
+  for (const std::pair<std::string_view, std::size_t>& record : records) {
+    selected.mParts[record.second].append(record.first);
+  }
+  return selected;
+}
+
 } // namespace verbenachute
--- a/Libraries/LibForward/RouteStatistics.h
+++ b/Libraries/LibForward/RouteStatistics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibForward/QuantileTracker.h>
+#include <LibForward/RecordFloorEstimator.h>
 #include <LibRouting/Route.h>
 
 #include <map>
@@ -40,6 +41,9 @@
   [[nodiscard]] std::size_t NextService(
     const std::vector<WeightedService>& aServices);
 
+  /// Estimates which records can belong to an answer of the route.
+  [[nodiscard]] RecordFloorEstimator& RecordFloor() { return mRecordFloor; }
+
 private:
   Duration mObjective;
   QuantileTracker mMedian;
@@ -48,6 +52,7 @@
   Duration mLongestTimeLimit{ 0 };
   /// Share of the requests that each service is still owed, in requests.
   std::map<ServiceName, double> mCredits;
+  RecordFloorEstimator mRecordFloor;
 };
 
 } // namespace verbenachute
--- a/Libraries/LibForward/TargetRecord.cpp
+++ b/Libraries/LibForward/TargetRecord.cpp
@@ -28,6 +28,9 @@
 // Latency added for a stalled target: half of the pause of 120 ms that the
 // targets' owners state.
 constexpr Duration kStallPenalty = milliseconds(60);
+// How long a peer's decision not to ask a target is taken into account. Such
+// targets pause for 100 ms or are slow for seconds.
+constexpr Duration kPeerDeclineValidity = milliseconds(250);
 // A target that always fails counts as slower by this multiple of its latency.
 constexpr double kFailurePenalty = 12;
 
@@ -50,6 +53,7 @@
   mLoadReported = aNow;
   mDownUntil = aNow;
   mSuspectUntil = aNow;
+  mDeclinedUntil = aNow;
   mColdUntil = aNow + mListed.mColdTimeLeft;
   mColdTokens = 1;
   mColdTokensRefilled = aNow;
@@ -190,6 +194,12 @@
   }
 }
 
+void
+TargetRecord::OnDeclinedByPeer(Instant aNow)
+{
+  mDeclinedUntil = aNow + kPeerDeclineValidity;
+}
+
 bool
 TargetRecord::IsDown(Instant aNow) const
 {
@@ -249,7 +259,7 @@
                           Decayed(mLatencyRatio, 1, aNow) * queueFactor *
                           failureFactor;
   Duration latency(static_cast<Duration::rep>(expected));
-  if (IsStalled(aNow)) {
+  if (IsStalled(aNow) || aNow < mDeclinedUntil) {
     latency += kStallPenalty;
   }
   return latency;
--- a/Libraries/LibForward/TargetRecord.h
+++ b/Libraries/LibForward/TargetRecord.h
@@ -30,6 +30,9 @@
                Duration aMedianLatency,
                Instant aNow);
   void OnFailure(AttemptId aAttempt, AttemptFailure aFailure, Instant aNow);
+  /// A peer in the target's failure domain did not ask it, because targets
+  /// elsewhere would answer sooner.
+  void OnDeclinedByPeer(Instant aNow);
   /// The attempt is abandoned while it still runs.
   void OnAbandoned(AttemptId aAttempt, Duration aMedianLatency, Instant aNow);
 
@@ -85,6 +88,7 @@
   std::uint32_t mConsecutiveFailures = 0;
   Instant mDownUntil;
   Instant mSuspectUntil;
+  Instant mDeclinedUntil;
   Instant mColdUntil;
   double mColdTokens = 1;
   Instant mColdTokensRefilled;
--- a/Libraries/LibGather/GatherCodec.cpp
+++ b/Libraries/LibGather/GatherCodec.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t kMaxShards = 65536;
 constexpr std::size_t kMaxHttpFields = 1024;
 constexpr std::size_t kHttpFieldElements = 2;
-constexpr std::size_t kAnsweredElements = 2;
+constexpr std::size_t kAnsweredElements = 3;
 constexpr std::size_t kUnansweredElements = 3;
 
 void
@@ -37,6 +37,8 @@
   aWriter->Time(aMessage.mSent);
   aWriter->Id(delegation.mPlan);
   aWriter->Time(delegation.mTimeLeft);
+  aWriter->Enumerator(delegation.mUrgency);
+  aWriter->Text(delegation.mFloor);
   aWriter->Array(delegation.mShardIndexes.size());
   for (const std::size_t shard : delegation.mShardIndexes) {
     aWriter->Number(shard);
@@ -72,6 +74,9 @@
   message.mSent = aReader->Time();
   message.mDelegationRequest.mPlan = aReader->Id<PlanVersion>();
   message.mDelegationRequest.mTimeLeft = aReader->Time();
+  message.mDelegationRequest.mUrgency =
+    aReader->Enumerator(DelegationUrgency::Always);
+  message.mDelegationRequest.mFloor = aReader->Text();
   FieldReader shards = aReader->Array();
   const std::size_t count = SizeWithin(shards, kMaxShards);
   for (std::size_t i = 0; i < count; ++i) {
@@ -113,8 +118,9 @@
     aWriter->Array(kAnsweredElements);
     aWriter->Number(answered.mShardIndex);
     aWriter->Text(answered.mSignature);
+    aWriter->Text(answered.mRecords);
   }
-  aWriter->Text(aReport.mRecords);
+  aWriter->Text(aReport.mFloor);
   aWriter->Array(aReport.mUnanswered.size());
   for (const UnansweredShard& unanswered : aReport.mUnanswered) {
     aWriter->Array(kUnansweredElements);
@@ -146,9 +152,11 @@
   for (std::size_t i = 0; i < answeredCount; ++i) {
     FieldReader entry = answered.Array();
     const std::size_t shard = entry.Number<std::size_t>();
-    report.mAnswered.push_back(AnsweredShard{ shard, entry.Text() });
+    std::string signature = entry.Text();
+    report.mAnswered.push_back(
+      AnsweredShard{ shard, std::move(signature), entry.Text() });
   }
-  report.mRecords = aReader->Text();
+  report.mFloor = aReader->Text();
   FieldReader unanswered = aReader->Array();
   const std::size_t unansweredCount = SizeWithin(unanswered, kMaxShards);
   for (std::size_t i = 0; i < unansweredCount; ++i) {
--- a/Tests/LibGather/TestGatherCodec.cpp
+++ b/Tests/LibGather/TestGatherCodec.cpp
@@ -26,15 +26,18 @@
                           std::make_shared<const CallerRequest>(request),
                           PlanVersion(12),
                           { 0, 3, 899 },
-                          milliseconds(250) } };
+                          milliseconds(250),
+                          DelegationUrgency::Always,
+                          std::string(16, '\x80') } };
 }
 
 GatherResponse
 Report()
 {
   DelegationReport report;
-  report.mAnswered = { { 3, "signature" }, { 0, "other" } };
-  report.mRecords = std::string(32, '\xff');
+  report.mAnswered = { { 3, "signature", std::string(32, '\xff') },
+                       { 0, "other", "" } };
+  report.mFloor = std::string(16, '\x7f');
   report.mUnanswered = {
     { 899, AttemptState::Running, TargetName("i-1") },
     { 7, AttemptState::NotRun, TargetName() },
@@ -57,6 +60,8 @@
         sent.mDelegationRequest.mShardIndexes);
   CHECK(decoded.mDelegationRequest.mTimeLeft ==
         sent.mDelegationRequest.mTimeLeft);
+  CHECK(decoded.mDelegationRequest.mUrgency == DelegationUrgency::Always);
+  CHECK(decoded.mDelegationRequest.mFloor == sent.mDelegationRequest.mFloor);
   CHECK(decoded.mDelegationRequest.mRequest->mId ==
         sent.mDelegationRequest.mRequest->mId);
   CHECK(decoded.mDelegationRequest.mRequest->mMethod == "POST");
