LibGossip: Forget poison observations instead of learning them again

Cause: an observation is sent in 6 rounds and then erased. Nodes that learnt it a round later still send it, so that it is taken for new, without end: a query that was answered meanwhile stays quarantined, and each heartbeat carries all observations.

Change: a known observation is remembered for 10 s after its rounds.

The extended test "A poison observation reaches each node once" checks that no node sends or learns it again after its rounds, and that it counts again after 10 s.

--- a/Libraries/LibGossip/GossipTable.cpp
+++ b/Libraries/LibGossip/GossipTable.cpp
@@ -24,7 +24,10 @@
 constexpr milliseconds::rep kMaximumAgeMs = 86'400'000;
 // Rounds in which a poison observation is sent.
 constexpr unsigned kPoisonObservationRounds = 6;
-constexpr std::size_t kMaximumPoisonObservations = 64;
+// Longer than copies of an observation are under way.
+constexpr Duration kPoisonObservationMemory = seconds(10);
+constexpr std::size_t kMaximumPoisonObservations = 512;
+constexpr std::size_t kMaximumPoisonObservationsSent = 64;
 
 } // namespace
 
@@ -67,11 +70,13 @@
 }
 
 void
-GossipTable::AddPoisonObservation(const PoisonObservation& aObservation)
+GossipTable::AddPoisonObservation(const PoisonObservation& aObservation,
+                                  Instant aNow)
 {
   if (mPoisonObservations.size() < kMaximumPoisonObservations) {
     mPoisonObservations[{ aObservation.mFingerprint, aObservation.mTarget }] =
-      kPoisonObservationRounds;
+      KnownObservation{ kPoisonObservationRounds,
+                        aNow + kPoisonObservationMemory };
   }
 }
 
@@ -151,9 +156,14 @@
   }
   std::vector<GossipMessage> messages(1);
   messages.front().mStatuses.push_back(mSelf);
-  for (const auto& observation : mPoisonObservations) {
-    messages.front().mPoisonObservations.push_back(
-      PoisonObservation{ observation.first.first, observation.first.second });
+  std::vector<PoisonObservation>& observations =
+    messages.front().mPoisonObservations;
+  for (const auto& [observation, state] : mPoisonObservations) {
+    if (state.mRoundsLeft > 0 &&
+        observations.size() < kMaximumPoisonObservationsSent) {
+      observations.push_back(
+        PoisonObservation{ observation.first, observation.second });
+    }
   }
   for (Peer* peer : selected) {
     if (messages.back().mStatuses.size() > mSettings.mMaximumEntries) {
@@ -205,12 +215,13 @@
   }
   std::vector<Datagram> datagrams =
     BuildDatagrams(AnnouncementScope::GossipPeers, aNow);
-  for (auto observation = mPoisonObservations.begin();
-       observation != mPoisonObservations.end();) {
-    observation = --observation->second == 0
-                    ? mPoisonObservations.erase(observation)
-                    : std::next(observation);
+  for (auto& entry : mPoisonObservations) {
+    unsigned& roundsLeft = entry.second.mRoundsLeft;
+    roundsLeft -= roundsLeft > 0 ? 1 : 0;
   }
+  std::erase_if(mPoisonObservations, [&](const auto& aEntry) {
+    return aNow >= aEntry.second.mForgetAt;
+  });
   return datagrams;
 }
 
@@ -297,7 +308,7 @@
   for (const PoisonObservation& observation : aMessage.mPoisonObservations) {
     if (!mPoisonObservations.contains(
           { observation.mFingerprint, observation.mTarget })) {
-      AddPoisonObservation(observation);
+      AddPoisonObservation(observation, aNow);
       newObservations.push_back(observation);
     }
   }
--- a/Libraries/LibGossip/GossipTable.h
+++ b/Libraries/LibGossip/GossipTable.h
@@ -87,7 +87,8 @@
                    PlanVersion aPlanVersion,
                    Revision aConfigurationRevision);
   /// Sends a poison observation in the next rounds.
-  void AddPoisonObservation(const PoisonObservation& aObservation);
+  void AddPoisonObservation(const PoisonObservation& aObservation,
+                            Instant aNow);
 
   /// Executes one round and returns its datagrams. Call it once in each
   /// Settings::mPeriod.
@@ -152,6 +153,13 @@
   };
   using RelayFlag = bool Peer::*;
 
+  struct KnownObservation
+  {
+    unsigned mRoundsLeft = 0;
+    /// Until then copies that other nodes still send are not taken for new.
+    Instant mForgetAt;
+  };
+
   struct Receivers
   {
     std::vector<SocketAddress> mOwnDomain;
@@ -190,9 +198,8 @@
   NodeStatus mSelf;
   std::map<NodeName, Peer> mPeers;
   std::set<SocketAddress> mSeeds;
-  /// Poison observations with the number of rounds for which each is still
-  /// sent.
-  std::map<std::pair<Fingerprint, TargetName>, unsigned> mPoisonObservations;
+  std::map<std::pair<Fingerprint, TargetName>, KnownObservation>
+    mPoisonObservations;
   unsigned mRoundCount = 0;
   std::minstd_rand mRandom;
 };
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -343,7 +343,7 @@
       action);
   }
   for (const PoisonObservation& report : mEngine.TakePoisonObservations()) {
-    mGossip.AddPoisonObservation(report);
+    mGossip.AddPoisonObservation(report, mLoop->Now());
   }
   ScheduleEngine();
 }
--- a/Tests/LibGossip/TestGossipTable.cpp
+++ b/Tests/LibGossip/TestGossipTable.cpp
@@ -339,6 +339,18 @@
   CHECK(fleet.At(1).Receive(message, fleet.mNow).empty());
   fleet.Advance(seconds(1));
   CHECK(fleet.At(5).Receive(message, fleet.mNow).empty());
+  // Nodes whose rounds are over do not learn it again from the others.
+  fleet.Advance(seconds(3));
+  for (int i = 0; i < 8; ++i) {
+    CAPTURE(i);
+    CHECK(fleet.At(i).Receive(message, fleet.mNow).empty());
+    for (const GossipTable::Datagram& datagram :
+         fleet.At(i).Round(fleet.mNow)) {
+      CHECK(datagram.mMessage.mPoisonObservations.empty());
+    }
+  }
+  fleet.Advance(seconds(8));
+  CHECK(fleet.At(5).Receive(message, fleet.mNow).size() == 1);
 }
 
 TEST_CASE("A peer that knows newer changes of the store is found")
