LibForward: Estimate the record floor from the first answers on

There was no floor before 64 answers (6 s after each start of a node), and a miss suspended it for 128 answers and more.

Hypothesis: how far the least record of answers scatters is known before it is observed, and misses may control the margin instead of suspending the floor.

Change: a floor after 4 answers, with the variance of independent records until the real one is known. A miss widens the margin by a quarter, answers without one narrow it again, about one miss in 1000 answers. No estimate for routes whose parts may not be asked again.

--- a/Libraries/LibForward/ForwardEngineDelegation.cpp
+++ b/Libraries/LibForward/ForwardEngineDelegation.cpp
@@ -446,9 +446,13 @@
 ForwardEngine::RecordFloor(const Request& aRequest)
 {
   const std::size_t count = aRequest.mShards->mMaximumRecords;
-  std::string floor = StatisticsOf(*aRequest.mRoute)
-                        .RecordFloor()
-                        .Estimate(aRequest.mParts.size(), count);
+  std::string floor;
+  if (aRequest.mRoute->mRepeatPolicy == RepeatPolicy::Idempotent) {
+    // A part whose records turn out to be needed is asked again.
+    floor = StatisticsOf(*aRequest.mRoute)
+              .RecordFloor()
+              .Estimate(aRequest.mParts.size(), count);
+  }
   if (aRequest.mSummary.mPartsDone == 0 || count == 0) {
     return floor;
   }
--- a/Libraries/LibForward/RecordFloorEstimator.cpp
+++ b/Libraries/LibForward/RecordFloorEstimator.cpp
@@ -10,12 +10,17 @@
 namespace {
 
 // Answers that are observed before the first estimate.
-constexpr std::uint32_t kMinimumAnswers = 64;
-// Each miss doubles the number of answers that are needed, up to this power.
-constexpr std::uint32_t kMaximumDoublings = 8;
-constexpr double kSampleWeight = 1.0 / 32;
-// The distance of the floor, in standard deviations beyond the mean.
-constexpr double kSafetyDeviations = 5;
+constexpr std::uint32_t kMinimumAnswers = 4;
+// Number of answers that the averages cover.
+constexpr std::uint32_t kAveragedAnswers = 32;
+// Each miss widens the margin by this factor, and answers without one narrow it
+// again so slowly that about one answer in kAnswersPerMiss misses, however the
+// records are distributed.
+constexpr double kMissFactor = 1.25;
+constexpr double kAnswersPerMiss = 1000;
+// In standard deviations.
+constexpr double kInitialMargin = 5;
+constexpr double kMinimumMargin = 3;
 // Leading bytes of a record that are compared as a number.
 constexpr std::size_t kPrefixBytes = 8;
 constexpr unsigned kBitsPerByte = 8;
@@ -45,6 +50,11 @@
 
 } // namespace
 
+RecordFloorEstimator::RecordFloorEstimator()
+  : mMargin(kInitialMargin)
+{
+}
+
 void
 RecordFloorEstimator::Observe(std::string_view aRecords,
                               std::size_t aShards,
@@ -59,22 +69,25 @@
   if (aShards != mShards || aMaximumRecords != mMaximumRecords) {
     mShards = aShards;
     mMaximumRecords = aMaximumRecords;
-    mAnswersNeeded = kMinimumAnswers;
+    mAnswers = 0;
     mMeanDistance = distance;
-    mVariance = 0;
+    // The variance if the records are independent of each other, until enough
+    // answers show the real one.
+    mVariance = distance * distance / static_cast<double>(aMaximumRecords);
   }
+  mAnswers = std::min(mAnswers + 1, kAveragedAnswers);
   const double difference = distance - mMeanDistance;
-  mMeanDistance += kSampleWeight * difference;
-  mVariance =
-    (1 - kSampleWeight) * (mVariance + kSampleWeight * difference * difference);
-  mAnswersNeeded -= mAnswersNeeded > 0 ? 1 : 0;
+  mMeanDistance += difference / mAnswers;
+  const double weight = 1.0 / kAveragedAnswers;
+  mVariance = (1 - weight) * (mVariance + weight * difference * difference);
+  mMargin = std::max(kMinimumMargin,
+                     mMargin / std::pow(kMissFactor, 1 / kAnswersPerMiss));
 }
 
 void
 RecordFloorEstimator::OnMiss()
 {
-  mMisses = std::min(mMisses + 1, kMaximumDoublings);
-  mAnswersNeeded = kMinimumAnswers << mMisses;
+  mMargin *= kMissFactor;
 }
 
 std::string
@@ -82,11 +95,12 @@
                                std::size_t aMaximumRecords) const
 {
   if (aShards != mShards || aMaximumRecords != mMaximumRecords ||
-      mAnswersNeeded > 0) {
+      mAnswers < kMinimumAnswers) {
     return "";
   }
-  const double distance =
-    mMeanDistance + kSafetyDeviations * std::sqrt(mVariance);
+  // The mean of few answers is uncertain itself.
+  const double deviation = std::sqrt(mVariance * (1 + 1.0 / mAnswers));
+  const double distance = mMeanDistance + mMargin * deviation;
   // Beyond this the conversion to an integer would overflow.
   const double greatestDistance = std::exp2(kBitsPerByte * kPrefixBytes - 1);
   return distance < greatestDistance ? RecordAtDistance(distance) : "";
--- a/Libraries/LibForward/RecordFloorEstimator.h
+++ b/Libraries/LibForward/RecordFloorEstimator.h
@@ -14,14 +14,14 @@
 class RecordFloorEstimator
 {
 public:
+  RecordFloorEstimator();
+
   /// aRecords is a complete answer of at most aMaximumRecords records, merged
   /// from aShards shards. An answer with fewer records is ignored.
   void Observe(std::string_view aRecords,
                std::size_t aShards,
                std::size_t aMaximumRecords);
-  /// An answer contained a record below the floor. There is no floor until as
-  /// many further answers were observed as at the start, or more after repeated
-  /// misses.
+  /// An answer contained a record below the floor: later floors are lower.
   void OnMiss();
   /// A record below which nothing is expected to belong to an answer; empty if
   /// too few answers of this shape were observed, or if they vary too much.
@@ -31,9 +31,11 @@
 private:
   std::size_t mShards = 0;
   std::size_t mMaximumRecords = 0;
-  /// Answers still to observe before the estimate is used.
-  std::uint32_t mAnswersNeeded = 0;
-  std::uint32_t mMisses = 0;
+  /// Answers of this shape that were observed, up to the number that the
+  /// averages cover.
+  std::uint32_t mAnswers = 0;
+  /// Distance of the floor from the mean, in standard deviations.
+  double mMargin;
   /// Mean and variance of the distance of an answer's least record from the
   /// greatest possible one, by their leading bytes.
   double mMeanDistance = 0;
