LibForward: Let shards wait for targets that are being probed

Also: a query of which nothing has run is refused at its deadline, not failed. Requests beside the running probes of an unreachable domain are refused at once; without that TestDomainReachability failed, as half of its callers waited.

The end of that test depended on the phase of the probes. It now waits for the next probe, at most a deadline, the grace time and an interval, and demands its answer too.

--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -174,7 +174,7 @@
   std::erase_if(mAbandonedAttempts,
                 [&](const auto& aEntry) { return aEntry.second == aAttempt; });
   if (aTarget != nullptr) {
-    SendWaitingParts(aTarget->Listed().mService, aNow);
+    StartWaitingParts(aTarget->Listed().mService, aNow);
   }
   return TakeActions();
 }
@@ -234,7 +234,7 @@
     TargetRecord* target = mTargets.Find(attempt.mTarget);
     if (target != nullptr && statistics != mStatistics.end()) {
       target->OnAbandoned(id, statistics->second.MedianLatency(), aNow);
-      SendWaitingParts(target->Listed().mService, aNow);
+      StartWaitingParts(target->Listed().mService, aNow);
     }
     mActions.push_back(CancelAction{ id });
   }
@@ -272,6 +272,12 @@
     if (part.mState == PartState::Waiting && aNow >= request.mWaitUntil) {
       part.mState = PartState::Failed;
     }
+    if (part.mState == PartState::Waiting && part.mRetryAt.has_value() &&
+        aNow >= *part.mRetryAt) {
+      // The peers' targets may have become free.
+      part.mUnableDomains.reset();
+      RestartWaitingPart(aNumber, &request, i, aNow);
+    }
     if (part.mState == PartState::Running && part.mHedgeAt.has_value() &&
         aNow >= *part.mHedgeAt) {
       part.mHedgeAt.reset();
@@ -302,6 +308,7 @@
   for (const Part& part : aRequest->mParts) {
     if (part.mState == PartState::Waiting) {
       next = std::min(next, aRequest->mWaitUntil);
+      next = std::min(next, part.mRetryAt.value_or(next));
     }
     if (part.mState == PartState::Running && part.mHedgeAt.has_value()) {
       next = std::min(next, *part.mHedgeAt);
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -104,7 +104,7 @@
 private:
   enum class PartState
   {
-    /// Waits for a free connection.
+    /// Waits for a target that can be asked.
     Waiting,
     Running,
     Done,
@@ -126,6 +126,16 @@
     std::optional<PartReply> mReply;
     /// Domains whose peers have asked no target of this part.
     DomainSet mDecliningDomains;
+    /// Domains whose peers were told to ask a target in any case and could not.
+    DomainSet mUnableDomains;
+    /// Whether the part is in the queue of its service.
+    bool mIsQueued = false;
+    /// When a waiting part tries again although no attempt of this node at the
+    /// service has ended; empty if it waits for such an end only.
+    std::optional<Instant> mRetryAt;
+    /// Delay before the next such try; it doubles with each. 0 before the
+    /// first.
+    Duration mRetryDelay{ 0 };
     /// Delegations of this part of which the peer has not reported the end.
     std::vector<DelegationNumber> mDelegations;
     /// Records of the answer below this one may be missing; empty if it is
@@ -157,7 +167,7 @@
     Instant mDeadline;
     /// Time from which an incomplete answer is preferred to a late one.
     Instant mPartialAnswerAt;
-    /// When parts that wait for a connection fail.
+    /// When parts that wait for a target fail.
     Instant mWaitUntil;
     Fingerprint mFingerprint;
     /// Targets whose connection was lost while they ran the request.
@@ -185,6 +195,7 @@
     /// Index of the peer's failure domain in the table of targets.
     std::size_t mDomain = 0;
     Instant mSent;
+    DelegationUrgency mUrgency = DelegationUrgency::IfPreferred;
     /// Parts whose end the peer has not reported, each with the target that the
     /// peer is presumed to have asked.
     std::map<std::size_t, TargetName> mParts;
@@ -254,6 +265,13 @@
                                                 Request* aRequest,
                                                 std::size_t aPart,
                                                 Instant aNow);
+  /// Lets a part wait until a target can be asked. Without a target to wait
+  /// for, or without time, the part fails.
+  void WaitForTarget(RequestNumber aNumber,
+                     Request* aRequest,
+                     std::size_t aPart,
+                     const Choice& aChoice,
+                     Instant aNow);
   /// Counts an attempt as the probe of a suspected target or domain.
   void BeginProbes(TargetRecord* aTarget, Instant aNow);
   void Send(RequestNumber aNumber,
@@ -279,8 +297,8 @@
                   Request* aRequest,
                   const std::vector<std::size_t>& aParts,
                   Instant aNow);
-  /// Sends a part without a running attempt to a further target, or marks it as
-  /// failed.
+  /// Sends a part without a running attempt to a further target. Without one
+  /// that can be asked now, the part waits or fails.
   void RetryPart(RequestNumber aNumber,
                  Request* aRequest,
                  std::size_t aPart,
@@ -314,7 +332,14 @@
                                 std::size_t aIndex,
                                 std::size_t aTargets,
                                 const ServiceSettings* aServiceSettings) const;
-  void SendWaitingParts(const ServiceName& aService, Instant aNow);
+  /// Starts the parts that wait for a target of the service, as far as one can
+  /// be asked.
+  void StartWaitingParts(const ServiceName& aService, Instant aNow);
+  /// Starts a part that has waited.
+  void RestartWaitingPart(RequestNumber aNumber,
+                          Request* aRequest,
+                          std::size_t aPart,
+                          Instant aNow);
 
   /// Time after which a second target is asked for a part that is sent now.
   [[nodiscard]] Duration HedgeDelay(const Request& aRequest,
@@ -437,6 +462,8 @@
   void Evaluate(RequestNumber aNumber, Instant aNow);
   void EvaluateSingle(RequestNumber aNumber, Request* aRequest, Instant aNow);
   void EvaluateGather(RequestNumber aNumber, Request* aRequest, Instant aNow);
+  /// Whether a part of the request may have run at a target.
+  [[nodiscard]] static bool MayHaveRun(const Request& aRequest);
   /// Ends a request without an answer: as refused if it has not run, else as
   /// failed.
   void FinishUnanswered(RequestNumber aNumber, Request* aRequest, Instant aNow);
--- a/Libraries/LibForward/ForwardEngineAdmission.cpp
+++ b/Libraries/LibForward/ForwardEngineAdmission.cpp
@@ -106,6 +106,12 @@
     static_cast<double>(route.mLatencyObjective.count())));
   aRequest->mWaitUntil = std::min(
     aRequest->mDeadline, std::max(aNow, request.mArrivalTime + connectionWait));
+  if (aRequest->mShards != nullptr) {
+    // The other shards of a query are being asked meanwhile, so that the caller
+    // could not start again elsewhere without repeating them.
+    aRequest->mWaitUntil = std::max(
+      aRequest->mWaitUntil, aRequest->mDeadline - statistics.TailLatency());
+  }
 }
 
 void
@@ -136,11 +142,16 @@
                              Instant aNow) const
 {
   const std::vector<TargetRecord*>& targets = mTargets.Of(aService);
+  const std::uint32_t share = ConnectionShare(mPlan->FindService(aService));
   return std::any_of(
     targets.begin(), targets.end(), [&](const TargetRecord* aTarget) {
       const std::size_t domain = aTarget->DomainIndex();
-      const bool unreachable = mDomains.IsUnreachable(domain, aNow) &&
-                               !mDomains.IsProbeDue(domain, aNow);
+      // While all its probes are under way, a request could only wait for them.
+      const bool mayProbe =
+        mDomains.IsProbeDue(domain, aNow) &&
+        aTarget->InFlight() < (aTarget->IsSuspect(aNow) ? 1 : share);
+      const bool unreachable =
+        mDomains.IsUnreachable(domain, aNow) && !mayProbe;
       return MayServe(*aTarget, aCaller) && !aTarget->IsDown(aNow) &&
              !unreachable;
     });
--- a/Libraries/LibForward/ForwardEngineDelegation.cpp
+++ b/Libraries/LibForward/ForwardEngineDelegation.cpp
@@ -146,6 +146,7 @@
   open.mPeer = aPeer;
   open.mDomain = aShards.mDomain;
   open.mSent = aNow;
+  open.mUrgency = aUrgency;
   open.mReportDue = aNow + StatisticsOf(*aRequest->mRoute).DelegationTimeout();
   for (const std::size_t index : aShards.mShardIndexes) {
     Part& part = aRequest->mParts[index];
@@ -341,6 +342,7 @@
   }
   AddPeerAnswers(aReport, aRequest, aNow);
   const std::size_t domain = open.mDomain;
+  const DelegationUrgency urgency = open.mUrgency;
   std::map<std::size_t, TargetName> notAsked;
   std::vector<std::size_t> late;
   for (const UnansweredShard& unanswered : aReport.mUnanswered) {
@@ -388,7 +390,9 @@
     EndDelegation(aDelegation, aRequest);
   }
   for (const auto& entry : notAsked) {
-    aRequest->mParts[entry.first].mDecliningDomains.set(domain);
+    Part& part = aRequest->mParts[entry.first];
+    part.mDecliningDomains.set(domain);
+    part.mUnableDomains.set(domain, urgency == DelegationUrgency::Always);
     TargetRecord* target = mTargets.Find(entry.second);
     if (target != nullptr) {
       target->OnDeclinedByPeer(aNow);
--- a/Libraries/LibForward/ForwardEngineOutcomes.cpp
+++ b/Libraries/LibForward/ForwardEngineOutcomes.cpp
@@ -98,27 +98,31 @@
     Finish(aNumber, std::move(outcome), aNow);
     return;
   }
-  if (total - failed < minimum) {
+  if (total - failed < minimum || aNow >= aRequest->mDeadline) {
     FinishUnanswered(aNumber, aRequest, aNow);
-    return;
-  }
-  if (aNow >= aRequest->mDeadline) {
-    Finish(aNumber, FailedOutcome{ FailureReason::DeadlinePassed }, aNow);
   }
 }
 
+bool
+ForwardEngine::MayHaveRun(const Request& aRequest)
+{
+  return std::any_of(
+    aRequest.mParts.begin(), aRequest.mParts.end(), [](const Part& aPart) {
+      return aPart.mMayHaveRun || !aPart.mRunning.empty() ||
+             !aPart.mDelegations.empty();
+    });
+}
+
 void
 ForwardEngine::FinishUnanswered(RequestNumber aNumber,
                                 Request* aRequest,
                                 Instant aNow)
 {
-  const bool mayHaveRun = std::any_of(
-    aRequest->mParts.begin(), aRequest->mParts.end(), [](const Part& aPart) {
-      return aPart.mMayHaveRun || !aPart.mRunning.empty() ||
-             !aPart.mDelegations.empty();
-    });
-  if (mayHaveRun) {
-    Finish(aNumber, FailedOutcome{ FailureReason::AttemptsFailed }, aNow);
+  if (MayHaveRun(*aRequest)) {
+    const FailureReason reason = aNow >= aRequest->mDeadline
+                                   ? FailureReason::DeadlinePassed
+                                   : FailureReason::AttemptsFailed;
+    Finish(aNumber, FailedOutcome{ reason }, aNow);
     return;
   }
   const bool sent = aRequest->mSummary.mAttempts > 0;
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -141,6 +141,10 @@
       continue;
     }
     const std::size_t domain = target->DomainIndex();
+    if (domain < kMaximumDomains && aPart.mUnableDomains.test(domain)) {
+      choice.mHasBusyTarget = true;
+      continue;
+    }
     const bool domainSuspected =
       mDomains.IsSuspected(domain, aNow) && !mDomains.IsProbeDue(domain, aNow);
     const bool suspect = domainSuspected || target->IsSuspect(aNow);
@@ -194,13 +198,33 @@
   if (choice.mTarget != nullptr) {
     return choice.mTarget;
   }
-  if (choice.mHasBusyTarget && aNow < aRequest->mWaitUntil) {
-    part.mState = PartState::Waiting;
+  WaitForTarget(aNumber, aRequest, aPart, choice, aNow);
+  return nullptr;
+}
+
+void
+ForwardEngine::WaitForTarget(RequestNumber aNumber,
+                             Request* aRequest,
+                             std::size_t aPart,
+                             const Choice& aChoice,
+                             Instant aNow)
+{
+  Part& part = aRequest->mParts[aPart];
+  if (!aChoice.mHasBusyTarget || aNow >= aRequest->mWaitUntil) {
+    part.mState = PartState::Failed;
+    return;
+  }
+  part.mState = PartState::Waiting;
+  part.mRetryAt.reset();
+  if (part.mUnableDomains.any()) {
+    part.mRetryDelay = std::max(StatisticsOf(*aRequest->mRoute).TailLatency(),
+                                2 * part.mRetryDelay);
+    part.mRetryAt = aNow + part.mRetryDelay;
+  }
+  if (!part.mIsQueued) {
+    part.mIsQueued = true;
     StateOf(part.mService).mWaiting.emplace_back(aNumber, aPart);
-    return nullptr;
   }
-  part.mState = PartState::Failed;
-  return nullptr;
 }
 
 void
@@ -369,7 +393,7 @@
   const Choice choice =
     ChooseTarget(*aRequest, part, TargetScope::AllDomains, aNow);
   if (choice.mTarget == nullptr) {
-    part.mState = PartState::Failed;
+    WaitForTarget(aNumber, aRequest, aPart, choice, aNow);
     return;
   }
   if (!TakeExtraAttempt(part.mService, AttemptPurpose::Retry, aNow)) {
@@ -382,7 +406,20 @@
 }
 
 void
-ForwardEngine::SendWaitingParts(const ServiceName& aService, Instant aNow)
+ForwardEngine::RestartWaitingPart(RequestNumber aNumber,
+                                  Request* aRequest,
+                                  std::size_t aPart,
+                                  Instant aNow)
+{
+  if (aRequest->mParts[aPart].mTriedTargets.empty()) {
+    StartParts(aNumber, aRequest, { aPart }, aNow);
+  } else {
+    RetryPart(aNumber, aRequest, aPart, aNow);
+  }
+}
+
+void
+ForwardEngine::StartWaitingParts(const ServiceName& aService, Instant aNow)
 {
   const auto found = mServices.find(aService);
   if (found == mServices.end()) {
@@ -390,35 +427,28 @@
   }
   std::deque<std::pair<RequestNumber, std::size_t>>& waiting =
     found->second.mWaiting;
-  while (!waiting.empty()) {
+  // A part that has to wait again is appended.
+  for (std::size_t left = waiting.size(); left > 0; --left) {
     const std::pair<RequestNumber, std::size_t> next = waiting.front();
     const auto request = mRequests.find(next.first);
-    const bool isWaiting =
-      request != mRequests.end() &&
-      request->second.mParts[next.second].mState == PartState::Waiting;
-    if (!isWaiting) {
+    if (request == mRequests.end()) {
       waiting.pop_front();
       continue;
     }
-    const Choice choice = ChooseTarget(request->second,
-                                       request->second.mParts[next.second],
-                                       TargetScope::AllDomains,
-                                       aNow);
-    if (choice.mTarget == nullptr) {
+    Part& part = request->second.mParts[next.second];
+    const bool isWaiting = part.mState == PartState::Waiting;
+    if (isWaiting &&
+        ChooseTarget(request->second, part, TargetScope::AllDomains, aNow)
+            .mTarget == nullptr) {
       return;
     }
     waiting.pop_front();
-    if (!HasTimeLeft(request->second, aNow)) {
-      // The timer of the request ends it.
-      continue;
+    part.mIsQueued = false;
+    // Without time left, the timer of the request ends it.
+    if (isWaiting && HasTimeLeft(request->second, aNow)) {
+      RestartWaitingPart(next.first, &request->second, next.second, aNow);
+      Evaluate(next.first, aNow);
     }
-    Send(next.first,
-         &request->second,
-         next.second,
-         choice.mTarget,
-         AttemptPurpose::First,
-         aNow);
-    ScheduleWake(next.first, &request->second, aNow);
   }
 }
 
--- a/Tests/LibForward/TestDomainReachability.cpp
+++ b/Tests/LibForward/TestDomainReachability.cpp
@@ -113,15 +113,24 @@
   }
   CHECK(refused >= 38);
   CHECK(unanswered <= 12);
-  // One answer from the domain ends the refusals.
-  const RequestNumber probe = rig.Submit("/gather/c", milliseconds(600));
-  rig.Pass(milliseconds(200));
-  const RequestNumber next = rig.Submit("/gather/d", milliseconds(600));
-  static_cast<void>(probe);
+  // The next probe is admitted once the running one has ended, and one answer
+  // from the domain ends the refusals.
+  const Instant giveUp = rig.mNow + milliseconds(1100);
+  RequestNumber probe = rig.Submit("/gather/c", milliseconds(600));
+  while (rig.AnswerOf(probe) != nullptr && rig.mNow < giveUp) {
+    rig.Pass(milliseconds(20));
+    probe = rig.Submit("/gather/c", milliseconds(600));
+  }
+  REQUIRE(rig.AnswerOf(probe) == nullptr);
   for (const SendAction& send : rig.Open()) {
     rig.Answer(send.mAttempt);
   }
   CHECK(!rig.mEngine.IsDomainUnreachable(FailureDomain("far"), rig.mNow));
+  CHECK(rig.OutcomeOf<GatheredOutcome>(probe) != nullptr);
+  const RequestNumber next = rig.Submit("/gather/d", milliseconds(600));
+  for (const SendAction& send : rig.Open()) {
+    rig.Answer(send.mAttempt);
+  }
   CHECK(rig.OutcomeOf<GatheredOutcome>(next) != nullptr);
 }
 
--- a/Tests/LibForward/TestSlowTargets.cpp
+++ b/Tests/LibForward/TestSlowTargets.cpp
@@ -163,7 +163,9 @@
 {
   // Both copies of the shard are slow: the peers would send it to each other
   // without end.
-  ForwardRig rig(4, 0.5, WithoutHedges());
+  ForwardSettings settings = WithoutHedges();
+  settings.mPartialAnswers = PartialAnswers::WhenMissingShardsFailed;
+  ForwardRig rig(4, 0.5, settings);
   rig.ListAcrossDomains(2);
   rig.mEngine.Peers().SetNodes(
     { PeerNode{ NodeName("peer"), FailureDomain("far"), 250, PlanVersion(1) },
@@ -189,14 +191,47 @@
   CHECK(third.mDelegationRequest.mUrgency == DelegationUrgency::Always);
   CHECK(third.mDelegationRequest.mShardIndexes ==
         std::vector<std::size_t>{ 3 });
-  while (!rig.Open().empty()) {
-    rig.Answer(rig.Open().front().mAttempt, Record('a'));
-  }
   DelegationReport done;
   done.mAnswered = { { 2, "peer-2", Record('z') } };
   rig.Take(rig.mEngine.OnDelegationResponse(first.mDelegation, done, rig.mNow));
-  done.mAnswered = { { 3, "peer-3", Record('y') } };
-  rig.Take(rig.mEngine.OnDelegationResponse(third.mDelegation, done, rig.mNow));
+  SUBCASE("it does")
+  {
+    done.mAnswered = { { 3, "peer-3", Record('y') } };
+    rig.Take(
+      rig.mEngine.OnDelegationResponse(third.mDelegation, done, rig.mNow));
+  }
+  SUBCASE("no peer can: the shard waits, and the peers are asked again")
+  {
+    std::size_t told = 2;
+    const auto leave = [&]() {
+      for (; told < rig.mDelegated.size(); ++told) {
+        rig.Take(rig.mEngine.OnDelegationResponse(
+          rig.mDelegated[told].mDelegation, left, rig.mNow));
+      }
+    };
+    leave();
+    // Each peer was told so once.
+    CHECK(rig.mDelegated.size() == 4);
+    CHECK(rig.Open().size() == 2);
+    CHECK(rig.AnswerOf(number) == nullptr);
+    for (int i = 0; i < 40; ++i) {
+      rig.Pass(milliseconds(10));
+      leave();
+    }
+    // The pauses grow.
+    CHECK(rig.mDelegated.size() > 4);
+    CHECK(rig.mDelegated.size() <= 16);
+    for (int i = 0; i < 40 && rig.mDelegated.size() == told; ++i) {
+      rig.Pass(milliseconds(10));
+    }
+    REQUIRE(rig.mDelegated.size() > told);
+    done.mAnswered = { { 3, "peer-3", Record('y') } };
+    rig.Take(rig.mEngine.OnDelegationResponse(
+      rig.mDelegated.back().mDelegation, done, rig.mNow));
+  }
+  while (!rig.Open().empty()) {
+    rig.Answer(rig.Open().front().mAttempt, Record('a'));
+  }
   const GatheredOutcome* outcome = rig.OutcomeOf<GatheredOutcome>(number);
   REQUIRE(outcome != nullptr);
   CHECK(outcome->mMissingParts == 0);
