--- a/Libraries/LibEntry/CpuUsageEstimator.cpp
+++ b/Libraries/LibEntry/CpuUsageEstimator.cpp
@@ -7,8 +7,7 @@
 namespace {
 
 // CPU usage of one attempt per second, including its share of all other work,
-// in thousandths of a core: 75 us per attempt (docs/MEASUREMENTS.md, quiet day
-// of vialtec-busqueda).
+// in thousandths of a core: 75 us per attempt (docs/MEASUREMENTS.md).
 constexpr double kMillicoresPerAttempt = 0.075;
 // Weight of a new sample, at four samples per second.
 constexpr double kSampleWeight = 0.25;
