LibGather, verbenachuted: Forget all delegations of a lost link at once

A link that falls silent is closed, and its delegations fail one after the other. The first failure can end its query, which cancels the other delegations of that query; these were still listed with the link that had just been removed. Since shards of slow targets are delegated too, a query has several delegations at one peer.

Change: PendingDelegations removes all delegations of a link before the first failure is handled. The incoming side had the same order of steps and is changed alike.

Ruled out: the engine's own lookups; libstdc++ names them unordered_map::at, or they follow a find.

--- a/Services/verbenachuted/GatherPort.cpp
+++ b/Services/verbenachuted/GatherPort.cpp
@@ -2,7 +2,6 @@
 
 #include <LibGather/GatherCodec.h>
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -117,8 +116,7 @@
        TrafficCause::Delegation,
        GatherRequest{
          number, now.time_since_epoch(), aAction.mDelegationRequest });
-  outgoing.mPending.emplace(number, now);
-  mDelegations.emplace(number, aAddress);
+  mDelegations.Add(number, aAddress, now);
   if (!mSilenceTimer.IsRunning()) {
     mSilenceTimer.Start(kSilenceCheckInterval);
   }
@@ -127,17 +125,17 @@
 void
 GatherPort::CancelDelegation(const CancelDelegationAction& aAction)
 {
-  const auto found = mDelegations.find(aAction.mDelegation);
-  if (found == mDelegations.end()) {
+  const std::optional<SocketAddress> peer =
+    mDelegations.PeerOf(aAction.mDelegation);
+  if (!peer.has_value()) {
     return;
   }
-  Outgoing& outgoing = mOutgoing.at(found->second);
-  outgoing.mPending.erase(aAction.mDelegation);
+  Outgoing& outgoing = mOutgoing.at(*peer);
   Send(outgoing.mLink.get(),
        &outgoing.mCompression,
        TrafficCause::Delegation,
        GatherCancellation{ aAction.mDelegation, aAction.mReason });
-  mDelegations.erase(found);
+  mDelegations.Remove(aAction.mDelegation);
 }
 
 void
@@ -155,12 +153,11 @@
     DeferCloseOutgoing(aAddress);
     return;
   }
-  if (!outgoing.mPending.contains(response->mNumber)) {
+  if (mDelegations.PeerOf(response->mNumber) != aAddress) {
     return;
   }
   if (response->mIsFinal) {
-    outgoing.mPending.erase(response->mNumber);
-    mDelegations.erase(response->mNumber);
+    mDelegations.Remove(response->mNumber);
   }
   mHooks.mOnResponse(response->mNumber, response->mAnswer);
 }
@@ -189,9 +186,8 @@
   }
   const Outgoing outgoing = std::move(found->second);
   mOutgoing.erase(found);
-  for (const auto& pending : outgoing.mPending) {
-    mDelegations.erase(pending.first);
-    mHooks.mOnFailure(pending.first,
+  for (const DelegationNumber number : mDelegations.TakeAllOf(aAddress)) {
+    mHooks.mOnFailure(number,
                       outgoing.mConnected ? AttemptFailure::ConnectionLost
                                           : AttemptFailure::NotSent);
   }
@@ -202,25 +198,16 @@
 {
   const Instant now = mLoop.Now();
   std::vector<SocketAddress> unresponsive;
-  bool anyPending = false;
   for (const auto& entry : mOutgoing) {
-    const Outgoing& outgoing = entry.second;
-    anyPending = anyPending || !outgoing.mPending.empty();
-    const bool isUnresponsive =
-      std::any_of(outgoing.mPending.begin(),
-                  outgoing.mPending.end(),
-                  [&](const auto& aPending) {
-                    return now - aPending.second > kSilenceTimeout &&
-                           outgoing.mLastReceived <= aPending.second;
-                  });
-    if (isUnresponsive) {
+    if (mDelegations.HasSent(
+          entry.first, entry.second.mLastReceived, now - kSilenceTimeout)) {
       unresponsive.push_back(entry.first);
     }
   }
   for (const SocketAddress& address : unresponsive) {
     CloseOutgoing(address);
   }
-  if (anyPending) {
+  if (!mDelegations.IsEmpty()) {
     mSilenceTimer.Start(kSilenceCheckInterval);
   }
 }
@@ -324,8 +311,11 @@
   }
   const Incoming incoming = std::move(found->second);
   mIncoming.erase(found);
+  // All are removed first, since a cancellation may let others report.
   for (const auto& pending : incoming.mPending) {
     mRequests.erase(pending.second);
+  }
+  for (const auto& pending : incoming.mPending) {
     mHooks.mOnCancelled(pending.second, CancelReason::CallerDisconnected);
   }
 }
--- a/Services/verbenachuted/GatherPort.h
+++ b/Services/verbenachuted/GatherPort.h
@@ -5,6 +5,7 @@
 #include <LibGather/GatherMessage.h>
 #include <LibGather/PayloadCompressor.h>
 #include <LibGather/PayloadDecompressor.h>
+#include <LibGather/PendingDelegations.h>
 #include <LibGather/TransitDelayEstimator.h>
 #include <LibObservation/MetricsRegistry.h>
 #include <LibTransport/EventLoop.h>
@@ -73,8 +74,6 @@
     Compression mCompression;
     bool mConnected = false;
     Instant mLastReceived;
-    /// Send times of the requests whose last response has not arrived.
-    std::map<DelegationNumber, Instant> mPending;
   };
   /// A link that a peer opened.
   struct Incoming
@@ -119,7 +118,7 @@
   Timer mSilenceTimer;
   std::unique_ptr<FrameListener> mListener;
   std::map<SocketAddress, Outgoing> mOutgoing;
-  std::unordered_map<DelegationNumber, SocketAddress> mDelegations;
+  PendingDelegations mDelegations;
   std::map<FrameLink*, Incoming> mIncoming;
   std::unordered_map<RequestNumber, std::pair<FrameLink*, DelegationNumber>>
     mRequests;
