StoreFollower: Give up a node's first read of the store sooner

Each node's first read is given up after 1.5 s, so that no node knows a plan until then; 145 requests are refused and 45 find no connection.

Hypothesis: a repeated read is answered as soon as the store is back; some more calls cost little.

Change: while a node has no copy, a read is given up after 300 ms, and each further one after twice that, up to 1.5 s as before. A store that is only slow answers one of them.

The new test of TestStoreFollower fails without the change.

--- a/Libraries/LibStore/StoreFollower.cpp
+++ b/Libraries/LibStore/StoreFollower.cpp
@@ -10,6 +10,7 @@
   , mBackoff(mSettings.mSelf,
              mSettings.mInitialBackoff,
              mSettings.mMaximumBackoff)
+  , mReadTimeout(mSettings.mFirstReadTimeout)
 {
 }
 
@@ -87,6 +88,7 @@
     mFailingSince = aNow;
   }
   mNextCall = aNow + mBackoff.OnFailure();
+  mReadTimeout = std::min(2 * mReadTimeout, mSettings.mReadTimeout);
 }
 
 void
@@ -236,7 +238,8 @@
     mCallPending = true;
     mLastProbe = aNow;
     if (mPhase == Phase::Loading) {
-      calls.emplace_back(ReadPageAction{ mAfter });
+      calls.emplace_back(ReadPageAction{
+        mAfter, mHasCopy ? mSettings.mReadTimeout : mReadTimeout });
     } else {
       mWatchStart = aNow;
       calls.emplace_back(
--- a/Libraries/LibStore/StoreFollower.h
+++ b/Libraries/LibStore/StoreFollower.h
@@ -23,9 +23,11 @@
 };
 
 /// Read a page of the keys after mAfter; if that is empty, from the first key.
+/// The read fails as Unreachable if it is not answered within mTimeout.
 struct ReadPageAction
 {
   std::string mAfter;
+  Duration mTimeout{ 0 };
 };
 
 /// Wait up to mWait for changes after a revision.
@@ -77,6 +79,10 @@
     /// Pause after each change, so that changes in quick succession need only
     /// one call.
     Duration mBatchDelay = milliseconds(500);
+    Duration mReadTimeout = milliseconds(1500);
+    /// Time limit of the first read of a node without a copy, which serves
+    /// nobody meanwhile. It doubles with each failure, up to mReadTimeout.
+    Duration mFirstReadTimeout = milliseconds(300);
     Duration mInitialBackoff = milliseconds(150);
     Duration mMaximumBackoff = milliseconds(1200);
     /// Pages that a node reads while its source is undecided, and the maximum
@@ -184,6 +190,8 @@
   UpdateSource mSource = UpdateSource::Undecided;
   std::optional<Instant> mStartTime;
   std::size_t mPagesRead = 0;
+  /// Time limit of the next read; see Settings::mFirstReadTimeout.
+  Duration mReadTimeout;
   std::optional<Instant> mLastAnswer;
   bool mHasCopy = false;
   bool mCallPending = false;
--- a/Services/verbenachuted/StoreLink.cpp
+++ b/Services/verbenachuted/StoreLink.cpp
@@ -147,7 +147,7 @@
   Call(&mReadStream,
        mStore,
        platform::ReadPageCall(mHost, aAction),
-       kCallTimeout,
+       aAction.mTimeout,
        [this](const StreamOutcome& aOutcome) {
          const platform::StoreResult<StorePage> result =
            platform::ReadPageResult(aOutcome);
--- a/Tests/LibStore/TestStoreFollower.cpp
+++ b/Tests/LibStore/TestStoreFollower.cpp
@@ -63,6 +63,45 @@
   CHECK(follower.TakeDueCalls(kStart).empty());
 }
 
+// All nodes lose power while the store does not answer. A read that is lost
+// keeps them from serving until it is given up.
+TEST_CASE("A node without a copy soon repeats a read that is not answered")
+{
+  const StoreFollower::Settings settings;
+  StoreFollower follower(settings);
+  follower.SetSource(UpdateSource::Store, kStart);
+  Instant now = kStart;
+  Duration previous{ 0 };
+  for (int failures = 0; failures < 4; ++failures) {
+    const std::vector<FollowerCall> calls = follower.TakeDueCalls(now);
+    const ReadPageAction* read = FindAction<ReadPageAction>(calls);
+    REQUIRE(read != nullptr);
+    // A store that is slow, not lost, answers one of the later reads.
+    CHECK(read->mTimeout >= previous);
+    CHECK(read->mTimeout <= settings.mReadTimeout);
+    previous = read->mTimeout;
+    now += read->mTimeout;
+    follower.OnFailure(StoreFailure::Unreachable, now);
+    if (failures == 0) {
+      // Two reads fit into the time that one took.
+      CHECK(now - kStart <= settings.mReadTimeout / 2);
+    }
+    now += settings.mMaximumBackoff;
+  }
+  CHECK(previous == settings.mReadTimeout);
+}
+
+TEST_CASE("A node with a copy gives a slow read its full time")
+{
+  const StoreFollower::Settings settings;
+  StoreFollower follower = WatchingFollower();
+  follower.OnFailure(StoreFailure::HistoryCompacted, kStart);
+  const std::vector<FollowerCall> calls = follower.TakeDueCalls(kStart);
+  const ReadPageAction* read = FindAction<ReadPageAction>(calls);
+  REQUIRE(read != nullptr);
+  CHECK(read->mTimeout == settings.mReadTimeout);
+}
+
 TEST_CASE("While a call is pending a follower waits only for its result")
 {
   // Guards against a due time in the past, which makes the node poll in a busy
