LibForward, verbenachuted: Refuse requests that have not left this node

Change: the engine asks the connection pool whether an attempt may have left. If none has, the request is refused as not run, and its attempts are cancelled before the answer, so that they never leave. A request that must not run twice is cancelled too if its caller leaves before it has left. HttpClientStream::Abort keeps a connection that is being made from sending the request.

Ruled out: marking attempts by an event when they leave; the pool knows it at any time, and the engine needs it only when a request ends.

--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -10,6 +10,7 @@
 ForwardEngine::ForwardEngine(const ForwardSettings& aSettings)
   : mSettings(aSettings)
   , mAdmissionFilter([](const ListedTarget&, const CallerId&) { return true; })
+  , mMayHaveLeft([](AttemptId) { return true; })
   , mNodes{ NodeName() }
   , mNextAttempt(aSettings.mFirstAttempt.value())
   , mRandom(static_cast<std::minstd_rand::result_type>(aSettings.mSeed))
@@ -40,6 +41,12 @@
   mAdmissionFilter = std::move(aFilter);
 }
 
+void
+ForwardEngine::SetDepartureCheck(DepartureCheck aCheck)
+{
+  mMayHaveLeft = std::move(aCheck);
+}
+
 void
 ForwardEngine::SetNodes(std::vector<NodeName> aServingNodes,
                         const NodeName& aSelf)
@@ -192,7 +199,7 @@
     for (const AttemptId attempt : part.mRunning) {
       const auto running = mAttempts.find(attempt);
       VERIFY(running != mAttempts.end());
-      if (!mayCancel) {
+      if (!mayCancel && mMayHaveLeft(attempt)) {
         // A request that must not run twice is left to complete: the answer is
         // not needed, but cancelling it midway would leave it half done.
         running->second.mIsAbandoned = true;
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -30,6 +30,10 @@
   using AdmissionFilter =
     std::function<bool(const ListedTarget&, const CallerId&)>;
 
+  /// Whether bytes of an attempt may have left this node. If not, none leave
+  /// after its CancelAction.
+  using DepartureCheck = std::function<bool(AttemptId)>;
+
   explicit ForwardEngine(const ForwardSettings& aSettings);
 
   /// Ignores a plan that is not newer than the current one.
@@ -38,6 +42,8 @@
   [[nodiscard]] const ServingPlanPointer& Plan() const { return mPlan; }
   void SetBudgetLimits(const AttemptBudgetLimits& aLimits);
   void SetAdmissionFilter(AdmissionFilter aFilter);
+  /// Without a check, every attempt counts as one that may have left.
+  void SetDepartureCheck(DepartureCheck aCheck);
   /// aServingNodes are the nodes to which callers are or recently were
   /// directed, aSelf is this node. The serving nodes share the connections, the
   /// cold-start limits and the extra attempts. A node that is not among them
@@ -463,7 +469,7 @@
   void EvaluateSingle(RequestNumber aNumber, Request* aRequest, Instant aNow);
   void EvaluateGather(RequestNumber aNumber, Request* aRequest, Instant aNow);
   /// Whether a part of the request may have run at a target.
-  [[nodiscard]] static bool MayHaveRun(const Request& aRequest);
+  [[nodiscard]] bool MayHaveRun(const Request& aRequest) const;
   /// Ends a request without an answer: as refused if it has not run, else as
   /// failed.
   void FinishUnanswered(RequestNumber aNumber, Request* aRequest, Instant aNow);
@@ -487,6 +493,9 @@
   void RecordPoisonObservations(const Request& aRequest, Instant aNow);
   /// Abandons all running attempts of the request.
   void AbandonAll(const Request& aRequest, Instant aNow);
+  /// Cancels all running attempts of the request at once. The next OnTime
+  /// starts the parts that wait for them.
+  void CancelAll(const Request& aRequest, Instant aNow);
   void EraseRequest(Requests::iterator aRequest);
   /// Common steps at the end of an attempt, whatever its result. aTarget is
   /// null if the target is not listed any more.
@@ -507,6 +516,7 @@
   /// The previous plan; delegations of peers may still refer to it.
   ServingPlanPointer mPreviousPlan;
   AdmissionFilter mAdmissionFilter;
+  DepartureCheck mMayHaveLeft;
   /// Sorted by name, this node included.
   std::vector<NodeName> mNodes;
   /// Index of this node in mNodes.
--- a/Libraries/LibForward/ForwardEngineOutcomes.cpp
+++ b/Libraries/LibForward/ForwardEngineOutcomes.cpp
@@ -64,7 +64,7 @@
              aNow);
       return;
     }
-    Finish(aNumber, FailedOutcome{ FailureReason::DeadlinePassed }, aNow);
+    FinishUnanswered(aNumber, aRequest, aNow);
   }
 }
 
@@ -104,12 +104,13 @@
 }
 
 bool
-ForwardEngine::MayHaveRun(const Request& aRequest)
+ForwardEngine::MayHaveRun(const Request& aRequest) const
 {
   return std::any_of(
-    aRequest.mParts.begin(), aRequest.mParts.end(), [](const Part& aPart) {
-      return aPart.mMayHaveRun || !aPart.mRunning.empty() ||
-             !aPart.mDelegations.empty();
+    aRequest.mParts.begin(), aRequest.mParts.end(), [&](const Part& aPart) {
+      return aPart.mMayHaveRun || !aPart.mDelegations.empty() ||
+             std::any_of(
+               aPart.mRunning.begin(), aPart.mRunning.end(), mMayHaveLeft);
     });
 }
 
@@ -125,10 +126,15 @@
     Finish(aNumber, FailedOutcome{ reason }, aNow);
     return;
   }
-  const bool sent = aRequest->mSummary.mAttempts > 0;
+  const bool isConnecting =
+    std::any_of(aRequest->mParts.begin(),
+                aRequest->mParts.end(),
+                [](const Part& aPart) { return !aPart.mRunning.empty(); });
+  const bool declined = aRequest->mSummary.mAttempts > 0 && !isConnecting;
   Finish(aNumber,
-         sent ? RefusedOutcome{ RefusalReason::Declined, kRetryAfterDeclined }
-              : RefusedOutcome{ RefusalReason::NoTarget, kRetryAfterNoTarget },
+         declined
+           ? RefusedOutcome{ RefusalReason::Declined, kRetryAfterDeclined }
+           : RefusedOutcome{ RefusalReason::NoTarget, kRetryAfterNoTarget },
          aNow);
 }
 
@@ -218,6 +224,20 @@
   }
 }
 
+void
+ForwardEngine::CancelAll(const Request& aRequest, Instant aNow)
+{
+  for (const Part& part : aRequest.mParts) {
+    for (const AttemptId attempt : part.mRunning) {
+      const auto found = mAttempts.find(attempt);
+      VERIFY(found != mAttempts.end());
+      found->second.mIsAbandoned = true;
+      mAbandonedAttempts.insert({ aNow, attempt });
+      mActions.push_back(CancelAction{ attempt });
+    }
+  }
+}
+
 void
 ForwardEngine::EraseRequest(Requests::iterator aRequest)
 {
@@ -235,7 +255,12 @@
   const auto found = mRequests.find(aNumber);
   VERIFY(found != mRequests.end());
   Request& request = found->second;
-  AbandonAll(request, aNow);
+  if (std::holds_alternative<RefusedOutcome>(aOutcome)) {
+    // The running attempts have not left this node, and must not any more.
+    CancelAll(request, aNow);
+  } else {
+    AbandonAll(request, aNow);
+  }
   for (const Part& part : request.mParts) {
     if (part.mState != PartState::Done) {
       request.mSummary.AddMissing(part.mService);
--- a/Libraries/LibHttp/HttpClientStream.cpp
+++ b/Libraries/LibHttp/HttpClientStream.cpp
@@ -28,7 +28,7 @@
   , mReader(MessageKind::Responses, MessageLimits())
   , mTimer(aLoop,
            [this]() {
-             AbortExchange();
+             ResetConnection();
              Fail(StreamFailure::TimedOut);
            })
   , mIdleSince(aLoop.Now())
@@ -53,7 +53,7 @@
 HttpClientStream::~HttpClientStream()
 {
   if (mDone) {
-    AbortExchange();
+    ResetConnection();
   }
   bufferevent_free(mStream);
 }
@@ -223,13 +223,25 @@
 }
 
 void
-HttpClientStream::AbortExchange()
+HttpClientStream::ResetConnection()
 {
   // A request that nobody waits for must not be delivered once a network
   // partition heals.
   ResetOnClose(SocketOf(mStream));
 }
 
+void
+HttpClientStream::Abort()
+{
+  if (mDone) {
+    ResetConnection();
+  }
+  mTimer.Stop();
+  mDone = nullptr;
+  mBroken = true;
+  bufferevent_disable(mStream, EV_READ | EV_WRITE);
+}
+
 void
 HttpClientStream::Fail(StreamFailure aFailure)
 {
--- a/Libraries/LibHttp/HttpClientStream.h
+++ b/Libraries/LibHttp/HttpClientStream.h
@@ -78,7 +78,14 @@
   /// destroy the stream.
   void Send(Exchange aExchange, Done aDone);
 
+  /// Closes the connection. A running exchange is dropped without calling its
+  /// Done, and what has not been written is never sent.
+  void Abort();
+
   [[nodiscard]] bool IsReady() const { return !mDone && !mBroken; }
+  /// Whether the connection has been established; the request of a running
+  /// exchange has then been written.
+  [[nodiscard]] bool WasConnected() const { return mConnected; }
   [[nodiscard]] bool IsBroken() const { return mBroken; }
   /// Whether an exchange has completed on this connection before.
   [[nodiscard]] bool WasUsed() const { return mExchanges > 0; }
@@ -98,7 +105,7 @@
   void ReadInput();
   void FinishMessage();
   void ReadKeepAliveTimeout();
-  void AbortExchange();
+  void ResetConnection();
   void Fail(StreamFailure aFailure);
   void Finish(StreamOutcome aOutcome);
   [[nodiscard]] StreamFailure FailureOnClose() const;
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -92,6 +92,8 @@
   , mOperatorTimer(*mLoop, [this]() { OnOperatorTick(); })
 {
   mStartTime = mLoop->Now();
+  mEngine.SetDepartureCheck(
+    [this](AttemptId aAttempt) { return mPool.MayHaveLeft(aAttempt); });
   mEngine.SetNodes({ mSelf.mName }, mSelf.mName);
   for (const SocketAddress& seed : aSettings.Seeds()) {
     // The seeds' addresses have another port. Gossip uses the same port on all
--- a/Services/verbenachuted/TargetConnectionPool.cpp
+++ b/Services/verbenachuted/TargetConnectionPool.cpp
@@ -192,9 +192,18 @@
   // the stream. Taking the stream out breaks this cycle, and the deferred task
   // closes the socket.
   std::shared_ptr<HttpClientStream> stream(std::move(entry.second->mStream));
+  stream->Abort();
   mLoop.Defer([stream]() {});
 }
 
+bool
+TargetConnectionPool::MayHaveLeft(AttemptId aAttempt) const
+{
+  const auto found = mAttempts.find(aAttempt);
+  return found == mAttempts.end() ||
+         found->second.second->mStream->WasConnected();
+}
+
 void
 TargetConnectionPool::CloseIdle()
 {
--- a/Services/verbenachuted/TargetConnectionPool.h
+++ b/Services/verbenachuted/TargetConnectionPool.h
@@ -34,6 +34,9 @@
   /// Closes the connection of the attempt, whose result is then not reported.
   /// Does nothing if the attempt has no connection.
   void Cancel(AttemptId aAttempt);
+  /// Whether bytes of the attempt may have left this node. If not, none will
+  /// after a Cancel.
+  [[nodiscard]] bool MayHaveLeft(AttemptId aAttempt) const;
   /// Closes the idle connections that SurplusConnections selects, and broken
   /// ones.
   void CloseIdle();
