--- a/Libraries/LibConfiguration/BackoffSchedule.cpp
+++ b/Libraries/LibConfiguration/BackoffSchedule.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// More doublings than this reach the limit whatever the first wait.
+/// Further doublings would exceed every limit.
 constexpr std::uint32_t kLargestExponent = 16;
 
 } // namespace
--- a/Libraries/LibConfiguration/BackoffSchedule.h
+++ b/Libraries/LibConfiguration/BackoffSchedule.h
@@ -7,17 +7,18 @@
 
 namespace verbenachute {
 
-/// Spaces retries: each failure doubles the wait up to a limit, and a hash of
-/// the node's name spreads the nodes over half to one and a half of it.
+/// Exponential back-off with jitter: each failure doubles the delay up to a
+/// limit. A hash of the node's name scales it by 0.5 to 1.5, so that the nodes
+/// do not retry at the same time.
 class BackoffSchedule
 {
 public:
   BackoffSchedule(NodeName aSelf, Duration aFirst, Duration aLongest);
 
-  /// The wait after one more failure.
+  /// Returns the delay after one more failure.
   [[nodiscard]] Duration OnFailure();
   void OnSuccess() { mFailures = 0; }
-  /// Half to one and a half of a duration, other at each call.
+  /// Returns the duration scaled by 0.5 to 1.5, differently at each call.
   [[nodiscard]] Duration Spread(Duration aDuration);
 
 private:
--- a/Libraries/LibConfiguration/Bootstrap.h
+++ b/Libraries/LibConfiguration/Bootstrap.h
@@ -10,7 +10,7 @@
 /// The first configuration of a store that has none.
 struct Bootstrap
 {
-  /// The operation under which a repeat finds that it has been written.
+  /// Operation id, by which a repeated bootstrap is recognized.
   static constexpr const char* kOperation = "bootstrap";
 
   std::shared_ptr<const Configuration> mConfiguration;
--- a/Libraries/LibConfiguration/Change.h
+++ b/Libraries/LibConfiguration/Change.h
@@ -8,7 +8,7 @@
 
 namespace verbenachute {
 
-/// Makes an edit at once, where the policy lets the operator.
+/// Applies an edit immediately, if the policy allows the operator to.
 struct MakeEdit
 {
   Edit mEdit;
@@ -17,7 +17,7 @@
   friend bool operator==(const MakeEdit&, const MakeEdit&) = default;
 };
 
-/// Leaves an edit for the approval of another operator.
+/// Submits an edit for approval by another operator.
 struct Propose
 {
   Edit mEdit;
@@ -26,7 +26,7 @@
   friend bool operator==(const Propose&, const Propose&) = default;
 };
 
-/// Makes the edit of a proposal; by another operator than its proposer.
+/// Applies the edit of a proposal. The approver must not be the proposer.
 struct Approve
 {
   ProposalId mProposal;
@@ -34,7 +34,7 @@
   friend bool operator==(const Approve&, const Approve&) = default;
 };
 
-/// Drops a proposal; its proposer may do so too.
+/// Discards a proposal. The proposer may do so too.
 struct Reject
 {
   ProposalId mProposal;
@@ -44,8 +44,8 @@
 
 using Change = std::variant<MakeEdit, Propose, Approve, Reject>;
 
-/// Targets of which at least one has to stay admissible, such as the
-/// replicas of a shard. The daemon knows shards from what targets tell.
+/// Targets of which at least one has to stay admissible, such as the replicas
+/// of a shard, which the targets report.
 struct CoverageGroup
 {
   /// For messages, such as "shard 3 of painel-doca".
@@ -53,14 +53,14 @@
   std::vector<TargetName> mTargets;
 };
 
-/// A change, who wants it, and when.
+/// A change with its author and time.
 struct ChangeRequest
 {
   OperationId mOperation;
   OperatorName mOperator;
   Change mChange;
   UnixMilliseconds mWallTime{ 0 };
-  /// Groups besides the services, which are always checked.
+  /// Groups to check in addition to the services.
   std::vector<CoverageGroup> mGroups;
 };
 
--- a/Libraries/LibConfiguration/Configuration.cpp
+++ b/Libraries/LibConfiguration/Configuration.cpp
@@ -20,7 +20,7 @@
 
 Configuration::Configuration(ConfigurationContent aContent)
   : mContent(std::move(aContent))
-  , mStandings(mContent.mTargets->Names().size())
+  , mEvaluations(mContent.mTargets->Names().size())
 {
 }
 
@@ -55,7 +55,7 @@
   if (!FindTarget(aTarget)) {
     return { Admittance::UnknownTarget, "" };
   }
-  const Standing& standing = StandingOf(aTarget);
+  const Evaluation& standing = EvaluationOf(aTarget);
   for (const Selector* selector : standing.mServeOnly) {
     if (!std::binary_search(
           selector->mCallers.begin(), selector->mCallers.end(), aCaller)) {
@@ -70,7 +70,7 @@
 {
   const TargetEntry* target = FindTarget(aTarget);
   VERIFY(target);
-  // A target's own label goes before that of its failure domain.
+  // A target's own label overrides that of its failure domain.
   LabelSet labels = mContent.mTargetLabels.LabelsOf(aTarget);
   const auto inherited = mContent.mDomainLabels.find(target->mDomain);
   if (inherited != mContent.mDomainLabels.end()) {
@@ -109,15 +109,15 @@
   return explanation;
 }
 
-Configuration::Openness
-Configuration::OpennessOf(const TargetName& aTarget) const
+Configuration::Availability
+Configuration::AvailabilityOf(const TargetName& aTarget) const
 {
-  const Standing& standing = StandingOf(aTarget);
+  const Evaluation& standing = EvaluationOf(aTarget);
   if (standing.mAdmittance != Admittance::Admitted) {
-    return Openness::Closed;
+    return Availability::Closed;
   }
   if (standing.mServeOnly.empty()) {
-    return Openness::AllCallers;
+    return Availability::AllCallers;
   }
   std::vector<CallerId> callers = standing.mServeOnly.front()->mCallers;
   for (const Selector* selector : standing.mServeOnly) {
@@ -126,24 +126,24 @@
         selector->mCallers.begin(), selector->mCallers.end(), aCaller);
     });
   }
-  return callers.empty() ? Openness::Closed : Openness::SomeCallers;
+  return callers.empty() ? Availability::Closed : Availability::SomeCallers;
 }
 
-const Configuration::Standing&
-Configuration::StandingOf(const TargetName& aTarget) const
+const Configuration::Evaluation&
+Configuration::EvaluationOf(const TargetName& aTarget) const
 {
   const std::size_t position = mContent.mTargets->PositionOf(aTarget);
-  std::optional<Standing>& standing = mStandings[position];
+  std::optional<Evaluation>& standing = mEvaluations[position];
   if (!standing) {
-    standing = WorkOutStanding(mContent.mTargets->Entries()[position]);
+    standing = Evaluate(mContent.mTargets->Entries()[position]);
   }
   return *standing;
 }
 
-Configuration::Standing
-Configuration::WorkOutStanding(const TargetEntry& aTarget) const
+Configuration::Evaluation
+Configuration::Evaluate(const TargetEntry& aTarget) const
 {
-  Standing standing;
+  Evaluation standing;
   if (mContent.mDomains.at(aTarget.mDomain).mState == DomainState::Out) {
     standing = { Admittance::NoNewWork, aTarget.mDomain.value(), {} };
   }
--- a/Libraries/LibConfiguration/Configuration.h
+++ b/Libraries/LibConfiguration/Configuration.h
@@ -15,18 +15,18 @@
 class Configuration final : public ConfigurationView
 {
 public:
-  /// Why a target may or may not serve, rule by rule.
+  /// The rules that decide whether a target may serve, for operators.
   struct Explanation
   {
     AdmittanceDecision mDecision;
     /// Labels by which selectors match: built-in, inherited and own.
     LabelSet mLabels;
-    /// One line for each failure domain state and selector looked at.
+    /// One line for each failure domain state and selector that was evaluated.
     std::vector<std::string> mRules;
   };
 
-  /// Checks that names refer to something and follow the rules; otherwise
-  /// InvalidInput at the step Configuration.
+  /// Fails with InvalidInput at step Configuration if a name is malformed or
+  /// refers to nothing.
   [[nodiscard]] static Result<std::shared_ptr<const Configuration>> Create(
     ConfigurationContent aContent);
 
@@ -46,18 +46,18 @@
   [[nodiscard]] Explanation Explain(const TargetName& aTarget,
                                     const CallerId& aCaller) const;
 
-  /// Whom a target serves, whoever asks.
-  enum class Openness
+  /// Which callers a target may serve.
+  enum class Availability
   {
     Closed,
     SomeCallers,
     AllCallers,
   };
-  [[nodiscard]] Openness OpennessOf(const TargetName& aTarget) const;
+  [[nodiscard]] Availability AvailabilityOf(const TargetName& aTarget) const;
 
 private:
-  /// What the rules say of one target, worked out at its first use.
-  struct Standing
+  /// Result of the rules for one target, computed on first use.
+  struct Evaluation
   {
     Admittance mAdmittance = Admittance::Admitted;
     std::string mReason;
@@ -66,12 +66,12 @@
 
   explicit Configuration(ConfigurationContent aContent);
 
-  [[nodiscard]] const Standing& StandingOf(const TargetName& aTarget) const;
-  [[nodiscard]] Standing WorkOutStanding(const TargetEntry& aTarget) const;
+  [[nodiscard]] const Evaluation& EvaluationOf(const TargetName& aTarget) const;
+  [[nodiscard]] Evaluation Evaluate(const TargetEntry& aTarget) const;
 
   const ConfigurationContent mContent;
-  // All use is on the one loop of the process, so the cache needs no lock.
-  mutable std::vector<std::optional<Standing>> mStandings;
+  // The process has one thread, so the cache needs no lock.
+  mutable std::vector<std::optional<Evaluation>> mEvaluations;
 };
 
 } // namespace verbenachute
--- a/Libraries/LibConfiguration/ConfigurationChecks.cpp
+++ b/Libraries/LibConfiguration/ConfigurationChecks.cpp
@@ -33,7 +33,7 @@
 }
 
 /// A target of an unchanged table has been checked already, so only what
-/// refers to other sections is looked at again.
+/// refers to other sections is checked again.
 Result<Success>
 CheckTargets(const ConfigurationContent& aContent)
 {
--- a/Libraries/LibConfiguration/ConfigurationChecks.h
+++ b/Libraries/LibConfiguration/ConfigurationChecks.h
@@ -4,12 +4,12 @@
 
 namespace verbenachute {
 
-/// Whether all names follow the rules and refer to something registered. A
-/// fault is InvalidInput at the step Configuration and names what is wrong.
+/// Fails with InvalidInput at step Configuration if a name is malformed or
+/// refers to something that is not registered; the message names the fault.
 [[nodiscard]] Result<Success>
 CheckContent(const ConfigurationContent& aContent);
 
-/// Checks of single entries, for edits; same error.
+/// Checks of single entries, for edits; they fail in the same way.
 [[nodiscard]] Result<Success>
 CheckDomain(const DomainEntry& aDomain);
 [[nodiscard]] Result<Success>
--- a/Libraries/LibConfiguration/ConfigurationCodec.h
+++ b/Libraries/LibConfiguration/ConfigurationCodec.h
@@ -9,12 +9,12 @@
 
 namespace verbenachute {
 
-/// Writes a configuration as content-addressed parts and a head, or as one
-/// whole document, and reads both back.
+/// Serializes a configuration as content-addressed parts and a head, or as a
+/// single document, and parses both.
 class ConfigurationCodec
 {
 public:
-  /// Largest whole document that is read, in bytes.
+  /// Maximum size of a document that is parsed, in bytes.
   static constexpr std::size_t kDocumentBytes = 64'000'000;
 
   /// Parts that the base already has keep their names; the others carry
@@ -25,16 +25,16 @@
     const ConfigurationHead& aBase,
     const std::string& aTag);
 
-  /// Reads the parts that the head names. A part that is missing, damaged or
-  /// malformed is an InvalidInput error; nothing of the others is used then.
+  /// Reads the parts that the head names. Fails with InvalidInput if any of
+  /// them is missing, damaged or malformed.
   [[nodiscard]] static Result<std::shared_ptr<const Configuration>> Decode(
     const ConfigurationHead& aHead,
     const ConfigurationParts& aParts);
 
-  /// The whole document as indented JSON, for people and bootstrapping.
+  /// The document as indented JSON, for operators and bootstrapping.
   [[nodiscard]] static std::string DocumentText(
     const Configuration& aConfiguration);
-  /// Reads a whole document; a missing revision is 1.
+  /// Parses a document; a missing revision counts as 1.
   [[nodiscard]] static Result<std::shared_ptr<const Configuration>>
   ParseDocument(std::string_view aText);
 };
--- a/Libraries/LibConfiguration/ConfigurationContent.h
+++ b/Libraries/LibConfiguration/ConfigurationContent.h
@@ -14,8 +14,8 @@
 
 namespace verbenachute {
 
-/// What a configuration consists of. Copies are cheap: they share targets
-/// and labels.
+/// The contents of a configuration. Copies are cheap, as they share targets and
+/// labels.
 struct ConfigurationContent
 {
   Revision mRevision;
--- a/Libraries/LibConfiguration/ConfigurationDocument.h
+++ b/Libraries/LibConfiguration/ConfigurationDocument.h
@@ -15,7 +15,7 @@
 public:
   struct Entry
   {
-    /// Name of what the entry is about, by which parts are cut.
+    /// Name of the subject; PartCutter hashes it.
     std::string mName;
     Json::Value mValue;
   };
@@ -30,12 +30,13 @@
   [[nodiscard]] static std::vector<Section> Sections(
     const ConfigurationContent& aContent);
 
-  /// Adds an entry to the content. Faults, unknown sections and entries that
-  /// stand twice are InvalidInput.
+  /// Adds an entry to the content. Fails with InvalidInput for a malformed or
+  /// duplicate entry or an unknown section.
   [[nodiscard]] Result<Success> Add(const std::string& aSection,
                                     const Json::Value& aEntry);
 
-  /// The content of all added entries, checked as a whole.
+  /// The configuration with all added entries. Fails with InvalidInput if they
+  /// are inconsistent.
   [[nodiscard]] Result<std::shared_ptr<const Configuration>> Build(
     Revision aRevision);
 
--- a/Libraries/LibConfiguration/ConfigurationEditor.cpp
+++ b/Libraries/LibConfiguration/ConfigurationEditor.cpp
@@ -31,8 +31,8 @@
                        CompactJson(ChangeJson(aRequest.mChange)));
 }
 
-/// Makes the next content of one request. Each step leaves the content
-/// untouched or the whole application fails.
+/// Computes the content that results from one request. If a step fails, the
+/// whole application fails.
 class ChangeApplication
 {
 public:
@@ -87,8 +87,8 @@
     if (mContent.mProposals.size() >= ConfigurationEditor::kPendingProposals) {
       return Fault(ErrorCode::Overloaded, "too many proposals are pending");
     }
-    // A proposal is tried at once, so that its author learns what is wrong
-    // with it and its approver sees what it would change.
+    // The edit is applied to a copy at once, so that its author learns of
+    // errors and its approver sees what it would change.
     Result<Success> applied = ApplyAndCompare(aPropose.mEdit);
     if (IsError(applied)) {
       return applied;
@@ -230,7 +230,7 @@
 ConfigurationEditor::FindOperation(const ConfigurationContent& aContent,
                                    const OperationId& aOperation)
 {
-  // Repeats follow soon, so the newest entries are looked at first.
+  // Repeats follow soon, so the newest entries are checked first.
   const auto found = std::find_if(aContent.mHistory.rbegin(),
                                   aContent.mHistory.rend(),
                                   [&aOperation](const HistoryEntry& aEntry) {
--- a/Libraries/LibConfiguration/ConfigurationEditor.h
+++ b/Libraries/LibConfiguration/ConfigurationEditor.h
@@ -8,7 +8,7 @@
 
 namespace verbenachute {
 
-/// What a change makes of a configuration.
+/// Result of a change.
 struct ChangeOutcome
 {
   /// The next revision, or the one given if the operation was applied before.
@@ -18,20 +18,20 @@
   std::vector<Difference> mDifferences;
 };
 
-/// Applies changes to a configuration. It never alters the one given: the
-/// outcome is the next revision or an error, and an error means that nothing
-/// has changed.
+/// Applies changes to a configuration. The given configuration is not modified:
+/// the result is the next revision, or an error if nothing has changed.
 class ConfigurationEditor
 {
 public:
-  /// Operations that are remembered for repeats, and shown as history.
+  /// Maximum number of operations that the history keeps, which also serves to
+  /// recognize repeated ones.
   static constexpr std::size_t kHistoryEntries = 2'048;
-  /// Proposals that may wait at one time.
+  /// Maximum number of pending proposals.
   static constexpr std::size_t kPendingProposals = 256;
 
-  /// Errors: InvalidInput for what can't be, NotFound for a name that is not
-  /// registered, Forbidden for an edit that needs approval or an approval of
-  /// one's own proposal, Conflict for a proposal that no longer applies, an
+  /// Errors: InvalidInput for an invalid change, NotFound for a name that is
+  /// not registered, Forbidden for an edit that needs approval or an approval
+  /// of one's own proposal, Conflict for a proposal that no longer applies, an
   /// operation id that was used for another change, or the loss of the last
   /// admissible target without the override.
   [[nodiscard]] static Result<ChangeOutcome> Apply(
--- a/Libraries/LibConfiguration/ConfigurationFollower.cpp
+++ b/Libraries/LibConfiguration/ConfigurationFollower.cpp
@@ -11,16 +11,16 @@
 
 namespace {
 
-/// Nodes of a cell that watch the store; the others hear from them.
+/// Nodes of a cell that watch the store; the others follow them.
 constexpr std::size_t kStoreReaders = 2;
 /// The age of a confirmation grows during a watch, so it stays well below
 /// kUnconfirmedLimit.
 constexpr Duration kWatchWait = seconds(3);
 constexpr Duration kReadTimeout = seconds(2);
-/// Least time between two questions to the store, for watches that return
-/// at once.
+/// Minimum time between two calls to the store, for watches that return
+/// immediately.
 constexpr Duration kStoreSpacing = milliseconds(200);
-/// A node that no peer has confirmed for so long reads the store itself.
+/// After this time without a confirmation by a peer a node reads the store.
 constexpr Duration kUnconfirmedLimit = seconds(8);
 constexpr Duration kFirstBackoff = milliseconds(500);
 constexpr Duration kLongestBackoff = seconds(20);
@@ -40,7 +40,7 @@
 ConfigurationFollower::Start(Instant aNow)
 {
   Actions actions;
-  AskStore(aNow, &actions);
+  CallStore(aNow, &actions);
   return actions;
 }
 
@@ -48,11 +48,11 @@
 ConfigurationFollower::OnTick(Instant aNow)
 {
   Actions actions;
-  for (const Ask& ask : mAsks.TakeLate(aNow)) {
-    HandleFailure(ask, aNow, &actions);
+  for (const Call& call : mCalls.TakeExpired(aNow)) {
+    HandleFailure(call, aNow, &actions);
   }
   if (mStoreDue <= aNow) {
-    AskStore(aNow, &actions);
+    CallStore(aNow, &actions);
   }
   ContinueFetch(aNow, &actions);
   return actions;
@@ -61,7 +61,7 @@
 Instant
 ConfigurationFollower::NextWake() const
 {
-  const Instant wake = mAsks.WakeBy(mStoreDue);
+  const Instant wake = mCalls.EarlierDeadline(mStoreDue);
   const std::optional<Instant> due = mFetch ? mFetch->Due() : std::nullopt;
   return due ? std::min(wake, *due) : wake;
 }
@@ -91,52 +91,53 @@
   mKnown = std::max(mKnown, aRevision);
   mPeerRevisions[aPeer] = aRevision;
   if (mInForce && aRevision <= RevisionInForce()) {
-    // What this node has in force is at least as new as what was the latest.
+    // The revision in force here is at least as new as the confirmed one.
     Confirm(aConfirmed);
     return actions;
   }
   const bool fetched = mFetch && mFetch->Head().mRevision >= aRevision;
   if (!fetched && aRevision > mRefused) {
-    AskPeer(aPeer, aNow, &actions);
+    CallPeer(aPeer, aNow, &actions);
   }
-  // The first configuration may have waited for this peer's word.
+  // The first configuration may have waited for this peer's report.
   ContinueFetch(aNow, &actions);
   return actions;
 }
 
 ConfigurationFollower::Actions
-ConfigurationFollower::OnHead(AskId aAsk,
+ConfigurationFollower::OnHead(CallId aCall,
                               const ConfigurationSource& aSource,
                               const std::string& aText,
                               std::uint64_t aKeyRevision,
                               Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = mAsks.Take(aAsk);
+  const std::optional<Call> call = mCalls.Take(aCall);
   const bool fromStore = std::holds_alternative<StoreSource>(aSource);
-  // A reply that was given up on may be any age, so it confirms nothing; its
-  // revision counts all the same.
+  // A reply after its deadline may be of any age, so it confirms nothing, but
+  // its revision still counts.
   std::optional<Instant> confirmed;
-  if (ask && fromStore) {
-    confirmed = ask->mAsked;
+  if (call && fromStore) {
+    confirmed = call->mSentTime;
   }
   const HeadUse use = TakeHead(aSource, aText, confirmed, aNow, &actions);
-  if (ask && fromStore && use == HeadUse::Taken) {
+  if (call && fromStore && use == HeadUse::Taken) {
     mKeyRevision = aKeyRevision;
     mStoreBackoff.OnSuccess();
     ScheduleStore(aNow);
-  } else if (ask && fromStore) {
-    // A watch beyond a head that can't be used would confirm what is in force.
-    HandleFailure(*ask, aNow, &actions);
+  } else if (call && fromStore) {
+    // A watch beyond a head that can not be used would confirm the revision in
+    // force.
+    HandleFailure(*call, aNow, &actions);
   }
   return actions;
 }
 
 ConfigurationFollower::Actions
-ConfigurationFollower::OnNoHead(AskId aAsk, Instant aNow)
+ConfigurationFollower::OnNoHead(CallId aCall, Instant aNow)
 {
-  const std::optional<Ask> ask = mAsks.Take(aAsk);
-  if (ask && std::holds_alternative<StoreSource>(ask->mSource)) {
+  const std::optional<Call> call = mCalls.Take(aCall);
+  if (call && std::holds_alternative<StoreSource>(call->mSource)) {
     mKeyRevision = 0;
     mStoreBackoff.OnSuccess();
     ScheduleStore(aNow);
@@ -145,33 +146,33 @@
 }
 
 ConfigurationFollower::Actions
-ConfigurationFollower::OnUnchanged(AskId aAsk, Instant aNow)
+ConfigurationFollower::OnUnchanged(CallId aCall, Instant aNow)
 {
-  const std::optional<Ask> ask = mAsks.Take(aAsk);
-  if (!ask || ask->mKind != AskKind::Watch) {
+  const std::optional<Call> call = mCalls.Take(aCall);
+  if (!call || call->mKind != CallKind::Watch) {
     return {};
   }
   mStoreBackoff.OnSuccess();
   ScheduleStore(aNow);
-  // The store saw no newer head when it took the watch, and the head that the
-  // watch began from may still be on its way into force.
+  // There was no newer head when the store accepted the watch, but the parts of
+  // the head at which the watch began may still be loading.
   if (!mFetch && mKnown <= RevisionInForce()) {
-    Confirm(ask->mAsked);
+    Confirm(call->mSentTime);
   }
   return {};
 }
 
 ConfigurationFollower::Actions
-ConfigurationFollower::OnPart(AskId aAsk,
+ConfigurationFollower::OnPart(CallId aCall,
                               const PartName& aPart,
                               std::shared_ptr<const std::string> aText,
                               Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = mAsks.Take(aAsk);
+  const std::optional<Call> call = mCalls.Take(aCall);
   if (ContentDigest(*aText) != aPart.mDigest) {
-    if (ask) {
-      HandleFailure(*ask, aNow, &actions);
+    if (call) {
+      HandleFailure(*call, aNow, &actions);
     }
     return actions;
   }
@@ -184,12 +185,12 @@
 }
 
 ConfigurationFollower::Actions
-ConfigurationFollower::OnFailure(AskId aAsk, Instant aNow)
+ConfigurationFollower::OnFailure(CallId aCall, Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = mAsks.Take(aAsk);
-  if (ask) {
-    HandleFailure(*ask, aNow, &actions);
+  const std::optional<Call> call = mCalls.Take(aCall);
+  if (call) {
+    HandleFailure(*call, aNow, &actions);
   }
   return actions;
 }
@@ -202,7 +203,7 @@
   Actions actions;
   mKnown = std::max(mKnown, aWritten.mHead.mRevision);
   PartFetch fetch(aWritten.mHead, StoreSource{}, aSent, aNow);
-  fetch.TakeKnown(aWritten.mParts);
+  fetch.AddKnownParts(aWritten.mParts);
   BeginFetch(std::move(fetch), aNow, &actions);
   return actions;
 }
@@ -240,7 +241,7 @@
 }
 
 void
-ConfigurationFollower::AskStore(Instant aNow, Actions* aActions)
+ConfigurationFollower::CallStore(Instant aNow, Actions* aActions)
 {
   const bool reads =
     IsStoreReader() || !mInForce || !IsFresh(aNow, kUnconfirmedLimit);
@@ -251,33 +252,33 @@
   const bool watches = IsStoreReader() && mKeyRevision;
   const Duration wait = watches ? kWatchWait : Duration(0);
   const Instant givenUp = aNow + wait + kReadTimeout;
-  const AskId ask = mAsks.Add({ watches ? AskKind::Watch : AskKind::Head,
-                                StoreSource{},
-                                {},
-                                aNow,
-                                givenUp });
+  const CallId call = mCalls.Add({ watches ? CallKind::Watch : CallKind::Head,
+                                   StoreSource{},
+                                   {},
+                                   aNow,
+                                   givenUp });
   if (watches) {
-    aActions->push_back(WatchHead{ ask, *mKeyRevision, wait });
+    aActions->push_back(WatchHead{ call, *mKeyRevision, wait });
   } else {
-    aActions->push_back(ReadHead{ ask, StoreSource{} });
+    aActions->push_back(ReadHead{ call, StoreSource{} });
   }
-  // The answer, or giving up on it, sets the next time.
+  // The reply or its time-out sets the next time.
   mStoreDue = givenUp + kReadTimeout;
 }
 
 void
-ConfigurationFollower::AskPeer(const NodeName& aPeer,
-                               Instant aNow,
-                               Actions* aActions)
+ConfigurationFollower::CallPeer(const NodeName& aPeer,
+                                Instant aNow,
+                                Actions* aActions)
 {
   const ConfigurationSource source(aPeer);
-  const bool asked = mAsks.HasAny([&source](const Ask& aAsk) {
-    return aAsk.mKind == AskKind::Head && aAsk.mSource == source;
+  const bool isPending = mCalls.HasAny([&source](const Call& aCall) {
+    return aCall.mKind == CallKind::Head && aCall.mSource == source;
   });
-  if (!asked) {
-    const AskId ask =
-      mAsks.Add({ AskKind::Head, source, {}, aNow, aNow + kReadTimeout });
-    aActions->push_back(ReadHead{ ask, source });
+  if (!isPending) {
+    const CallId call =
+      mCalls.Add({ CallKind::Head, source, {}, aNow, aNow + kReadTimeout });
+    aActions->push_back(ReadHead{ call, source });
   }
 }
 
@@ -290,20 +291,20 @@
 }
 
 void
-ConfigurationFollower::HandleFailure(const Ask& aAsk,
+ConfigurationFollower::HandleFailure(const Call& aCall,
                                      Instant aNow,
                                      Actions* aActions)
 {
-  if (aAsk.mKind == AskKind::Part) {
+  if (aCall.mKind == CallKind::Part) {
     const Duration wait = mPartBackoff.OnFailure();
-    if (mFetch && mFetch->OnFailure(aAsk.mPart, aNow + wait)) {
+    if (mFetch && mFetch->OnFailure(aCall.mPart, aNow + wait)) {
       ContinueFetch(aNow, aActions);
     }
     return;
   }
-  if (std::holds_alternative<StoreSource>(aAsk.mSource)) {
-    // A read goes before the next watch, since a watch may miss a change that
-    // came while no watch stood.
+  if (std::holds_alternative<StoreSource>(aCall.mSource)) {
+    // A read precedes the next watch, which would miss a change that was made
+    // while no watch was pending.
     mKeyRevision.reset();
     mStoreDue = aNow + mStoreBackoff.OnFailure();
   }
@@ -357,9 +358,9 @@
       (mFetch && mFetch->Head().mRevision >= revision)) {
     return;
   }
-  aFetch.TakeKnown(mParts);
+  aFetch.AddKnownParts(mParts);
   if (mFetch) {
-    aFetch.TakeKnown(mFetch->Parts());
+    aFetch.AddKnownParts(mFetch->Parts());
   }
   mFetch = std::move(aFetch);
   ContinueFetch(aNow, aActions);
@@ -372,12 +373,12 @@
     return;
   }
   const ConfigurationSource source = mFetch->NextSource(mPeerRevisions);
-  for (const PartName& part : mFetch->NextToAsk(aNow)) {
-    const AskId ask =
-      mAsks.Add({ AskKind::Part, source, part, aNow, aNow + kReadTimeout });
-    aActions->push_back(ReadPart{ ask, source, part });
+  for (const PartName& part : mFetch->TakeNextParts(aNow)) {
+    const CallId call =
+      mCalls.Add({ CallKind::Part, source, part, aNow, aNow + kReadTimeout });
+    aActions->push_back(ReadPart{ call, source, part });
   }
-  if (mFetch->IsWhole() && MayAdopt(*mFetch)) {
+  if (mFetch->IsComplete() && MayAdopt(*mFetch)) {
     FinishFetch(aActions);
   }
 }
@@ -389,8 +390,8 @@
     return true;
   }
   // A node that has just started may have had a larger revision in force in
-  // its life before, which a single peer may not know yet. The store's word
-  // settles it, or that of a majority of the peers.
+  // its previous incarnation, which a single peer may not know yet. The store
+  // or a majority of the peers knows it.
   const std::ptrdiff_t told =
     std::count_if(mPeers.begin(), mPeers.end(), [this](const NodeName& aPeer) {
       return mPeerRevisions.contains(aPeer);
--- a/Libraries/LibConfiguration/ConfigurationFollower.h
+++ b/Libraries/LibConfiguration/ConfigurationFollower.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <LibConfiguration/AskTable.h>
 #include <LibConfiguration/BackoffSchedule.h>
 #include <LibConfiguration/FollowerAction.h>
 #include <LibConfiguration/PartFetch.h>
+#include <LibConfiguration/PendingCalls.h>
 
 #include <map>
 #include <memory>
@@ -12,10 +12,10 @@
 
 namespace verbenachute {
 
-/// Decides which revision of the configuration a node has in force. It takes
-/// only larger revisions, whether from the store's watch, a read or a peer,
-/// and only whole: all parts of a head come into force together. Its first
-/// one it takes from the store, or from the newest of a majority of peers.
+/// Decides which revision of the configuration is in force on a node. It adopts
+/// only larger revisions, whether from a watch, a read or a peer, and all parts
+/// of a head come into force together. The first one comes from the store, or
+/// is the newest of a majority of peers.
 class ConfigurationFollower
 {
 public:
@@ -23,9 +23,9 @@
 
   explicit ConfigurationFollower(NodeName aSelf);
 
-  /// Begins to read; call once.
+  /// Starts to read; to be called once.
   [[nodiscard]] Actions Start(Instant aNow);
-  /// Carries out what has become due; call by NextWake at the latest.
+  /// Performs what is due; to be called at NextWake at the latest.
   [[nodiscard]] Actions OnTick(Instant aNow);
   [[nodiscard]] Instant NextWake() const;
 
@@ -33,10 +33,10 @@
   /// them, chosen by rendezvous hashing, watch the store for the others.
   void OnPeers(std::vector<NodeName> aPeers, Instant aNow);
 
-  /// A peer or voter tells the revision that it has in force. aConfirmed is
-  /// an Instant of this process at which that revision was the latest: when
-  /// this node asked the peer, less the age of the confirmation that the peer
-  /// told. Without a question of this node's own it is none.
+  /// A peer or voter reports the revision that is in force on it. aConfirmed is
+  /// a time at which that revision was the latest: when this node called the
+  /// peer, less the age of the confirmation that the peer reported. It is empty
+  /// if this node did not call.
   [[nodiscard]] Actions OnPeerRevision(const NodeName& aPeer,
                                        Revision aRevision,
                                        std::optional<Instant> aConfirmed,
@@ -44,21 +44,21 @@
 
   /// A head that was read or watched. aKeyRevision is the revision of the
   /// key in the store, 0 from a peer.
-  [[nodiscard]] Actions OnHead(AskId aAsk,
+  [[nodiscard]] Actions OnHead(CallId aCall,
                                const ConfigurationSource& aSource,
                                const std::string& aText,
                                std::uint64_t aKeyRevision,
                                Instant aNow);
   /// The source has no configuration.
-  [[nodiscard]] Actions OnNoHead(AskId aAsk, Instant aNow);
+  [[nodiscard]] Actions OnNoHead(CallId aCall, Instant aNow);
   /// A watch ended without a change.
-  [[nodiscard]] Actions OnUnchanged(AskId aAsk, Instant aNow);
-  [[nodiscard]] Actions OnPart(AskId aAsk,
+  [[nodiscard]] Actions OnUnchanged(CallId aCall, Instant aNow);
+  [[nodiscard]] Actions OnPart(CallId aCall,
                                const PartName& aPart,
                                std::shared_ptr<const std::string> aText,
                                Instant aNow);
   /// A read or watch failed, timed out, or found no part.
-  [[nodiscard]] Actions OnFailure(AskId aAsk, Instant aNow);
+  [[nodiscard]] Actions OnFailure(CallId aCall, Instant aNow);
 
   /// This node wrote the configuration to the store itself; aSent is when it
   /// sent the compare-and-swap that took effect.
@@ -66,7 +66,7 @@
                                   Instant aSent,
                                   Instant aNow);
 
-  /// What is in force, or null before the first configuration.
+  /// The configuration in force; null before the first one.
   [[nodiscard]] const std::shared_ptr<const Configuration>& InForce() const
   {
     return mInForce;
@@ -75,8 +75,8 @@
   [[nodiscard]] Revision RevisionInForce() const;
   /// Largest revision that any source is known to have.
   [[nodiscard]] Revision RevisionKnown() const { return mKnown; }
-  /// The last Instant at which the revision in force was the latest, as far
-  /// as store or peers confirmed; none if never.
+  /// The last time at which the store or peers confirmed that the revision in
+  /// force was the latest; empty if they never have.
   [[nodiscard]] std::optional<Instant> Confirmed() const { return mConfirmed; }
   /// Whether the revision in force was confirmed within aAge before aNow, and
   /// no larger one is known.
@@ -91,7 +91,7 @@
     const PartName& aPart) const;
 
 private:
-  enum class AskKind
+  enum class CallKind
   {
     Head,
     Watch,
@@ -105,21 +105,21 @@
     Refused,
   };
 
-  /// A question that has not been answered yet.
-  struct Ask
+  /// A call without a reply.
+  struct Call
   {
-    AskKind mKind = AskKind::Head;
+    CallKind mKind = CallKind::Head;
     ConfigurationSource mSource;
     PartName mPart;
-    Instant mAsked;
-    Instant mGivenUp;
+    Instant mSentTime;
+    Instant mDeadline;
   };
 
   [[nodiscard]] bool IsStoreReader() const;
-  void AskStore(Instant aNow, Actions* aActions);
-  void AskPeer(const NodeName& aPeer, Instant aNow, Actions* aActions);
+  void CallStore(Instant aNow, Actions* aActions);
+  void CallPeer(const NodeName& aPeer, Instant aNow, Actions* aActions);
   void ScheduleStore(Instant aNow);
-  void HandleFailure(const Ask& aAsk, Instant aNow, Actions* aActions);
+  void HandleFailure(const Call& aCall, Instant aNow, Actions* aActions);
   [[nodiscard]] HeadUse TakeHead(const ConfigurationSource& aSource,
                                  const std::string& aText,
                                  std::optional<Instant> aConfirmed,
@@ -137,16 +137,16 @@
 
   NodeName mSelf;
   std::vector<NodeName> mPeers;
-  /// Revisions that peers told, for choosing sources.
+  /// Revisions that peers have reported, for the choice of sources.
   std::map<NodeName, Revision> mPeerRevisions;
 
-  AskTable<Ask> mAsks;
+  PendingCalls<Call> mCalls;
   BackoffSchedule mStoreBackoff;
   BackoffSchedule mPartBackoff;
-  /// When the store is asked for the head again.
+  /// When the head is next read from the store.
   Instant mStoreDue;
-  /// The store's revision of the head key that was seen last; a watch needs
-  /// one, so none means that a read goes first.
+  /// The store's latest known revision of the head key. Without one, a read
+  /// has to precede the watch.
   std::optional<std::uint64_t> mKeyRevision;
 
   std::shared_ptr<const Configuration> mInForce;
@@ -155,7 +155,7 @@
   ConfigurationParts mParts;
   std::optional<Instant> mConfirmed;
   Revision mKnown;
-  /// Largest revision whose parts were whole but made no configuration.
+  /// Largest revision whose parts were complete but could not be decoded.
   Revision mRefused;
   std::optional<PartFetch> mFetch;
 };
--- a/Libraries/LibConfiguration/ConfigurationHead.h
+++ b/Libraries/LibConfiguration/ConfigurationHead.h
@@ -12,8 +12,8 @@
 
 /// Key of the head in the platform's store.
 inline constexpr std::string_view kHeadKey = "verbenachute/configuration/head";
-/// Largest value that is read or written. The store takes 1 MiB; the margin
-/// pays for the JSON around the value and its escapes.
+/// Maximum size of a value. The store accepts 1 MiB; the rest is for the JSON
+/// around the value and for escapes.
 inline constexpr std::size_t kStoreValueBytes = 900'000;
 
 /// A part that no later revision uses.
@@ -26,13 +26,14 @@
   friend bool operator==(const RetiredPart&, const RetiredPart&) = default;
 };
 
-/// Names the parts of one revision. Writing it is what accepts the revision.
+/// Names the parts of one revision. The revision is accepted when its head has
+/// been written.
 struct ConfigurationHead
 {
   Revision mRevision;
   /// All parts, in the order of the document.
   std::vector<PartName> mParts;
-  /// Parts that still stand in the store for nodes that read an earlier head.
+  /// Parts that are kept in the store for nodes that read an earlier head.
   std::vector<RetiredPart> mRetired;
 
   friend bool operator==(const ConfigurationHead&,
--- a/Libraries/LibConfiguration/ConfigurationView.h
+++ b/Libraries/LibConfiguration/ConfigurationView.h
@@ -15,7 +15,7 @@
   NotForCaller,
   /// The target or its failure domain takes no new work.
   NoNewWork,
-  /// The target is to get no traffic at all, probes included.
+  /// The target must get no traffic at all, not even probes.
   LeftAlone,
   UnknownTarget,
 };
@@ -28,8 +28,7 @@
   std::string mReason;
 };
 
-/// The operators' intent at one revision. A view never changes; a later
-/// revision is another view.
+/// The operators' configuration at one revision. Views are immutable.
 class ConfigurationView
 {
 public:
--- a/Libraries/LibConfiguration/ConfigurationWriter.cpp
+++ b/Libraries/LibConfiguration/ConfigurationWriter.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr Duration kCallTimeout = seconds(2);
-/// Parts that are read or written at one time.
+/// Number of parts that are read or written at the same time.
 constexpr std::size_t kCallsAtOnce = 8;
 constexpr Duration kFirstBackoff = milliseconds(50);
 constexpr Duration kLongestBackoff = seconds(1);
@@ -57,8 +57,8 @@
   if (mState == State::Finished) {
     return actions;
   }
-  for (const Ask& ask : mAsks.TakeLate(aNow)) {
-    HandleFailure(ask, Execution::OutcomeUnknown, aNow, &actions);
+  for (const Call& call : mCalls.TakeExpired(aNow)) {
+    HandleFailure(call, Execution::OutcomeUnknown, aNow, &actions);
   }
   if (mState == State::Waiting && mDue <= aNow) {
     AskHead(aNow, &actions);
@@ -71,18 +71,18 @@
 {
   const Instant wake =
     mState == State::Waiting ? std::min(mDeadline, mDue) : mDeadline;
-  return mAsks.WakeBy(wake);
+  return mCalls.EarlierDeadline(wake);
 }
 
 ConfigurationWriter::Actions
-ConfigurationWriter::OnHead(AskId aAsk,
+ConfigurationWriter::OnHead(CallId aCall,
                             const std::string& aText,
                             std::uint64_t aKeyRevision,
                             Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = mAsks.Take(aAsk);
-  if (!ask || mState != State::ReadingHead) {
+  const std::optional<Call> call = mCalls.Take(aCall);
+  if (!call || mState != State::ReadingHead) {
     return actions;
   }
   const Result<ConfigurationHead> head = ConfigurationHead::Create(aText);
@@ -113,11 +113,11 @@
 }
 
 ConfigurationWriter::Actions
-ConfigurationWriter::OnNoHead(AskId aAsk, Instant aNow)
+ConfigurationWriter::OnNoHead(CallId aCall, Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = mAsks.Take(aAsk);
-  if (!ask || mState != State::ReadingHead) {
+  const std::optional<Call> call = mCalls.Take(aCall);
+  if (!call || mState != State::ReadingHead) {
     return actions;
   }
   if (mOldest > Revision(0)) {
@@ -134,56 +134,57 @@
 }
 
 ConfigurationWriter::Actions
-ConfigurationWriter::OnPart(AskId aAsk,
+ConfigurationWriter::OnPart(CallId aCall,
                             std::shared_ptr<const std::string> aText,
                             Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = mAsks.Take(aAsk);
-  if (!ask || mState != State::ReadingParts) {
+  const std::optional<Call> call = mCalls.Take(aCall);
+  if (!call || mState != State::ReadingParts) {
     return actions;
   }
-  if (ContentDigest(*aText) != ask->mPart.mDigest) {
-    HandleFailure(*ask, Execution::NotRun, aNow, &actions);
+  if (ContentDigest(*aText) != call->mPart.mDigest) {
+    HandleFailure(*call, Execution::NotRun, aNow, &actions);
     return actions;
   }
-  mBase.mParts[ask->mPart] = std::move(aText);
+  mBase.mParts[call->mPart] = std::move(aText);
   ContinueReading(aNow, &actions);
   return actions;
 }
 
 ConfigurationWriter::Actions
-ConfigurationWriter::OnPartWritten(AskId aAsk, Instant aNow)
+ConfigurationWriter::OnPartWritten(CallId aCall, Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = mAsks.Take(aAsk);
-  if (ask) {
-    mStored.insert(ask->mPart);
+  const std::optional<Call> call = mCalls.Take(aCall);
+  if (call) {
+    mStored.insert(call->mPart);
     ContinueParts(aNow, &actions);
   }
   return actions;
 }
 
 ConfigurationWriter::Actions
-ConfigurationWriter::OnPartDeleted(AskId aAsk, Instant aNow)
+ConfigurationWriter::OnPartDeleted(CallId aCall, Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = mAsks.Take(aAsk);
-  if (ask) {
-    std::erase_if(mEncoded.mHead.mRetired, [&ask](const RetiredPart& aRetired) {
-      return aRetired.mName == ask->mPart;
-    });
+  const std::optional<Call> call = mCalls.Take(aCall);
+  if (call) {
+    std::erase_if(mEncoded.mHead.mRetired,
+                  [&call](const RetiredPart& aRetired) {
+                    return aRetired.mName == call->mPart;
+                  });
     ContinueParts(aNow, &actions);
   }
   return actions;
 }
 
 ConfigurationWriter::Actions
-ConfigurationWriter::OnSwapped(AskId aAsk, Instant)
+ConfigurationWriter::OnSwapped(CallId aCall, Instant)
 {
   Actions actions;
-  const std::optional<Ask> ask = mAsks.Take(aAsk);
-  if (ask && mState == State::SwappingHead) {
+  const std::optional<Call> call = mCalls.Take(aCall);
+  if (call && mState == State::SwappingHead) {
     Finish(WriteOutcome{ mNext, mEncoded, mSwapSent }, &actions);
     DeleteUnused(mEncoded.mHead, &actions);
   }
@@ -191,13 +192,13 @@
 }
 
 ConfigurationWriter::Actions
-ConfigurationWriter::OnSwapConflict(AskId aAsk, Instant aNow)
+ConfigurationWriter::OnSwapConflict(CallId aCall, Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = mAsks.Take(aAsk);
-  if (ask && mState == State::SwappingHead) {
-    // The conflict may be with this swap itself, sent twice on the way or
-    // again after a lost reply; only reading the head tells.
+  const std::optional<Call> call = mCalls.Take(aCall);
+  if (call && mState == State::SwappingHead) {
+    // The conflict may be with this swap itself, if it was duplicated by the
+    // network or repeated after a lost reply. The head shows which it was.
     mOpenSwap = mKeyRevision;
     ++mRacesLost;
     Retry(aNow);
@@ -206,45 +207,45 @@
 }
 
 ConfigurationWriter::Actions
-ConfigurationWriter::OnFailure(AskId aAsk, Execution aExecution, Instant aNow)
+ConfigurationWriter::OnFailure(CallId aCall, Execution aExecution, Instant aNow)
 {
   Actions actions;
-  const std::optional<Ask> ask = mAsks.Take(aAsk);
-  if (ask) {
-    HandleFailure(*ask, aExecution, aNow, &actions);
+  const std::optional<Call> call = mCalls.Take(aCall);
+  if (call) {
+    HandleFailure(*call, aExecution, aNow, &actions);
   }
   return actions;
 }
 
-AskId
-ConfigurationWriter::Remember(AskKind aKind,
+CallId
+ConfigurationWriter::Remember(CallKind aKind,
                               const PartName& aPart,
                               Instant aNow)
 {
-  return mAsks.Add({ aKind, aPart, aNow + kCallTimeout });
+  return mCalls.Add({ aKind, aPart, aNow + kCallTimeout });
 }
 
 void
 ConfigurationWriter::AskHead(Instant aNow, Actions* aActions)
 {
-  mAsks.Clear();
+  mCalls.Clear();
   mState = State::ReadingHead;
   aActions->push_back(
-    ReadHead{ Remember(AskKind::Head, {}, aNow), StoreSource{} });
+    ReadHead{ Remember(CallKind::Head, {}, aNow), StoreSource{} });
 }
 
 void
-ConfigurationWriter::HandleFailure(const Ask& aAsk,
+ConfigurationWriter::HandleFailure(const Call& aCall,
                                    Execution aExecution,
                                    Instant aNow,
                                    Actions* aActions)
 {
-  if (aAsk.mKind == AskKind::DeletePart) {
+  if (aCall.mKind == CallKind::DeletePart) {
     // The part stays listed as retired, for a later writer to delete.
     ContinueParts(aNow, aActions);
     return;
   }
-  if (aAsk.mKind == AskKind::Swap && aExecution != Execution::NotRun) {
+  if (aCall.mKind == CallKind::Swap && aExecution != Execution::NotRun) {
     mOpenSwap = mKeyRevision;
   }
   Retry(aNow);
@@ -253,7 +254,7 @@
 void
 ConfigurationWriter::Retry(Instant aNow)
 {
-  mAsks.Clear();
+  mCalls.Clear();
   mState = State::Waiting;
   mDue = aNow + mBackoff.OnFailure();
 }
@@ -261,13 +262,13 @@
 void
 ConfigurationWriter::ContinueReading(Instant aNow, Actions* aActions)
 {
-  while (!mToRead.empty() && mAsks.Count() < kCallsAtOnce) {
+  while (!mToRead.empty() && mCalls.Count() < kCallsAtOnce) {
     const PartName part = mToRead.front();
     mToRead.pop_front();
-    const AskId ask = Remember(AskKind::ReadPart, part, aNow);
-    aActions->push_back(ReadPart{ ask, StoreSource{}, part });
+    const CallId call = Remember(CallKind::ReadPart, part, aNow);
+    aActions->push_back(ReadPart{ call, StoreSource{}, part });
   }
-  if (mAsks.IsEmpty()) {
+  if (mCalls.IsEmpty()) {
     BaseRead(aNow, aActions);
   }
 }
@@ -295,8 +296,8 @@
 void
 ConfigurationWriter::MakeNext(Instant aNow, Actions* aActions)
 {
-  // A swap that expects an earlier revision of the key can't take effect any
-  // more, so the head that was read settles it one way or the other.
+  // A swap that expects an earlier revision of the key can not take effect any
+  // more, so the head shows whether it did.
   if (mOpenSwap && *mOpenSwap < mKeyRevision) {
     mOpenSwap.reset();
   }
@@ -359,20 +360,20 @@
   if (mState != State::WritingParts) {
     return;
   }
-  while (!mToWrite.empty() && mAsks.Count() < kCallsAtOnce) {
+  while (!mToWrite.empty() && mCalls.Count() < kCallsAtOnce) {
     const PartName name = mToWrite.front();
     mToWrite.pop_front();
     mWritten.insert(name);
-    const AskId ask = Remember(AskKind::WritePart, name, aNow);
-    aActions->push_back(WritePart{ ask, name, mEncoded.mParts.at(name) });
+    const CallId call = Remember(CallKind::WritePart, name, aNow);
+    aActions->push_back(WritePart{ call, name, mEncoded.mParts.at(name) });
   }
-  while (!mToDelete.empty() && mAsks.Count() < kCallsAtOnce) {
+  while (!mToDelete.empty() && mCalls.Count() < kCallsAtOnce) {
     const PartName name = mToDelete.front();
     mToDelete.pop_front();
-    const AskId ask = Remember(AskKind::DeletePart, name, aNow);
-    aActions->push_back(DeletePart{ ask, name });
+    const CallId call = Remember(CallKind::DeletePart, name, aNow);
+    aActions->push_back(DeletePart{ call, name });
   }
-  if (mAsks.IsEmpty()) {
+  if (mCalls.IsEmpty()) {
     Swap(aNow, aActions);
   }
 }
@@ -383,8 +384,8 @@
   VERIFY(mEncoded.mHead.mRevision > mReadHead.mRevision);
   mState = State::SwappingHead;
   mSwapSent = aNow;
-  const AskId ask = Remember(AskKind::Swap, {}, aNow);
-  aActions->push_back(SwapHead{ ask, mEncoded.mHead.Text(), mKeyRevision });
+  const CallId call = Remember(CallKind::Swap, {}, aNow);
+  aActions->push_back(SwapHead{ call, mEncoded.mHead.Text(), mKeyRevision });
 }
 
 void
@@ -392,14 +393,14 @@
 {
   VERIFY(mState != State::Finished);
   mState = State::Finished;
-  mAsks.Clear();
+  mCalls.Clear();
   aActions->push_back(WriteFinished{ std::move(aOutcome) });
 }
 
 void
 ConfigurationWriter::FinishFailed(Error aError, Actions* aActions)
 {
-  // With a swap still open nothing may be said to be unchanged.
+  // While a swap is pending its outcome is unknown.
   if (mOpenSwap || mState == State::SwappingHead) {
     Finish(Fault(ErrorCode::OutcomeUnknown,
                  "the store did not tell whether the change took effect; "
@@ -422,7 +423,7 @@
   }
   for (const PartName& name : mWritten) {
     if (!used.contains(name) && !retired.contains(name)) {
-      aActions->push_back(DeletePart{ mAsks.NextId(), name });
+      aActions->push_back(DeletePart{ mCalls.NextId(), name });
     }
   }
 }
--- a/Libraries/LibConfiguration/ConfigurationWriter.h
+++ b/Libraries/LibConfiguration/ConfigurationWriter.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibConfiguration/AskTable.h>
 #include <LibConfiguration/BackoffSchedule.h>
+#include <LibConfiguration/PendingCalls.h>
 #include <LibConfiguration/WriteTask.h>
 #include <LibConfiguration/WriterAction.h>
 
@@ -11,7 +11,7 @@
 
 namespace verbenachute {
 
-/// What a writer starts from: whatever the node has in force.
+/// The state that a writer starts from: the revision in force on the node.
 struct WriterBase
 {
   std::shared_ptr<const Configuration> mConfiguration;
@@ -22,49 +22,49 @@
 /// Writes one change to the store: reads the head, applies the change, writes
 /// the parts that are new, and compare-and-swaps the head. It survives a store
 /// that is slow, down, or loses replies, and races with other writers:
-/// - An operation that the head already tells of is not applied again.
-/// - A swap without a reply is settled by reading the head again. If the key
-///   is still at the expected revision the same swap is sent again, as only
-///   one of the two can take effect.
-/// - A lost race begins anew from the winner's configuration, so no change of
-///   either operator is lost.
+/// - An operation that the head already lists is not applied again.
+/// - After a swap without a reply the head is read again. If the key is still
+///   at the expected revision the same swap is repeated, as only one of the two
+///   can take effect.
+/// - After a lost race the writer starts again from the winner's configuration,
+///   so that no change of either operator is lost.
 class ConfigurationWriter
 {
 public:
   using Actions = std::vector<WriterAction>;
 
-  /// Time after which the outcome is told, whatever it is.
+  /// Time after which the outcome is reported in any case.
   static constexpr Duration kDeadline = seconds(8);
-  /// Races that may be lost before the writer gives up.
+  /// Number of lost races after which the writer gives up.
   static constexpr std::uint32_t kRaces = 16;
   /// Revisions for which a part that is no longer used stays in the store.
   static constexpr std::uint64_t kRetiredRevisions = 16;
 
-  /// aSequence must differ between the writers of one life of a node.
+  /// aSequence must differ between the writers of one incarnation of a node.
   ConfigurationWriter(const NodeIdentity& aSelf,
                       std::uint64_t aSequence,
                       WriteTask aTask,
                       WriterBase aBase);
 
   [[nodiscard]] Actions Start(Instant aNow);
-  /// Carries out what has become due; call by NextWake at the latest.
+  /// Performs what is due; to be called at NextWake at the latest.
   [[nodiscard]] Actions OnTick(Instant aNow);
   [[nodiscard]] Instant NextWake() const;
 
-  [[nodiscard]] Actions OnHead(AskId aAsk,
+  [[nodiscard]] Actions OnHead(CallId aCall,
                                const std::string& aText,
                                std::uint64_t aKeyRevision,
                                Instant aNow);
-  [[nodiscard]] Actions OnNoHead(AskId aAsk, Instant aNow);
-  [[nodiscard]] Actions OnPart(AskId aAsk,
+  [[nodiscard]] Actions OnNoHead(CallId aCall, Instant aNow);
+  [[nodiscard]] Actions OnPart(CallId aCall,
                                std::shared_ptr<const std::string> aText,
                                Instant aNow);
-  [[nodiscard]] Actions OnPartWritten(AskId aAsk, Instant aNow);
-  [[nodiscard]] Actions OnPartDeleted(AskId aAsk, Instant aNow);
-  [[nodiscard]] Actions OnSwapped(AskId aAsk, Instant aNow);
-  [[nodiscard]] Actions OnSwapConflict(AskId aAsk, Instant aNow);
-  /// A call failed; aExecution tells whether a write may have taken effect.
-  [[nodiscard]] Actions OnFailure(AskId aAsk,
+  [[nodiscard]] Actions OnPartWritten(CallId aCall, Instant aNow);
+  [[nodiscard]] Actions OnPartDeleted(CallId aCall, Instant aNow);
+  [[nodiscard]] Actions OnSwapped(CallId aCall, Instant aNow);
+  [[nodiscard]] Actions OnSwapConflict(CallId aCall, Instant aNow);
+  /// A call failed; aExecution states whether a write may have taken effect.
+  [[nodiscard]] Actions OnFailure(CallId aCall,
                                   Execution aExecution,
                                   Instant aNow);
 
@@ -83,7 +83,7 @@
     Finished,
   };
 
-  enum class AskKind
+  enum class CallKind
   {
     Head,
     ReadPart,
@@ -92,18 +92,18 @@
     Swap,
   };
 
-  struct Ask
+  struct Call
   {
-    AskKind mKind = AskKind::Head;
+    CallKind mKind = CallKind::Head;
     PartName mPart;
-    Instant mGivenUp;
+    Instant mDeadline;
   };
 
-  [[nodiscard]] AskId Remember(AskKind aKind,
-                               const PartName& aPart,
-                               Instant aNow);
+  [[nodiscard]] CallId Remember(CallKind aKind,
+                                const PartName& aPart,
+                                Instant aNow);
   void AskHead(Instant aNow, Actions* aActions);
-  void HandleFailure(const Ask& aAsk,
+  void HandleFailure(const Call& aCall,
                      Execution aExecution,
                      Instant aNow,
                      Actions* aActions);
@@ -124,9 +124,9 @@
   State mState = State::Waiting;
   Instant mDeadline;
   Instant mDue;
-  AskTable<Ask> mAsks;
+  PendingCalls<Call> mCalls;
   std::uint32_t mRacesLost = 0;
-  /// The error that is told if the time runs out now.
+  /// The error that is reported if the deadline passes now.
   Error mLastFault;
 
   /// The configuration that is in the store, as far as it has been read; null
--- a/Libraries/LibConfiguration/CoverageGuard.cpp
+++ b/Libraries/LibConfiguration/CoverageGuard.cpp
@@ -6,19 +6,19 @@
 
 namespace {
 
-using Openness = Configuration::Openness;
+using Availability = Configuration::Availability;
 
-Openness
+Availability
 BestOpenness(const Configuration& aConfiguration,
              const std::vector<TargetName>& aTargets)
 {
-  Openness best = Openness::Closed;
+  Availability best = Availability::Closed;
   for (const TargetName& target : aTargets) {
-    if (best == Openness::AllCallers) {
+    if (best == Availability::AllCallers) {
       break;
     }
     if (aConfiguration.FindTarget(target)) {
-      best = std::max(best, aConfiguration.OpennessOf(target));
+      best = std::max(best, aConfiguration.AvailabilityOf(target));
     }
   }
   return best;
@@ -31,7 +31,7 @@
            const Configuration& aAfter,
            const std::vector<TargetName>& aTargetsAfter)
 {
-  const Openness after = BestOpenness(aAfter, aTargetsAfter);
+  const Availability after = BestOpenness(aAfter, aTargetsAfter);
   if (after >= BestOpenness(aBefore, aTargetsBefore)) {
     return Success{};
   }
@@ -39,9 +39,9 @@
                 ErrorCode::Conflict,
                 "",
                 aName + " would be left with no target for " +
-                  (after == Openness::Closed ? "any caller"
-                                             : "callers that no selector "
-                                               "names") +
+                  (after == Availability::Closed ? "any caller"
+                                                 : "callers that no selector "
+                                                   "names") +
                   "; override to do so all the same" };
 }
 
--- a/Libraries/LibConfiguration/CoverageGuard.h
+++ b/Libraries/LibConfiguration/CoverageGuard.h
@@ -7,9 +7,9 @@
 
 namespace verbenachute {
 
-/// Finds a service or group that had a target for all callers, or for some,
-/// before a change, and has none for them after it. Gives a Conflict that
-/// names it, or Success.
+/// Fails with a Conflict if a service or group had a target for all callers, or
+/// for some, before a change and has none for them after it. The message names
+/// it.
 [[nodiscard]] Result<Success>
 CheckCoverageKept(const Configuration& aBefore,
                   const Configuration& aAfter,
--- a/Libraries/LibConfiguration/Difference.h
+++ b/Libraries/LibConfiguration/Difference.h
@@ -15,7 +15,7 @@
   Policy,
 };
 
-/// One thing that an edit changes, for dry runs and approvals.
+/// One change made by an edit, for dry runs and approvals.
 struct Difference
 {
   DifferenceKind mKind = DifferenceKind::Target;
@@ -23,9 +23,9 @@
   std::string mName;
   /// Label key; empty for other kinds.
   std::string mKey;
-  /// Value before, none if it did not exist.
+  /// Value before the edit; empty if it did not exist.
   std::optional<std::string> mBefore;
-  /// Value after, none if it goes away.
+  /// Value after the edit; empty if it is removed.
   std::optional<std::string> mAfter;
 
   friend bool operator==(const Difference&, const Difference&) = default;
@@ -35,7 +35,7 @@
 [[nodiscard]] const char*
 DifferenceKindName(DifferenceKind aKind);
 
-/// One line for a person, such as "target t-1 label tier: gold -> none".
+/// One line for operators, such as "target t-1 label tier: gold -> none".
 [[nodiscard]] std::string
 DifferenceText(const Difference& aDifference);
 
--- a/Libraries/LibConfiguration/Edit.h
+++ b/Libraries/LibConfiguration/Edit.h
@@ -11,8 +11,8 @@
 
 namespace verbenachute {
 
-/// What carries a label: a target, or a failure domain and so all its targets
-/// that have no label of their own under the same key.
+/// The subject of a label: a target, or a failure domain, whose targets inherit
+/// it unless they have a label with the same key.
 using LabelSubject = std::variant<TargetName, FailureDomain>;
 
 struct SetLabel
@@ -62,7 +62,7 @@
   friend bool operator==(const BringDomainIn&, const BringDomainIn&) = default;
 };
 
-/// Adds a failure domain; its region can't be changed afterwards.
+/// Adds a failure domain, whose region can not be changed later.
 struct RegisterDomain
 {
   FailureDomain mDomain;
@@ -72,8 +72,8 @@
                          const RegisterDomain&) = default;
 };
 
-/// Adds a target or changes one. Its failure domain can't be changed, since
-/// the bucket and with it the holder depend on it.
+/// Adds or changes a target. Its failure domain can not be changed, since its
+/// bucket and therefore its holder depend on it.
 struct RegisterTarget
 {
   TargetEntry mTarget;
@@ -97,7 +97,7 @@
   friend bool operator==(const SetPolicy&, const SetPolicy&) = default;
 };
 
-/// One change of the operators' intent.
+/// One change of the operators' configuration.
 using Edit = std::variant<SetLabel,
                           ClearLabel,
                           SetSelector,
@@ -113,7 +113,7 @@
 enum class CoverageLoss
 {
   Refused,
-  /// The operator has seen it and wants it.
+  /// The operator has confirmed it.
   Accepted,
 };
 
--- a/Libraries/LibConfiguration/EditApplication.cpp
+++ b/Libraries/LibConfiguration/EditApplication.cpp
@@ -20,7 +20,7 @@
                std::string(aKind) + " '" + aName + "' is not registered");
 }
 
-/// Applies edits, one overload a kind.
+/// Applies edits, with one overload for each kind.
 class EditApplier
 {
 public:
--- a/Libraries/LibConfiguration/EditApplication.h
+++ b/Libraries/LibConfiguration/EditApplication.h
@@ -5,8 +5,8 @@
 
 namespace verbenachute {
 
-/// Makes one edit in a content, without regard to who may make it. On an
-/// error (InvalidInput, NotFound or Conflict) the content is as it was.
+/// Applies one edit to a content, without checking permissions. On an error
+/// (InvalidInput, NotFound or Conflict) the content is unchanged.
 [[nodiscard]] Result<Success>
 ApplyEdit(const Edit& aEdit, ConfigurationContent* aContent);
 
--- a/Libraries/LibConfiguration/EditDifferences.cpp
+++ b/Libraries/LibConfiguration/EditDifferences.cpp
@@ -67,7 +67,7 @@
   return found == aContent.mDomainLabels.end() ? kNoLabels : found->second;
 }
 
-/// Collects the differences of one edit, one overload a kind.
+/// Collects the differences of one edit, with one overload for each kind.
 class DifferenceCollector
 {
 public:
--- a/Libraries/LibConfiguration/EditDifferences.h
+++ b/Libraries/LibConfiguration/EditDifferences.h
@@ -5,7 +5,7 @@
 
 namespace verbenachute {
 
-/// What differs between two contents in what the edit touches.
+/// The differences that the edit makes between two contents.
 [[nodiscard]] std::vector<Difference>
 DifferencesOf(const Edit& aEdit,
               const ConfigurationContent& aBefore,
--- a/Libraries/LibConfiguration/EditJson.h
+++ b/Libraries/LibConfiguration/EditJson.h
@@ -19,7 +19,7 @@
 [[nodiscard]] Json::Value
 ChangeJson(const Change& aChange);
 
-/// One line for a person, such as "set label tier=gold on target t-1".
+/// One line for operators, such as "set label tier=gold on target t-1".
 [[nodiscard]] std::string
 EditSummary(const Edit& aEdit);
 [[nodiscard]] std::string
--- a/Libraries/LibConfiguration/EncodedConfiguration.h
+++ b/Libraries/LibConfiguration/EncodedConfiguration.h
@@ -12,7 +12,7 @@
 using ConfigurationParts =
   std::map<PartName, std::shared_ptr<const std::string>>;
 
-/// A configuration as the store keeps it.
+/// A configuration in the form in which the store holds it.
 struct EncodedConfiguration
 {
   ConfigurationHead mHead;
--- a/Libraries/LibConfiguration/EntryJson.cpp
+++ b/Libraries/LibConfiguration/EntryJson.cpp
@@ -15,7 +15,7 @@
 std::uint32_t
 ReadCount(JsonObjectReader* aReader, const char* aField)
 {
-  // A larger number is cut to the largest, which no check lets through.
+  // A larger number is clamped to the maximum, which every check rejects.
   constexpr std::uint64_t kLargest = std::numeric_limits<std::uint32_t>::max();
   return static_cast<std::uint32_t>(
     std::min(aReader->Number(aField), kLargest));
--- a/Libraries/LibConfiguration/FollowerAction.h
+++ b/Libraries/LibConfiguration/FollowerAction.h
@@ -16,17 +16,17 @@
   friend bool operator==(const StoreSource&, const StoreSource&) = default;
 };
 
-/// Where a head or part can be read: the store, or a peer that serves what it
-/// has in force.
+/// Where a head or part can be read: the store, or a peer that serves the
+/// revision in force on it.
 using ConfigurationSource = std::variant<StoreSource, NodeName>;
 
 /// Names one request of a follower; its reply carries the same number.
-using AskId = Strong<struct AskIdTag, std::uint64_t>;
+using CallId = Strong<struct CallIdTag, std::uint64_t>;
 
 /// Read kHeadKey; answer with OnHead, OnNoHead or OnFailure.
 struct ReadHead
 {
-  AskId mAsk;
+  CallId mCall;
   ConfigurationSource mSource;
 };
 
@@ -34,7 +34,7 @@
 /// without a change, or OnFailure.
 struct WatchHead
 {
-  AskId mAsk;
+  CallId mCall;
   /// Revision of the key in the store beyond which a change counts.
   std::uint64_t mAfter = 0;
   Duration mWait{ 0 };
@@ -43,18 +43,18 @@
 /// Read the part under mPart.Key(); answer with OnPart or OnFailure.
 struct ReadPart
 {
-  AskId mAsk;
+  CallId mCall;
   ConfigurationSource mSource;
   PartName mPart;
 };
 
-/// Use this configuration from now on, and tell peers of its revision.
+/// Use this configuration from now on, and report its revision to peers.
 struct PutInForce
 {
   std::shared_ptr<const Configuration> mConfiguration;
 };
 
-/// Something to log: a source offered what can't be taken.
+/// Log that a source offered a revision that can not be used.
 struct ReportRefused
 {
   ConfigurationSource mSource;
--- a/Libraries/LibConfiguration/HistoryEntry.h
+++ b/Libraries/LibConfiguration/HistoryEntry.h
@@ -5,7 +5,7 @@
 
 namespace verbenachute {
 
-/// One accepted change. The history also tells which operations were applied.
+/// One accepted change. Repeated operations are recognized by the history.
 struct HistoryEntry
 {
   /// The revision that the change made.
@@ -13,9 +13,9 @@
   OperationId mOperation;
   OperatorName mOperator;
   UnixMilliseconds mWallTime{ 0 };
-  /// Digest of the change, so that a repeat is told from a reused id.
+  /// Digest of the change, to distinguish a repeat from a reused id.
   std::string mDigest;
-  /// One line for a person.
+  /// One line for operators.
   std::string mSummary;
 
   friend bool operator==(const HistoryEntry&, const HistoryEntry&) = default;
--- a/Libraries/LibConfiguration/InForceTracker.cpp
+++ b/Libraries/LibConfiguration/InForceTracker.cpp
@@ -27,7 +27,7 @@
 InForceTracker::OnLeasesLapsed(const NodeIdentity& aNode, Revision aVotersKnow)
 {
   if (NodeRevision* node = Find(aNode)) {
-    node->mBarredBelow = std::max(node->mBarredBelow, aVotersKnow);
+    node->mMinimumRevision = std::max(node->mMinimumRevision, aVotersKnow);
   }
 }
 
@@ -39,24 +39,24 @@
   }
 }
 
-SpreadStatus
+PropagationStatus
 InForceTracker::StatusOf(Revision aRevision) const
 {
-  SpreadStatus status;
+  PropagationStatus status;
   status.mRevision = aRevision;
   for (const auto& [name, node] : mNodes) {
     if (node.mConfirmed >= aRevision) {
       status.mConfirmed.push_back(node.mNode);
-    } else if (node.mBarredBelow >= aRevision) {
-      status.mCannotDispatch.push_back(node.mNode);
+    } else if (node.mMinimumRevision >= aRevision) {
+      status.mUnableToDispatch.push_back(node.mNode);
     } else {
       status.mLagging.push_back(node.mNode);
     }
   }
-  // Without a single confirmation there is nobody who has it in force.
-  status.mSpread = status.mLagging.empty() && !status.mConfirmed.empty()
-                     ? Spread::InForce
-                     : Spread::Spreading;
+  // Without any confirmation it is in force on no node.
+  status.mPropagation = status.mLagging.empty() && !status.mConfirmed.empty()
+                          ? Propagation::InForce
+                          : Propagation::Spreading;
   return status;
 }
 
--- a/Libraries/LibConfiguration/InForceTracker.h
+++ b/Libraries/LibConfiguration/InForceTracker.h
@@ -7,48 +7,47 @@
 
 namespace verbenachute {
 
-/// How far a revision has spread.
-enum class Spread
+/// How far a revision has propagated.
+enum class Propagation
 {
-  /// Every node has it in force or can't dispatch under an older one.
+  /// It is in force on every node that can dispatch.
   InForce,
   Spreading,
 };
 
-/// What a node is known to have in force.
+/// The revision that is known to be in force on a node.
 struct NodeRevision
 {
   NodeIdentity mNode;
   /// Largest revision that the node has confirmed; 0 before the first.
   Revision mConfirmed;
   /// The node can dispatch only under this revision or larger ones, whatever
-  /// it has confirmed, since no voter will grant it a lease below.
-  Revision mBarredBelow;
+  /// it has confirmed, since no voter grants it a lease under a smaller one.
+  Revision mMinimumRevision;
 
   friend bool operator==(const NodeRevision&, const NodeRevision&) = default;
 };
 
-struct SpreadStatus
+struct PropagationStatus
 {
   Revision mRevision;
-  Spread mSpread = Spread::Spreading;
+  Propagation mPropagation = Propagation::Spreading;
   std::vector<NodeIdentity> mConfirmed;
-  /// Nodes without confirmation that can't dispatch under an older revision.
-  std::vector<NodeIdentity> mCannotDispatch;
+  /// Nodes without confirmation that can not dispatch under an older revision.
+  std::vector<NodeIdentity> mUnableToDispatch;
   /// Nodes that may still dispatch under an older revision.
   std::vector<NodeIdentity> mLagging;
 };
 
-/// Tells which revision is in force everywhere, and which nodes lag.
+/// Tracks which revision is in force everywhere, and which nodes lag behind.
 class InForceTracker
 {
 public:
-  /// A node that is or may be running. It is waited for from now on, also
-  /// when the list of VMs no longer has it; a later life of the same VM takes
-  /// its place, and an earlier one is ignored.
+  /// Adds a node that may be running. It counts even if it is no longer in the
+  /// list of VMs. A later incarnation replaces it; an earlier one is ignored.
   void OnNode(const NodeIdentity& aNode);
-  /// A node tells what it has in force. A smaller revision than before is a
-  /// late message and changes nothing.
+  /// A node reports the revision in force on it. A smaller one than before is
+  /// from a late message and ignored.
   void OnConfirmed(const NodeIdentity& aNode, Revision aRevision);
   /// All leases of the node have lapsed, and every majority of voters that
   /// could grant it one knows aVotersKnow.
@@ -56,8 +55,8 @@
   /// The node has stopped: its VM is gone and its leases have lapsed.
   void OnGone(const NodeIdentity& aNode);
 
-  [[nodiscard]] SpreadStatus StatusOf(Revision aRevision) const;
-  /// All nodes that are waited for, by name.
+  [[nodiscard]] PropagationStatus StatusOf(Revision aRevision) const;
+  /// All tracked nodes, by name.
   [[nodiscard]] std::vector<NodeRevision> Nodes() const;
 
 private:
--- a/Libraries/LibConfiguration/JsonObjectReader.cpp
+++ b/Libraries/LibConfiguration/JsonObjectReader.cpp
@@ -45,7 +45,7 @@
 JsonObjectReader::Number(const char* aField)
 {
   const Json::Value* value = Require(aField);
-  // A double such as 3.0 would pass isUInt64, and is no whole number as text.
+  // isUInt64 accepts a double such as 3.0, which is not written as an integer.
   const bool fits =
     value && value->isUInt64() && value->type() != Json::realValue;
   if (value && !fits) {
--- a/Libraries/LibConfiguration/JsonObjectReader.h
+++ b/Libraries/LibConfiguration/JsonObjectReader.h
@@ -12,9 +12,9 @@
 
 namespace verbenachute {
 
-/// Reads the fields of a JSON object strictly. The first fault is kept; after
-/// it, fields read as empty, and Finish returns it. Finish also refuses
-/// fields that were not asked for.
+/// Strictly reads the fields of a JSON object. Finish returns the first error,
+/// after which fields read as empty. Fields that were not read are an error
+/// too.
 class JsonObjectReader
 {
 public:
@@ -37,7 +37,7 @@
   [[nodiscard]] std::vector<const Json::Value*> Elements(const char* aField);
   /// The value of a field of any type, or JSON null if it is absent.
   [[nodiscard]] const Json::Value& Any(const char* aField);
-  /// Takes the value of a result, or keeps its error as the fault.
+  /// Returns the value of a result, or records its error.
   template<typename Value>
   [[nodiscard]] Value Take(Result<Value> aResult)
   {
--- a/Libraries/LibConfiguration/LabelExpression.h
+++ b/Libraries/LibConfiguration/LabelExpression.h
@@ -14,15 +14,15 @@
 class LabelExpression
 {
 public:
-  /// Longest text that is parsed, in bytes.
+  /// Maximum length of a text that is parsed, in bytes.
   static constexpr std::size_t kTextBytes = 4096;
 
   /// An expression that holds for every target.
   LabelExpression() = default;
 
-  /// Reads terms separated by commas: KEY=VALUE, KEY!=VALUE, has(KEY) and
-  /// !has(KEY). A missing key differs from every value. Other text is an
-  /// InvalidInput error that tells the position of the fault, from 1.
+  /// Parses terms separated by commas: KEY=VALUE, KEY!=VALUE, has(KEY) and
+  /// !has(KEY). A missing key differs from every value. Fails with
+  /// InvalidInput; the message names the position of the error, counted from 1.
   [[nodiscard]] static Result<LabelExpression> Create(std::string_view aText);
 
   [[nodiscard]] bool Matches(const LabelSet& aLabels) const;
--- a/Libraries/LibConfiguration/LabelExpressionParser.h
+++ b/Libraries/LibConfiguration/LabelExpressionParser.h
@@ -6,7 +6,7 @@
 
 namespace verbenachute {
 
-/// Recursive-descent parser of label expressions; used once a text.
+/// Recursive-descent parser of label expressions, for a single text.
 class LabelExpressionParser
 {
 public:
--- a/Libraries/LibConfiguration/LabelSet.h
+++ b/Libraries/LibConfiguration/LabelSet.h
@@ -9,8 +9,8 @@
 /// Labels of one target or failure domain: value by key.
 using LabelSet = std::map<std::string, std::string>;
 
-/// Keys that each target has without being labelled; operators can match
-/// them in selectors but cannot set them.
+/// Keys of the built-in labels of each target. Operators can match them in
+/// selectors but not set them.
 inline constexpr std::string_view kTargetKey = "target";
 inline constexpr std::string_view kServiceKey = "service";
 inline constexpr std::string_view kDomainKey = "domain";
--- a/Libraries/LibConfiguration/NameRules.h
+++ b/Libraries/LibConfiguration/NameRules.h
@@ -6,15 +6,16 @@
 
 namespace verbenachute {
 
-/// Longest name of a target, operator, selector or label, in bytes.
+/// Maximum length of the name of a target, operator, selector or label, in
+/// bytes.
 inline constexpr std::size_t kNameBytes = 128;
 
-/// Whether a character may stand in a name: letters, digits and "._-/:@".
+/// Whether a character is allowed in a name: letters, digits and "._-/:@".
 [[nodiscard]] bool
 IsNameCharacter(char aCharacter);
 
-/// InvalidInput, naming aWhat, unless the text is 1 to kNameBytes characters
-/// that may stand in a name.
+/// Fails with InvalidInput unless the text consists of 1 to kNameBytes allowed
+/// characters. The message names aWhat.
 [[nodiscard]] Result<Success>
 CheckName(std::string_view aWhat, std::string_view aText);
 
--- a/Libraries/LibConfiguration/OperatorAnswers.cpp
+++ b/Libraries/LibConfiguration/OperatorAnswers.cpp
@@ -49,10 +49,10 @@
   VERIFY(!"unknown admittance");
 }
 
-// Why a target takes no work although the operators let it.
+// Why a target gets no new work although the operators allow it.
 constexpr const char* kPlatformReason = "the platform";
 
-/// What holds for a target: the platform's word goes before the operators'.
+/// The admittance of a target; the platform's overrides the operators'.
 AdmittanceDecision
 DecisionOf(const TargetEntry& aTarget,
            const CallerId& aCaller,
@@ -67,14 +67,14 @@
 Json::Value
 StatusAnswer(const OperatorContext& aContext)
 {
-  const SpreadStatus status =
+  const PropagationStatus status =
     aContext.mTracker.StatusOf(aContext.mConfiguration->CurrentRevision());
   Json::Value answer = Revised(aContext);
   answer["known_revision"] = Json::UInt64(aContext.mKnown.value());
   answer["spread"] =
-    status.mSpread == Spread::InForce ? "in_force" : "spreading";
+    status.mPropagation == Propagation::InForce ? "in_force" : "spreading";
   answer["confirmed"] = IdentitiesJson(status.mConfirmed);
-  answer["cannot_dispatch"] = IdentitiesJson(status.mCannotDispatch);
+  answer["cannot_dispatch"] = IdentitiesJson(status.mUnableToDispatch);
   answer["lagging"] = IdentitiesJson(status.mLagging);
   if (aContext.mConfirmedAge) {
     answer["confirmed_ms_ago"] = Json::Int64(
@@ -106,9 +106,9 @@
     Json::Value entry;
     entry["node"] = NodeIdentityText(node.mNode);
     entry["revision"] = Json::UInt64(node.mConfirmed.value());
-    entry["standing"] = node.mConfirmed >= revision     ? "confirmed"
-                        : node.mBarredBelow >= revision ? "cannot_dispatch"
-                                                        : "lagging";
+    entry["standing"] = node.mConfirmed >= revision         ? "confirmed"
+                        : node.mMinimumRevision >= revision ? "cannot_dispatch"
+                                                            : "lagging";
     answer["nodes"].append(entry);
   }
   return answer;
--- a/Libraries/LibConfiguration/OperatorAnswers.h
+++ b/Libraries/LibConfiguration/OperatorAnswers.h
@@ -10,7 +10,7 @@
 
 namespace verbenachute {
 
-/// What a node knows when it answers an operator.
+/// State of a node from which it answers operators.
 struct OperatorContext
 {
   /// In force at this node; null before the first configuration.
@@ -20,8 +20,8 @@
   /// Age of the last confirmation that the revision is the latest.
   std::optional<Duration> mConfirmedAge;
   const InForceTracker& mTracker;
-  /// Failure domains that get no new work by another's will than the
-  /// operators', such as the platform's.
+  /// Failure domains that get no new work for another reason than the
+  /// operators' configuration, such as by the platform.
   std::set<FailureDomain> mDomainsOut;
 };
 
@@ -34,7 +34,7 @@
     const OperatorQuestion& aQuestion,
     const OperatorContext& aContext);
 
-  /// Whether a watch is to be answered now.
+  /// Whether a watch is due to be answered.
   [[nodiscard]] static bool IsDue(const OperatorQuestion& aWatch,
                                   const OperatorContext& aContext);
 
--- a/Libraries/LibConfiguration/OperatorRequest.h
+++ b/Libraries/LibConfiguration/OperatorRequest.h
@@ -6,22 +6,22 @@
 
 namespace verbenachute {
 
-/// Whether a change is made or only shown.
+/// Whether a change is applied or only evaluated.
 enum class DryRun
 {
   No,
   Yes,
 };
 
-/// A change that an operator asks for over HTTP.
+/// A change that an operator requests over HTTP.
 struct OperatorChange
 {
-  /// Its wall time and groups are for the node to fill in.
+  /// The node fills in the wall time and the groups.
   ChangeRequest mRequest;
   DryRun mDryRun = DryRun::No;
 };
 
-/// What an operator asks about.
+/// Subject of a query by an operator.
 enum class OperatorTopic
 {
   Status,
@@ -38,15 +38,15 @@
   Watch,
 };
 
-/// A question of an operator with its checked parameters.
+/// A query by an operator with its validated parameters.
 struct OperatorQuestion
 {
   OperatorTopic mTopic = OperatorTopic::Status;
   /// Targets: only this service.
   std::optional<ServiceName> mService;
-  /// Explain: which target; required.
+  /// Explain: the target; required.
   TargetName mTarget;
-  /// Explain and Targets: for which caller; empty for none in particular.
+  /// Explain and Targets: the caller; empty for no particular one.
   CallerId mCaller;
   /// History: largest number of entries, newest first.
   std::size_t mLimit = 0;
--- a/Libraries/LibConfiguration/OperatorRequestParser.cpp
+++ b/Libraries/LibConfiguration/OperatorRequestParser.cpp
@@ -22,7 +22,7 @@
   return Error{ Step::Parse, aCode, "", std::move(aMessage) };
 }
 
-/// Reads parameters of a question and notes which were asked for.
+/// Reads the parameters of a query and tracks which ones were read.
 class ParameterReader
 {
 public:
--- a/Libraries/LibConfiguration/OperatorRequestParser.h
+++ b/Libraries/LibConfiguration/OperatorRequestParser.h
@@ -8,13 +8,13 @@
 
 namespace verbenachute {
 
-/// Reads operators' requests strictly: unknown fields and parameters, wrong
-/// types and oversize are InvalidInput or TooLarge at the step Parse, an
-/// unknown path is NotFound.
+/// Strictly parses operators' requests. Fails at step Parse with InvalidInput
+/// for unknown fields and parameters and wrong types, with TooLarge, or with
+/// NotFound for an unknown path.
 class OperatorRequestParser
 {
 public:
-  /// Largest body of a change, in bytes.
+  /// Maximum size of the body of a change, in bytes.
   static constexpr std::size_t kChangeBytes = 262'144;
   static constexpr std::string_view kPathPrefix = "/v1/operator/";
   static constexpr std::string_view kChangePath = "/v1/operator/changes";
--- a/Libraries/LibConfiguration/PartCutter.cpp
+++ b/Libraries/LibConfiguration/PartCutter.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// On average, one entry in so many ends a part.
+/// Average number of entries in a part.
 constexpr std::uint64_t kEntriesAPart = 256;
 /// Room for the braces and the section's name around the entries.
 constexpr std::size_t kFrameBytes = 100;
--- a/Libraries/LibConfiguration/PartCutter.h
+++ b/Libraries/LibConfiguration/PartCutter.h
@@ -5,20 +5,20 @@
 
 namespace verbenachute {
 
-/// Collects the entries of one section into parts. A part ends where the hash
-/// of a name says so, hence a change moves few cuts and most parts of the
-/// next revision are those of the last one.
+/// Divides the entries of one section into parts by content-defined chunking: a
+/// hash of the name decides whether a part ends. A change thus moves few
+/// boundaries, and most parts are shared with the previous revision.
 class PartCutter
 {
 public:
-  /// aKnown has parts that are in the store, by digest. It and aEncoded, which
-  /// takes the parts, must outlive the cutter.
+  /// aKnown holds the parts that are in the store, by digest. It and aEncoded,
+  /// to which the parts are added, must outlive the cutter.
   PartCutter(std::string aSection,
              const std::map<std::string, PartName>& aKnown,
              std::string aTag,
              EncodedConfiguration* aEncoded);
 
-  /// TooLarge if the entry does not fit into a part of its own.
+  /// Fails with TooLarge if the entry alone exceeds the size of a part.
   [[nodiscard]] Result<Success> Add(const ConfigurationDocument::Entry& aEntry);
   /// Ends the part that is being collected.
   void Close();
--- a/Libraries/LibConfiguration/PartFetch.cpp
+++ b/Libraries/LibConfiguration/PartFetch.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-/// Parts that are asked for at one time.
+/// Maximum number of parts that are requested at the same time.
 constexpr std::size_t kPartsAsked = 8;
 
 } // namespace
@@ -22,13 +22,13 @@
 }
 
 bool
-PartFetch::IsWhole() const
+PartFetch::IsComplete() const
 {
   return mMissing.empty();
 }
 
 void
-PartFetch::TakeKnown(const ConfigurationParts& aKnown)
+PartFetch::AddKnownParts(const ConfigurationParts& aKnown)
 {
   for (const PartName& part : mHead.mParts) {
     const auto known = aKnown.find(part);
@@ -48,7 +48,7 @@
 }
 
 std::vector<PartName>
-PartFetch::NextToAsk(Instant aNow)
+PartFetch::TakeNextParts(Instant aNow)
 {
   std::vector<PartName> next;
   for (const PartName& part : mMissing) {
--- a/Libraries/LibConfiguration/PartFetch.h
+++ b/Libraries/LibConfiguration/PartFetch.h
@@ -9,12 +9,12 @@
 
 namespace verbenachute {
 
-/// Collects the parts of one revision.
+/// Fetches the parts of one revision.
 class PartFetch
 {
 public:
-  /// aSource gave the head and is asked first for the parts. aConfirmed is an
-  /// Instant at which the head was the latest, if that is known.
+  /// The parts are first requested from aSource, which returned the head.
+  /// aConfirmed is a time at which the head was the latest, if known.
   PartFetch(ConfigurationHead aHead,
             ConfigurationSource aSource,
             std::optional<Instant> aConfirmed,
@@ -24,21 +24,21 @@
   [[nodiscard]] const ConfigurationSource& Source() const { return mSource; }
   [[nodiscard]] std::optional<Instant> Confirmed() const { return mConfirmed; }
   [[nodiscard]] const ConfigurationParts& Parts() const { return mParts; }
-  [[nodiscard]] bool IsWhole() const;
+  [[nodiscard]] bool IsComplete() const;
 
-  /// Takes the parts of this revision from those that are known already.
-  void TakeKnown(const ConfigurationParts& aKnown);
+  /// Adds the parts of this revision that are already known.
+  void AddKnownParts(const ConfigurationParts& aKnown);
   void Take(const PartName& aPart, std::shared_ptr<const std::string> aText);
-  /// Parts to be asked for now; they count as asked from here on.
-  [[nodiscard]] std::vector<PartName> NextToAsk(Instant aNow);
-  /// Whether the part was still wanted. The next ones wait until aDue and are
-  /// asked for at the next source.
+  /// Returns the parts to request now and marks them as requested.
+  [[nodiscard]] std::vector<PartName> TakeNextParts(Instant aNow);
+  /// Returns whether the part was still needed. The next ones are requested
+  /// from the next source, not before aDue.
   [[nodiscard]] bool OnFailure(const PartName& aPart, Instant aDue);
   /// The source for the next parts, of the store and the peers that have the
   /// revision or a larger one.
   [[nodiscard]] ConfigurationSource NextSource(
     const std::map<NodeName, Revision>& aPeers) const;
-  /// When parts are to be asked for; none while answers are waited for.
+  /// When to request parts; empty while replies are pending.
   [[nodiscard]] std::optional<Instant> Due() const;
 
 private:
@@ -49,9 +49,9 @@
   ConfigurationParts mParts;
   /// The parts that the head names and that are not.
   std::set<PartName> mMissing;
-  /// Those of them that have been asked for and not been answered.
+  /// Those that have been requested without a reply so far.
   std::set<PartName> mAsked;
-  /// Failed asks, by which the next source is chosen.
+  /// Number of failed requests, by which the next source is chosen.
   std::uint64_t mFailures = 0;
   Instant mDue;
 };
--- a/Libraries/LibConfiguration/PartName.h
+++ b/Libraries/LibConfiguration/PartName.h
@@ -8,7 +8,7 @@
 
 namespace verbenachute {
 
-/// Keys of the parts are this text and the name of the part.
+/// Prefix of the keys of the parts.
 inline constexpr std::string_view kPartKeyPrefix =
   "verbenachute/configuration/parts/";
 
--- a/Libraries/LibConfiguration/Proposal.h
+++ b/Libraries/LibConfiguration/Proposal.h
@@ -7,12 +7,12 @@
 
 namespace verbenachute {
 
-/// Name of one operation, chosen by who asks for it and kept over repeats.
+/// Id of an operation. The requester chooses it and uses it again for repeats.
 using OperationId = Strong<struct OperationIdTag, std::string>;
-/// A proposal is named by the operation that made it.
+/// The id of a proposal is that of the operation that created it.
 using ProposalId = OperationId;
 
-/// An edit that waits for the approval of a second operator.
+/// An edit that needs the approval of a second operator.
 struct Proposal
 {
   ProposalId mId;
--- a/Libraries/LibConfiguration/Selector.h
+++ b/Libraries/LibConfiguration/Selector.h
@@ -8,16 +8,16 @@
 
 namespace verbenachute {
 
-/// What a selector does to the targets that it matches. Where several match,
-/// LeaveAlone goes before NoNewWork, and that before ServeOnly.
+/// Effect of a selector on the targets that it matches. If several match,
+/// LeaveAlone overrides NoNewWork, which overrides ServeOnly.
 enum class SelectorEffect
 {
-  /// They serve only the callers of the selector; with several selectors,
-  /// only the callers that stand in all of them.
+  /// They serve only the callers of the selector; with several selectors, only
+  /// those that all of them list.
   ServeOnly,
   /// They take no new work.
   NoNewWork,
-  /// They get no traffic at all, probes included.
+  /// They get no traffic at all, not even probes.
   LeaveAlone,
 };
 
--- a/Libraries/LibConfiguration/SteeringPolicy.cpp
+++ b/Libraries/LibConfiguration/SteeringPolicy.cpp
@@ -10,13 +10,13 @@
 
 constexpr const char* kAll = "*";
 
-/// What an edit touches, in the terms of steering rules.
+/// What an edit affects, in terms of steering rules.
 struct Touched
 {
   SteeringScope mScope = SteeringScope::Policy;
   /// Empty unless the scope is Labels.
   std::string mLabelKey;
-  /// kAll for edits that touch all failure domains.
+  /// kAll for edits that affect all failure domains.
   std::string mDomain = kAll;
 };
 
@@ -96,7 +96,7 @@
 {
   const bool key = aTouched.mScope != SteeringScope::Labels ||
                    Names(aRule.mLabelKeys, aTouched.mLabelKey);
-  // Selectors and the policy reach all failure domains whatever a rule names.
+  // Selectors and the policy affect all failure domains, whatever a rule names.
   const bool everywhere = aTouched.mScope == SteeringScope::Selectors ||
                           aTouched.mScope == SteeringScope::Policy;
   return Names(aRule.mOperators, aOperator.value()) &&
--- a/Libraries/LibConfiguration/SteeringRule.h
+++ b/Libraries/LibConfiguration/SteeringRule.h
@@ -11,7 +11,7 @@
 
 using OperatorName = Strong<struct OperatorNameTag, std::string>;
 
-/// The kind of intent that an edit touches.
+/// The part of the configuration that an edit affects.
 enum class SteeringScope
 {
   Labels,
@@ -21,17 +21,17 @@
   Policy,
 };
 
-/// Lets named operators or automation make edits without approval. "*"
-/// stands for all operators, label keys or failure domains.
+/// Allows the named operators to make edits without approval. "*" means all
+/// operators, label keys or failure domains.
 struct SteeringRule
 {
   std::string mName;
   std::set<std::string> mOperators;
   std::set<SteeringScope> mScopes;
-  /// Label keys that edits of labels may touch.
+  /// Label keys that edits of labels may affect.
   std::set<std::string> mLabelKeys;
-  /// Failure domains whose labels, targets and state edits may touch. An
-  /// edit of selectors or policy touches all of them.
+  /// Failure domains whose labels, targets and state edits may affect. An edit
+  /// of selectors or policy affects all of them.
   std::set<std::string> mDomains;
 
   friend bool operator==(const SteeringRule&, const SteeringRule&) = default;
--- a/Libraries/LibConfiguration/TargetListing.h
+++ b/Libraries/LibConfiguration/TargetListing.h
@@ -8,8 +8,8 @@
 
 namespace verbenachute {
 
-/// Targets and failure domains that tell of themselves, where operators do not
-/// register them.
+/// Targets and failure domains that the platform lists, so that operators do
+/// not register them.
 struct TargetListing
 {
   std::vector<TargetEntry> mTargets;
--- a/Libraries/LibConfiguration/TargetTable.h
+++ b/Libraries/LibConfiguration/TargetTable.h
@@ -18,7 +18,7 @@
   explicit TargetTable(std::vector<TargetEntry> aEntries);
 
   [[nodiscard]] const TargetEntry* Find(const TargetName& aTarget) const;
-  /// Position of a target in Names; it must be registered.
+  /// Index of a target in Names; it must be registered.
   [[nodiscard]] std::size_t PositionOf(const TargetName& aTarget) const;
   [[nodiscard]] const std::vector<TargetName>& TargetsOf(
     const ServiceName& aService) const;
--- a/Libraries/LibConfiguration/WriteTask.cpp
+++ b/Libraries/LibConfiguration/WriteTask.cpp
@@ -34,7 +34,7 @@
   return ChangeOutcome{ aBase, entry->mRevision, {} };
 }
 
-/// The edit that the request makes or proposes, or null.
+/// The edit that the request applies or proposes; null if there is none.
 const Edit*
 EditOf(const Change& aChange)
 {
--- a/Libraries/LibConfiguration/WriteTask.h
+++ b/Libraries/LibConfiguration/WriteTask.h
@@ -14,11 +14,11 @@
 struct ListedChange
 {
   ChangeRequest mRequest;
-  /// What was listed when the change arrived; not null.
+  /// The listing when the change arrived; not null.
   std::shared_ptr<const TargetListing> mListing;
 };
 
-/// What a writer is to write.
+/// The task of a writer.
 using WriteTask = std::variant<ChangeRequest, Bootstrap, ListedChange>;
 
 /// What the task makes of a configuration, null if the store has none. The
--- a/Libraries/LibConfiguration/WriterAction.h
+++ b/Libraries/LibConfiguration/WriterAction.h
@@ -13,7 +13,7 @@
 /// OnPartWritten whether it was created or there already, or OnFailure.
 struct WritePart
 {
-  AskId mAsk;
+  CallId mCall;
   PartName mPart;
   std::shared_ptr<const std::string> mText;
 };
@@ -22,7 +22,7 @@
 /// there or not, or OnFailure.
 struct DeletePart
 {
-  AskId mAsk;
+  CallId mCall;
   PartName mPart;
 };
 
@@ -30,7 +30,7 @@
 /// OnFailure.
 struct SwapHead
 {
-  AskId mAsk;
+  CallId mCall;
   std::string mText;
   /// Revision of the key in the store, 0 if it must not exist.
   std::uint64_t mExpected = 0;
@@ -40,15 +40,15 @@
 struct WriteOutcome
 {
   ChangeOutcome mChange;
-  /// What this writer wrote, with the Instant at which it sent the swap; none
-  /// if the operation had been applied before.
+  /// What this writer wrote, and when it sent the swap; empty if the operation
+  /// had been applied before.
   std::optional<EncodedConfiguration> mWritten;
   Instant mSent;
 };
 
-/// The end of a write; nothing follows but deletions of parts without use. An
-/// error with the code OutcomeUnknown says that the change may be in force
-/// now or later; any other error that it is not and will not be.
+/// The outcome of a write; only deletions of unused parts follow. After an
+/// error with the code OutcomeUnknown the change may come into force; after any
+/// other error it will not.
 struct WriteFinished
 {
   Result<WriteOutcome> mOutcome;
--- a/Libraries/LibOperator/WriteRunner.cpp
+++ b/Libraries/LibOperator/WriteRunner.cpp
@@ -54,36 +54,39 @@
 void
 WriteRunner::Perform(const ReadHead& aAction)
 {
-  mStore.Read(
-    std::string(kHeadKey),
-    [self = shared_from_this(), ask = aAction.mAsk](const StoredResult& aRead) {
-      if (IsError(aRead)) {
-        self->Fail(ask, ErrorOf(aRead));
-        return;
-      }
-      const Instant now = self->mLoop.Now();
-      const std::optional<StoredValue>& value = ValueOf(aRead);
-      self->CarryOut(value
-                       ? self->mWriter.OnHead(
-                           ask, value->mValue, value->mRevision.value(), now)
-                       : self->mWriter.OnNoHead(ask, now));
-    });
+  mStore.Read(std::string(kHeadKey),
+              [self = shared_from_this(),
+               call = aAction.mCall](const StoredResult& aRead) {
+                if (IsError(aRead)) {
+                  self->Fail(call, ErrorOf(aRead));
+                  return;
+                }
+                const Instant now = self->mLoop.Now();
+                const std::optional<StoredValue>& value = ValueOf(aRead);
+                self->CarryOut(
+                  value ? self->mWriter.OnHead(
+                            call, value->mValue, value->mRevision.value(), now)
+                        : self->mWriter.OnNoHead(call, now));
+              });
 }
 
 void
 WriteRunner::Perform(const ReadPart& aAction)
 {
-  mStore.Read(
-    aAction.mPart.Key(),
-    [self = shared_from_this(), ask = aAction.mAsk](const StoredResult& aRead) {
-      const Instant now = self->mLoop.Now();
-      if (IsError(aRead) || !ValueOf(aRead)) {
-        self->CarryOut(self->mWriter.OnFailure(ask, Execution::NotRun, now));
-        return;
-      }
-      self->CarryOut(self->mWriter.OnPart(
-        ask, std::make_shared<const std::string>(ValueOf(aRead)->mValue), now));
-    });
+  mStore.Read(aAction.mPart.Key(),
+              [self = shared_from_this(),
+               call = aAction.mCall](const StoredResult& aRead) {
+                const Instant now = self->mLoop.Now();
+                if (IsError(aRead) || !ValueOf(aRead)) {
+                  self->CarryOut(
+                    self->mWriter.OnFailure(call, Execution::NotRun, now));
+                  return;
+                }
+                self->CarryOut(self->mWriter.OnPart(
+                  call,
+                  std::make_shared<const std::string>(ValueOf(aRead)->mValue),
+                  now));
+              });
 }
 
 void
@@ -94,14 +97,14 @@
     *aAction.mText,
     KeyRevision(0),
     [self = shared_from_this(),
-     ask = aAction.mAsk](const Result<SwapOutcome>& aSwap) {
+     call = aAction.mCall](const Result<SwapOutcome>& aSwap) {
       if (IsError(aSwap)) {
-        self->Fail(ask, ErrorOf(aSwap));
+        self->Fail(call, ErrorOf(aSwap));
         return;
       }
       // No other writer uses the key, so a conflict is with an earlier write
       // of the same part.
-      self->CarryOut(self->mWriter.OnPartWritten(ask, self->mLoop.Now()));
+      self->CarryOut(self->mWriter.OnPartWritten(call, self->mLoop.Now()));
     });
 }
 
@@ -111,25 +114,25 @@
   const std::string key = aAction.mPart.Key();
   mStore.Read(
     key,
-    [self = shared_from_this(), ask = aAction.mAsk, key](
+    [self = shared_from_this(), call = aAction.mCall, key](
       const StoredResult& aRead) {
       if (IsError(aRead)) {
-        self->Fail(ask, ErrorOf(aRead));
+        self->Fail(call, ErrorOf(aRead));
         return;
       }
       if (!ValueOf(aRead)) {
-        self->CarryOut(self->mWriter.OnPartDeleted(ask, self->mLoop.Now()));
+        self->CarryOut(self->mWriter.OnPartDeleted(call, self->mLoop.Now()));
         return;
       }
       self->mStore.Remove(
         key,
         ValueOf(aRead)->mRevision,
-        [self, ask](const Result<SwapOutcome>& aRemoved) {
+        [self, call](const Result<SwapOutcome>& aRemoved) {
           if (IsError(aRemoved)) {
-            self->Fail(ask, ErrorOf(aRemoved));
+            self->Fail(call, ErrorOf(aRemoved));
             return;
           }
-          self->CarryOut(self->mWriter.OnPartDeleted(ask, self->mLoop.Now()));
+          self->CarryOut(self->mWriter.OnPartDeleted(call, self->mLoop.Now()));
         });
     });
 }
@@ -137,21 +140,21 @@
 void
 WriteRunner::Perform(const SwapHead& aAction)
 {
-  mStore.CompareAndSwap(std::string(kHeadKey),
-                        aAction.mText,
-                        KeyRevision(aAction.mExpected),
-                        [self = shared_from_this(),
-                         ask = aAction.mAsk](const Result<SwapOutcome>& aSwap) {
-                          if (IsError(aSwap)) {
-                            self->Fail(ask, ErrorOf(aSwap));
-                            return;
-                          }
-                          const Instant now = self->mLoop.Now();
-                          self->CarryOut(
-                            ValueOf(aSwap).mResult == SwapResult::Swapped
-                              ? self->mWriter.OnSwapped(ask, now)
-                              : self->mWriter.OnSwapConflict(ask, now));
-                        });
+  mStore.CompareAndSwap(
+    std::string(kHeadKey),
+    aAction.mText,
+    KeyRevision(aAction.mExpected),
+    [self = shared_from_this(),
+     call = aAction.mCall](const Result<SwapOutcome>& aSwap) {
+      if (IsError(aSwap)) {
+        self->Fail(call, ErrorOf(aSwap));
+        return;
+      }
+      const Instant now = self->mLoop.Now();
+      self->CarryOut(ValueOf(aSwap).mResult == SwapResult::Swapped
+                       ? self->mWriter.OnSwapped(call, now)
+                       : self->mWriter.OnSwapConflict(call, now));
+    });
 }
 
 void
@@ -164,9 +167,9 @@
 }
 
 void
-WriteRunner::Fail(AskId aAsk, const Error& aError)
+WriteRunner::Fail(CallId aCall, const Error& aError)
 {
-  CarryOut(mWriter.OnFailure(aAsk, ExecutionOf(aError), mLoop.Now()));
+  CarryOut(mWriter.OnFailure(aCall, ExecutionOf(aError), mLoop.Now()));
 }
 
 void
--- a/Libraries/LibOperator/WriteRunner.h
+++ b/Libraries/LibOperator/WriteRunner.h
@@ -37,7 +37,7 @@
   void Perform(const DeletePart& aAction);
   void Perform(const SwapHead& aAction);
   void Perform(const WriteFinished& aAction);
-  void Fail(AskId aAsk, const Error& aError);
+  void Fail(CallId aCall, const Error& aError);
   void ArmTimer();
 
   EventLoop& mLoop;
--- a/Services/verbenachuted/ConfigurationService.cpp
+++ b/Services/verbenachuted/ConfigurationService.cpp
@@ -118,12 +118,12 @@
   mDependencies.mPlatform.Read(
     std::string(kHeadKey),
     [this,
-     ask = aAction.mAsk](const Result<std::optional<StoredValue>>& aValue) {
+     call = aAction.mCall](const Result<std::optional<StoredValue>>& aValue) {
       if (!IsError(aValue) && !ValueOf(aValue).has_value()) {
-        CarryOut(mFollower.OnNoHead(ask, mDependencies.mLoop.Now()));
+        CarryOut(mFollower.OnNoHead(call, mDependencies.mLoop.Now()));
         return;
       }
-      OnStoreHead(ask, aValue);
+      OnStoreHead(call, aValue);
     });
 }
 
@@ -135,12 +135,12 @@
     KeyRevision(aAction.mAfter),
     aAction.mWait,
     [this,
-     ask = aAction.mAsk](const Result<std::optional<StoredValue>>& aValue) {
+     call = aAction.mCall](const Result<std::optional<StoredValue>>& aValue) {
       if (!IsError(aValue) && !ValueOf(aValue).has_value()) {
-        CarryOut(mFollower.OnUnchanged(ask, mDependencies.mLoop.Now()));
+        CarryOut(mFollower.OnUnchanged(call, mDependencies.mLoop.Now()));
         return;
       }
-      OnStoreHead(ask, aValue);
+      OnStoreHead(call, aValue);
     });
 }
 
@@ -156,11 +156,11 @@
     [this, action = aAction](const Result<std::optional<StoredValue>>& aValue) {
       const Instant now = mDependencies.mLoop.Now();
       if (IsError(aValue) || !ValueOf(aValue).has_value()) {
-        CarryOut(mFollower.OnFailure(action.mAsk, now));
+        CarryOut(mFollower.OnFailure(action.mCall, now));
         return;
       }
       CarryOut(mFollower.OnPart(
-        action.mAsk,
+        action.mCall,
         action.mPart,
         std::make_shared<const std::string>(ValueOf(aValue)->mValue),
         now));
@@ -194,14 +194,14 @@
            [this, action = aAction](const Result<Json::Value>& aReply) {
              const Instant now = mDependencies.mLoop.Now();
              if (IsError(aReply) || !ValueOf(aReply)["head"].isString()) {
-               CarryOut(mFollower.OnFailure(action.mAsk, now));
+               CarryOut(mFollower.OnFailure(action.mCall, now));
                return;
              }
              const std::string text = ValueOf(aReply)["head"].asString();
-             CarryOut(
-               text.empty()
-                 ? mFollower.OnNoHead(action.mAsk, now)
-                 : mFollower.OnHead(action.mAsk, action.mSource, text, 0, now));
+             CarryOut(text.empty()
+                        ? mFollower.OnNoHead(action.mCall, now)
+                        : mFollower.OnHead(
+                            action.mCall, action.mSource, text, 0, now));
            });
 }
 
@@ -215,11 +215,11 @@
     aPeer, input, [this, action = aAction](const Result<Json::Value>& aReply) {
       const Instant now = mDependencies.mLoop.Now();
       if (IsError(aReply) || !ValueOf(aReply)["part"].isString()) {
-        CarryOut(mFollower.OnFailure(action.mAsk, now));
+        CarryOut(mFollower.OnFailure(action.mCall, now));
         return;
       }
       CarryOut(mFollower.OnPart(
-        action.mAsk,
+        action.mCall,
         action.mPart,
         std::make_shared<const std::string>(ValueOf(aReply)["part"].asString()),
         now));
@@ -228,19 +228,19 @@
 
 void
 ConfigurationService::OnStoreHead(
-  AskId aAsk,
+  CallId aCall,
   const Result<std::optional<StoredValue>>& aValue)
 {
   const Instant now = mDependencies.mLoop.Now();
   if (IsError(aValue)) {
     mDependencies.mLogger.Log(
       LogEvent(EventNumber::StoreUnavailable).WithError(ErrorOf(aValue)));
-    CarryOut(mFollower.OnFailure(aAsk, now));
+    CarryOut(mFollower.OnFailure(aCall, now));
     return;
   }
   const StoredValue& value = *ValueOf(aValue);
   CarryOut(mFollower.OnHead(
-    aAsk, kStoreSource, value.mValue, value.mRevision.value(), now));
+    aCall, kStoreSource, value.mValue, value.mRevision.value(), now));
 }
 
 void
--- a/Services/verbenachuted/ConfigurationService.h
+++ b/Services/verbenachuted/ConfigurationService.h
@@ -58,7 +58,7 @@
   void Perform(const ReportRefused& aAction);
   void ReadHeadFromPeer(const ReadHead& aAction, const NodeName& aPeer);
   void ReadPartFromPeer(const ReadPart& aAction, const NodeName& aPeer);
-  void OnStoreHead(AskId aAsk,
+  void OnStoreHead(CallId aCall,
                    const Result<std::optional<StoredValue>>& aValue);
   void CallPeer(const NodeName& aPeer,
                 const Json::Value& aInput,
--- a/Services/verbenachuted/HolderOperatorState.cpp
+++ b/Services/verbenachuted/HolderOperatorState.cpp
@@ -99,8 +99,7 @@
     for (const Member& member : membership.Table().Members(aNow)) {
       // Other regions have voters of their own, whose grants are not seen.
       if (member.mDescription.mRegion == home) {
-        aTracker->OnLeasesLapsed(member.mDescription.mIdentity,
-                                 mBar.BarredBelow());
+        aTracker->OnLeasesLapsed(member.mDescription.mIdentity, mBar.Current());
       }
     }
   }
--- a/Services/verbenachuted/HolderOperatorState.h
+++ b/Services/verbenachuted/HolderOperatorState.h
@@ -6,7 +6,7 @@
 #include "OperatorStateSource.h"
 #include "SeenNodes.h"
 
-#include <LibConfiguration/RevisionBar.h>
+#include <LibConfiguration/MinimumRevision.h>
 
 #include <functional>
 
@@ -42,7 +42,7 @@
 private:
   NodeIdentity mSelf;
   Dependencies mDependencies;
-  RevisionBar mBar;
+  MinimumRevision mBar;
   SeenNodes mSeen;
   sigc::signal<void()> mApplied;
 };
--- a/Tests/LibConfiguration/ConfigurationWorld.cpp
+++ b/Tests/LibConfiguration/ConfigurationWorld.cpp
@@ -132,7 +132,7 @@
 ConfigurationWorld::Perform(std::size_t aNode, const ReadHead& aAction)
 {
   const ConfigurationSource source = aAction.mSource;
-  const AskId ask = aAction.mAsk;
+  const CallId call = aAction.mCall;
   const bool fromStore = std::holds_alternative<StoreSource>(source);
   Call(aNode,
        fromStore ? ChangeStep::ReadHead : ChangeStep::PeerHead,
@@ -153,7 +153,7 @@
          return [=, this] {
            Perform(aNode,
                    mNodes[aNode].mFollower->OnHead(
-                     ask, source, text, revision, mNow));
+                     call, source, text, revision, mNow));
          };
        });
 }
@@ -173,7 +173,7 @@
       Perform(
         aNode,
         mNodes[aNode].mFollower->OnHead(
-          watch.mAsk, StoreSource{}, aValue.mText, aValue.mRevision, mNow));
+          watch.mCall, StoreSource{}, aValue.mText, aValue.mRevision, mNow));
     };
     const FakeStore::Value* value = mStore.Find(std::string(kHeadKey));
     if (value->mRevision > watch.mAfter) {
@@ -183,7 +183,7 @@
     At(mNow + watch.mWait, [=, this] {
       if (*open && mNodes[aNode].mIdentity == life) {
         *open = false;
-        Perform(aNode, mNodes[aNode].mFollower->OnUnchanged(watch.mAsk, mNow));
+        Perform(aNode, mNodes[aNode].mFollower->OnUnchanged(watch.mCall, mNow));
       }
     });
     return {};
@@ -213,8 +213,8 @@
          return [=, this] {
            ConfigurationFollower& follower = *mNodes[aNode].mFollower;
            Perform(aNode,
-                   text ? follower.OnPart(read.mAsk, read.mPart, text, mNow)
-                        : follower.OnFailure(read.mAsk, mNow));
+                   text ? follower.OnPart(read.mCall, read.mPart, text, mNow)
+                        : follower.OnFailure(read.mCall, mNow));
          };
        });
 }
@@ -272,7 +272,7 @@
           Call(aNode, ChangeStep::ReadHead, [=, this] {
             const FakeStore::Value value = *mStore.Find(std::string(kHeadKey));
             return [=] {
-              reply(&Writer::OnHead, aRead.mAsk, value.mText, value.mRevision);
+              reply(&Writer::OnHead, aRead.mCall, value.mText, value.mRevision);
             };
           });
         },
@@ -282,25 +282,25 @@
               const FakeStore::Value* value = mStore.Find(aRead.mPart.Key());
               if (!value) {
                 return [=] {
-                  reply(&Writer::OnFailure, aRead.mAsk, Execution::NotRun);
+                  reply(&Writer::OnFailure, aRead.mCall, Execution::NotRun);
                 };
               }
               const auto text =
                 std::make_shared<const std::string>(value->mText);
-              return [=] { reply(&Writer::OnPart, aRead.mAsk, text); };
+              return [=] { reply(&Writer::OnPart, aRead.mCall, text); };
             });
         },
         [&](const WritePart& aWrite) {
           Call(aNode, ChangeStep::WritePart, [=, this] {
             mStore.Swap(aWrite.mPart.Key(), *aWrite.mText, 0);
-            return [=] { reply(&Writer::OnPartWritten, aWrite.mAsk); };
+            return [=] { reply(&Writer::OnPartWritten, aWrite.mCall); };
           });
         },
         [&](const DeletePart& aDelete) {
           Call(aNode, ChangeStep::WritePart, [=, this] {
             mStore.Remove(aDelete.mPart.Key());
             CheckHeadIsComplete();
-            return [=] { reply(&Writer::OnPartDeleted, aDelete.mAsk); };
+            return [=] { reply(&Writer::OnPartDeleted, aDelete.mCall); };
           });
         },
         [&](const SwapHead& aSwap) {
@@ -309,7 +309,7 @@
             SwapHeadInStore(aSwap.mText, aSwap.mExpected, &swapped);
             return [=] {
               reply(swapped ? &Writer::OnSwapped : &Writer::OnSwapConflict,
-                    aSwap.mAsk);
+                    aSwap.mCall);
             };
           });
         },
@@ -373,14 +373,14 @@
     if (peer == aNode) {
       continue;
     }
-    const Instant asked = mNow;
+    const Instant isPending = mNow;
     Call(aNode, ChangeStep::PeerRevision, [=, this]() -> std::function<void()> {
       const NodeIdentity identity = mNodes[peer].mIdentity;
       const ConfigurationFollower& follower = *mNodes[peer].mFollower;
       const Revision revision = follower.RevisionInForce();
       std::optional<Instant> confirmed;
       if (follower.Confirmed()) {
-        confirmed = asked - (mNow - *follower.Confirmed());
+        confirmed = isPending - (mNow - *follower.Confirmed());
       }
       return [=, this] {
         mNodes[aNode].mTracker->OnConfirmed(identity, revision);
@@ -406,7 +406,7 @@
       { NodeName("node-" + std::to_string(i)), Incarnation(0) });
   }
   if (revision == Revision(0) ||
-      node.mTracker->StatusOf(revision).mSpread != Spread::InForce) {
+      node.mTracker->StatusOf(revision).mPropagation != Propagation::InForce) {
     return;
   }
   for (const Node& other : mNodes) {
--- a/Tests/LibConfiguration/TestConfigurationFollower.cpp
+++ b/Tests/LibConfiguration/TestConfigurationFollower.cpp
@@ -64,7 +64,7 @@
   {
     for (const ReadPart& read : Only<ReadPart>(mActions)) {
       mActions = mFollower.OnPart(
-        read.mAsk, read.mPart, aEncoded.mParts.at(read.mPart), aNow);
+        read.mCall, read.mPart, aEncoded.mParts.at(read.mPart), aNow);
     }
   }
 
@@ -77,13 +77,13 @@
     REQUIRE(mFollower.RevisionInForce() == Revision(aRevision));
   }
 
-  [[nodiscard]] AskId LastHeadAsk() const
+  [[nodiscard]] CallId LastHeadAsk() const
   {
     const std::vector<ReadHead> reads = Only<ReadHead>(mActions);
     const std::vector<WatchHead> watches = Only<WatchHead>(mActions);
-    return !reads.empty()     ? reads.back().mAsk
-           : !watches.empty() ? watches.back().mAsk
-                              : AskId(0);
+    return !reads.empty()     ? reads.back().mCall
+           : !watches.empty() ? watches.back().mCall
+                              : CallId(0);
   }
 
   void Tick(Instant aNow) { mActions = mFollower.OnTick(aNow); }
@@ -103,15 +103,18 @@
   REQUIRE(reads.size() == encoded.mParts.size());
   for (std::size_t i = 0; i < reads.size(); ++i) {
     CHECK(fixture.mFollower.RevisionInForce() == Revision(0));
-    fixture.mActions = fixture.mFollower.OnPart(
-      reads[i].mAsk, reads[i].mPart, encoded.mParts.at(reads[i].mPart), kStart);
+    fixture.mActions =
+      fixture.mFollower.OnPart(reads[i].mCall,
+                               reads[i].mPart,
+                               encoded.mParts.at(reads[i].mPart),
+                               kStart);
   }
   CHECK(Only<PutInForce>(fixture.mActions).size() == 1);
   CHECK(fixture.mFollower.RevisionInForce() == Revision(3));
   CHECK(fixture.mFollower.IsFresh(kStart, seconds(0)));
 }
 
-TEST_CASE("A damaged part is asked for again and never used")
+TEST_CASE("A damaged part is requested again and never used")
 {
   Fixture fixture;
   const EncodedConfiguration encoded = EncodedAt(2);
@@ -122,7 +125,7 @@
   other.AnswerHead(StoreSource{}, encoded, 1, kStart);
   const ReadPart read = Only<ReadPart>(other.mActions).front();
   other.mActions = other.mFollower.OnPart(
-    read.mAsk, read.mPart, std::make_shared<const std::string>("{}"), kStart);
+    read.mCall, read.mPart, std::make_shared<const std::string>("{}"), kStart);
   CHECK(Only<PutInForce>(other.mActions).empty());
   other.Tick(kStart + seconds(1));
   const std::vector<ReadPart> again = Only<ReadPart>(other.mActions);
@@ -138,7 +141,7 @@
   for (const ConfigurationSource& source :
        { ConfigurationSource(StoreSource{}), ConfigurationSource(kPeer) }) {
     fixture.mActions = fixture.mFollower.OnHead(
-      AskId(77), source, old.mHead.Text(), 9, kStart + seconds(1));
+      CallId(77), source, old.mHead.Text(), 9, kStart + seconds(1));
     CHECK(Only<ReadPart>(fixture.mActions).empty());
     CHECK(Only<ReportRefused>(fixture.mActions).size() == 1);
   }
@@ -149,19 +152,21 @@
 {
   Fixture fixture;
   fixture.Adopt(2, kStart);
-  const Instant asked = kStart + seconds(1);
-  fixture.Tick(asked);
-  const AskId watch = fixture.LastHeadAsk();
+  const Instant isPending = kStart + seconds(1);
+  fixture.Tick(isPending);
+  const CallId watch = fixture.LastHeadAsk();
   REQUIRE(Only<WatchHead>(fixture.mActions).size() == 1);
-  static_cast<void>(fixture.mFollower.OnUnchanged(watch, asked + seconds(3)));
-  CHECK(fixture.mFollower.Confirmed() == asked);
+  static_cast<void>(
+    fixture.mFollower.OnUnchanged(watch, isPending + seconds(3)));
+  CHECK(fixture.mFollower.Confirmed() == isPending);
 
-  fixture.Tick(asked + seconds(4));
-  const AskId late = fixture.LastHeadAsk();
-  fixture.Tick(asked + seconds(20));
-  static_cast<void>(fixture.mFollower.OnUnchanged(late, asked + seconds(21)));
-  CHECK(fixture.mFollower.Confirmed() == asked);
-  CHECK(!fixture.mFollower.IsFresh(asked + seconds(21), seconds(15)));
+  fixture.Tick(isPending + seconds(4));
+  const CallId late = fixture.LastHeadAsk();
+  fixture.Tick(isPending + seconds(20));
+  static_cast<void>(
+    fixture.mFollower.OnUnchanged(late, isPending + seconds(21)));
+  CHECK(fixture.mFollower.Confirmed() == isPending);
+  CHECK(!fixture.mFollower.IsFresh(isPending + seconds(21), seconds(15)));
 }
 
 TEST_CASE("A larger revision that is known of makes the old one stale")
@@ -169,7 +174,7 @@
   Fixture fixture;
   fixture.Adopt(2, kStart);
   fixture.Tick(kStart + seconds(1));
-  const AskId watch = fixture.LastHeadAsk();
+  const CallId watch = fixture.LastHeadAsk();
   fixture.mActions = fixture.mFollower.OnPeerRevision(
     kPeer, Revision(3), kStart + seconds(1), kStart + seconds(1));
   CHECK(!fixture.mFollower.IsFresh(kStart + seconds(1), seconds(10)));
@@ -223,7 +228,7 @@
        now += milliseconds(100)) {
     for (const ReadHead& read : Only<ReadHead>(actions)) {
       ++reads;
-      static_cast<void>(follower.OnFailure(read.mAsk, now));
+      static_cast<void>(follower.OnFailure(read.mCall, now));
     }
     actions = follower.OnTick(now);
   }
@@ -246,7 +251,7 @@
     const ReadHead read = Only<ReadHead>(follower.Start(kStart)).front();
     static_cast<void>(follower.OnWritten(encoded, kStart, kStart));
     static_cast<void>(follower.OnHead(
-      read.mAsk, StoreSource{}, encoded.mHead.Text(), 1, kStart));
+      read.mCall, StoreSource{}, encoded.mHead.Text(), 1, kStart));
     bool watches = false;
     for (Instant now = kStart; now < kStart + seconds(30); now += seconds(1)) {
       static_cast<void>(follower.OnPeerRevision(kPeer, Revision(1), now, now));
@@ -254,7 +259,7 @@
       watches = watches || !Only<WatchHead>(actions).empty();
       CHECK(Only<ReadHead>(actions).empty());
       for (const WatchHead& watch : Only<WatchHead>(actions)) {
-        static_cast<void>(follower.OnUnchanged(watch.mAsk, now));
+        static_cast<void>(follower.OnUnchanged(watch.mCall, now));
       }
     }
     watching += watches ? 1 : 0;
--- a/Tests/LibConfiguration/TestInForceTracker.cpp
+++ b/Tests/LibConfiguration/TestInForceTracker.cpp
@@ -1,5 +1,5 @@
 #include <LibConfiguration/InForceTracker.h>
-#include <LibConfiguration/RevisionBar.h>
+#include <LibConfiguration/MinimumRevision.h>
 
 #include <doctest/doctest.h>
 
@@ -18,43 +18,43 @@
 TEST_CASE("A revision is in force when no node can dispatch without it")
 {
   InForceTracker tracker;
-  CHECK(tracker.StatusOf(Revision(1)).mSpread == Spread::Spreading);
+  CHECK(tracker.StatusOf(Revision(1)).mPropagation == Propagation::Spreading);
   tracker.OnConfirmed(Life("a", 1), Revision(5));
   tracker.OnNode(Life("b", 1));
-  SpreadStatus status = tracker.StatusOf(Revision(5));
-  CHECK(status.mSpread == Spread::Spreading);
+  PropagationStatus status = tracker.StatusOf(Revision(5));
+  CHECK(status.mPropagation == Propagation::Spreading);
   CHECK(status.mLagging == std::vector{ Life("b", 1) });
 
   tracker.OnLeasesLapsed(Life("b", 1), Revision(4));
-  CHECK(tracker.StatusOf(Revision(5)).mSpread == Spread::Spreading);
+  CHECK(tracker.StatusOf(Revision(5)).mPropagation == Propagation::Spreading);
   tracker.OnLeasesLapsed(Life("b", 1), Revision(5));
   status = tracker.StatusOf(Revision(5));
-  CHECK(status.mSpread == Spread::InForce);
-  CHECK(status.mCannotDispatch == std::vector{ Life("b", 1) });
-  CHECK(tracker.StatusOf(Revision(6)).mSpread == Spread::Spreading);
+  CHECK(status.mPropagation == Propagation::InForce);
+  CHECK(status.mUnableToDispatch == std::vector{ Life("b", 1) });
+  CHECK(tracker.StatusOf(Revision(6)).mPropagation == Propagation::Spreading);
 
   // A new life starts anew, and late words of the old one count no more.
   tracker.OnNode(Life("b", 2));
-  CHECK(tracker.StatusOf(Revision(5)).mSpread == Spread::Spreading);
+  CHECK(tracker.StatusOf(Revision(5)).mPropagation == Propagation::Spreading);
   tracker.OnConfirmed(Life("b", 1), Revision(9));
   tracker.OnGone(Life("b", 1));
-  CHECK(tracker.StatusOf(Revision(5)).mSpread == Spread::Spreading);
+  CHECK(tracker.StatusOf(Revision(5)).mPropagation == Propagation::Spreading);
   tracker.OnConfirmed(Life("b", 2), Revision(5));
   tracker.OnConfirmed(Life("b", 2), Revision(3));
-  CHECK(tracker.StatusOf(Revision(5)).mSpread == Spread::InForce);
+  CHECK(tracker.StatusOf(Revision(5)).mPropagation == Propagation::InForce);
   tracker.OnNode(Life("c", 1));
   tracker.OnGone(Life("c", 1));
-  CHECK(tracker.StatusOf(Revision(5)).mSpread == Spread::InForce);
+  CHECK(tracker.StatusOf(Revision(5)).mPropagation == Propagation::InForce);
 }
 
 TEST_CASE("Old revisions are barred once every majority knows the new one")
 {
   constexpr Duration kLapse = seconds(3);
   const Instant start(seconds(100));
-  RevisionBar bar(kLapse);
+  MinimumRevision bar(kLapse);
   const auto tell = [&](std::vector<Revision> aVoters, Duration aAfter) {
     bar.OnVoters(std::move(aVoters), 2, start + aAfter);
-    return bar.BarredBelow();
+    return bar.Current();
   };
   const Revision two(2);
   const Revision three(3);
