LibForward: Refuse only requests that must not run twice when nothing has left

Kept for at-most-once requests, whose callers may only try again after a refusal that says that nothing has run.

New test of the stream: a request that is aborted before its connection is made is never sent.

--- a/Libraries/LibForward/ForwardEngineOutcomes.cpp
+++ b/Libraries/LibForward/ForwardEngineOutcomes.cpp
@@ -106,11 +106,18 @@
 bool
 ForwardEngine::MayHaveRun(const Request& aRequest) const
 {
+  // A caller may repeat an idempotent request in any case, and connections that
+  // are being made are of use to other requests.
+  const bool isIdempotent =
+    aRequest.mRoute->mRepeatPolicy == RepeatPolicy::Idempotent;
+  const auto mayHaveRun = [&](AttemptId aAttempt) {
+    return isIdempotent || mMayHaveLeft(aAttempt);
+  };
   return std::any_of(
     aRequest.mParts.begin(), aRequest.mParts.end(), [&](const Part& aPart) {
       return aPart.mMayHaveRun || !aPart.mDelegations.empty() ||
              std::any_of(
-               aPart.mRunning.begin(), aPart.mRunning.end(), mMayHaveLeft);
+               aPart.mRunning.begin(), aPart.mRunning.end(), mayHaveRun);
     });
 }
 
--- a/Tests/LibHttp/TestHttpStreams.cpp
+++ b/Tests/LibHttp/TestHttpStreams.cpp
@@ -49,6 +49,7 @@
       const int connection = accept(mListener, nullptr, nullptr);
       char buffer[4096];
       const ssize_t got = recv(connection, buffer, sizeof(buffer), 0);
+      mHasReceived = got > 0;
       const ssize_t sent = send(connection, bytes.data(), bytes.size(), 0);
       if (aEnding == Ending::Reset) {
         const linger now{ 1, 0 };
@@ -62,7 +63,6 @@
         Flood(connection);
       }
       close(connection);
-      static_cast<void>(got);
       static_cast<void>(sent);
     });
   }
@@ -94,6 +94,13 @@
     return mReset;
   }
 
+  /// Whether the client sent anything. Waits until it has disconnected.
+  bool HasReceived()
+  {
+    mThread.join();
+    return mHasReceived;
+  }
+
 private:
   void Flood(int aConnection)
   {
@@ -113,21 +120,28 @@
 
   std::size_t mAcceptedBytes = 0;
   bool mReset = false;
+  bool mHasReceived = false;
   int mListener = -1;
   std::uint16_t mPort = 0;
   std::thread mThread;
 };
 
+HttpClientStream::Exchange
+GetExchange()
+{
+  HttpClientStream::Exchange exchange;
+  exchange.mRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  exchange.mIdentity = kIdentity;
+  return exchange;
+}
+
 StreamOutcome
 OutcomeOf(const SocketAddress& aAddress, bool* aReusable = nullptr)
 {
   const std::unique_ptr<EventLoop> loop = ReleaseValue(EventLoop::Create());
   HttpClientStream stream(*loop, aAddress, PeerTimeouts());
   StreamOutcome outcome = StreamFailure::TimedOut;
-  HttpClientStream::Exchange exchange;
-  exchange.mRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
-  exchange.mIdentity = kIdentity;
-  stream.Send(std::move(exchange), [&](StreamOutcome aOutcome) {
+  stream.Send(GetExchange(), [&](StreamOutcome aOutcome) {
     outcome = std::move(aOutcome);
     loop->Stop();
   });
@@ -195,6 +209,27 @@
   CHECK(std::get<StreamFailure>(outcome) == StreamFailure::NotConnected);
 }
 
+TEST_CASE("A request that is aborted before its connection is made is not sent")
+{
+  CannedResponseServer aborted("", CannedResponseServer::Ending::Wait);
+  CannedResponseServer other(Response("mine", "body"),
+                             CannedResponseServer::Ending::Close);
+  bool hasEnded = false;
+  {
+    const std::unique_ptr<EventLoop> loop = ReleaseValue(EventLoop::Create());
+    HttpClientStream stream(*loop, aborted.Address(), PeerTimeouts());
+    stream.Send(GetExchange(), [&](const StreamOutcome&) { hasEnded = true; });
+    CHECK(!stream.WasConnected());
+    stream.Abort();
+    // By the end of this exchange the other connection has been made.
+    HttpClientStream later(*loop, other.Address(), PeerTimeouts());
+    later.Send(GetExchange(), [&](const StreamOutcome&) { loop->Stop(); });
+    loop->Run();
+  }
+  CHECK(!aborted.HasReceived());
+  CHECK(!hasEnded);
+}
+
 TEST_CASE("A truncated response is a failure")
 {
   CannedResponseServer server(
