--- a/Tests/LibHttp/TestHttpStreams.cpp
+++ b/Tests/LibHttp/TestHttpStreams.cpp
@@ -127,7 +127,7 @@
 };
 
 HttpClientStream::Exchange
-GetExchange()
+ExampleExchange()
 {
   HttpClientStream::Exchange exchange;
   exchange.mRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -141,7 +141,7 @@
   const std::unique_ptr<EventLoop> loop = ReleaseValue(EventLoop::Create());
   HttpClientStream stream(*loop, aAddress, PeerTimeouts());
   StreamOutcome outcome = StreamFailure::TimedOut;
-  stream.Send(GetExchange(), [&](StreamOutcome aOutcome) {
+  stream.Send(ExampleExchange(), [&](StreamOutcome aOutcome) {
     outcome = std::move(aOutcome);
     loop->Stop();
   });
@@ -218,12 +218,13 @@
   {
     const std::unique_ptr<EventLoop> loop = ReleaseValue(EventLoop::Create());
     HttpClientStream stream(*loop, aborted.Address(), PeerTimeouts());
-    stream.Send(GetExchange(), [&](const StreamOutcome&) { hasEnded = true; });
+    stream.Send(ExampleExchange(),
+                [&](const StreamOutcome&) { hasEnded = true; });
     CHECK(!stream.WasConnected());
     stream.Abort();
     // By the end of this exchange the other connection has been made.
     HttpClientStream later(*loop, other.Address(), PeerTimeouts());
-    later.Send(GetExchange(), [&](const StreamOutcome&) { loop->Stop(); });
+    later.Send(ExampleExchange(), [&](const StreamOutcome&) { loop->Stop(); });
     loop->Run();
   }
   CHECK(!aborted.HasReceived());
