LibForward, verbenachuted: Log targets lost under requests, and convictions

Whether a request that crashes targets is refused, and from which observations, could not be seen in direct dispatch: event 604 was written in the holders' way only. So a node that had never heard of the crashes and one that had forgotten them looked alike.

Each observation that changes what a node knows is logged with the request's fingerprint, its target and its source (607), the conviction too (604), and both are counted. Refusals carry the fingerprint.

--- a/Libraries/LibForward/ForwardAction.h
+++ b/Libraries/LibForward/ForwardAction.h
@@ -88,6 +88,8 @@
   std::uint32_t mDelegatedParts = 0;
   /// Services of the parts without an answer, separated by spaces.
   std::string mMissingServices;
+  /// Identifies equal requests, as in the events of poisonous ones.
+  Fingerprint mFingerprint;
 
   void AddMissing(const ServiceName& aService);
 };
--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -342,7 +342,18 @@
 ForwardEngine::OnPoisonObservation(const PoisonObservation& aObservation,
                                    Instant aNow)
 {
-  mPoison.OnPoisonObservation(aObservation, aNow);
+  AddPoisonObservation(aObservation, PoisonNotice::Source::Peer, aNow);
+}
+
+void
+ForwardEngine::AddPoisonObservation(const PoisonObservation& aObservation,
+                                    PoisonNotice::Source aSource,
+                                    Instant aNow)
+{
+  const PoisonChange change = mPoison.OnPoisonObservation(aObservation, aNow);
+  if (change != PoisonChange::None) {
+    mPoisonNotices.push_back(PoisonNotice{ aObservation, change, aSource });
+  }
 }
 
 std::vector<PoisonObservation>
@@ -351,4 +362,10 @@
   return std::exchange(mPoisonObservations, {});
 }
 
+std::vector<PoisonNotice>
+ForwardEngine::TakePoisonNotices()
+{
+  return std::exchange(mPoisonNotices, {});
+}
+
 } // namespace verbenachute
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -103,6 +103,9 @@
   void OnPoisonObservation(const PoisonObservation& aObservation, Instant aNow);
   /// Observations that this node has recorded since the last call.
   [[nodiscard]] std::vector<PoisonObservation> TakePoisonObservations();
+  /// Observations of any node that changed what this node knows since the last
+  /// call.
+  [[nodiscard]] std::vector<PoisonNotice> TakePoisonNotices();
 
   /// Number of requests without an outcome.
   [[nodiscard]] std::size_t RunningRequests() const { return mRequests.size(); }
@@ -491,6 +494,9 @@
   /// unless some part of the request was answered: the request may have crashed
   /// the targets.
   void RecordPoisonObservations(const Request& aRequest, Instant aNow);
+  void AddPoisonObservation(const PoisonObservation& aObservation,
+                            PoisonNotice::Source aSource,
+                            Instant aNow);
   /// Abandons all running attempts of the request.
   void AbandonAll(const Request& aRequest, Instant aNow);
   /// Cancels all running attempts of the request at once. The next OnTime
@@ -538,6 +544,7 @@
   std::unordered_map<std::string, RouteStatistics> mStatistics;
   PoisonDetector mPoison;
   std::vector<PoisonObservation> mPoisonObservations;
+  std::vector<PoisonNotice> mPoisonNotices;
   std::uint64_t mNextAttempt;
   std::minstd_rand mRandom;
   ForwardActions mActions;
--- a/Libraries/LibForward/ForwardEngineAdmission.cpp
+++ b/Libraries/LibForward/ForwardEngineAdmission.cpp
@@ -57,6 +57,7 @@
   request.mSummary.mObjective = request.mRoute->mLatencyObjective;
   request.mMaximumAttempts = request.mRoute->mMaximumAttempts;
   request.mFingerprint = FingerprintOfRequest(*request.mRequest);
+  request.mSummary.mFingerprint = request.mFingerprint;
   SetTimes(&request, aNow);
   MakeParts(&request, aNow);
   std::optional<RefusedOutcome> refusal = AdmissionRefusal(request, aNow);
--- a/Libraries/LibForward/ForwardEngineOutcomes.cpp
+++ b/Libraries/LibForward/ForwardEngineOutcomes.cpp
@@ -293,7 +293,8 @@
   for (const TargetName& target : aRequest.mLostTargets) {
     mPoisonObservations.push_back(
       PoisonObservation{ aRequest.mFingerprint, target });
-    mPoison.OnPoisonObservation(mPoisonObservations.back(), aNow);
+    AddPoisonObservation(
+      mPoisonObservations.back(), PoisonNotice::Source::OwnAttempt, aNow);
   }
 }
 
--- a/Libraries/LibForward/PoisonDetector.cpp
+++ b/Libraries/LibForward/PoisonDetector.cpp
@@ -28,14 +28,19 @@
   mEntries.erase(oldest);
 }
 
-void
+PoisonChange
 PoisonDetector::OnPoisonObservation(const PoisonObservation& aObservation,
                                     Instant aNow)
 {
   EvictOldEntries(aNow);
   Entry& entry = mEntries[aObservation.mFingerprint];
-  entry.mTargets.insert(aObservation.mTarget);
+  const bool isNew = entry.mTargets.insert(aObservation.mTarget).second;
   entry.mLastObservation = aNow;
+  if (!isNew) {
+    return PoisonChange::None;
+  }
+  return entry.mTargets.size() == kPoisonThreshold ? PoisonChange::Convicted
+                                                   : PoisonChange::TargetAdded;
 }
 
 void
--- a/Libraries/LibForward/PoisonDetector.h
+++ b/Libraries/LibForward/PoisonDetector.h
@@ -20,6 +20,31 @@
                          const PoisonObservation&) = default;
 };
 
+/// What an observation changed at this node.
+enum class PoisonChange
+{
+  /// The observation was known.
+  None,
+  /// One more target counts against the request.
+  TargetAdded,
+  /// The request is poisonous from now on.
+  Convicted,
+};
+
+/// An observation that changed what this node knows, for the log.
+struct PoisonNotice
+{
+  enum class Source
+  {
+    OwnAttempt,
+    Peer,
+  };
+
+  PoisonObservation mObservation;
+  PoisonChange mChange = PoisonChange::None;
+  Source mSource = Source::OwnAttempt;
+};
+
 /// Detects requests that crash each target that runs them. A request is
 /// poisonous if it has lost the connection to several different targets and was
 /// not answered in between. The number of entries is limited; the oldest are
@@ -32,7 +57,8 @@
   static constexpr std::size_t kPoisonThreshold = 3;
 
   /// This or another node reports a connection lost under a request.
-  void OnPoisonObservation(const PoisonObservation& aObservation, Instant aNow);
+  PoisonChange OnPoisonObservation(const PoisonObservation& aObservation,
+                                   Instant aNow);
   /// A target answered the request, so it is harmless.
   void OnAnswered(Fingerprint aFingerprint);
   [[nodiscard]] bool IsPoisonous(Fingerprint aFingerprint, Instant aNow);
--- a/Libraries/LibObservation/EventCatalogue.cpp
+++ b/Libraries/LibObservation/EventCatalogue.cpp
@@ -193,6 +193,11 @@
                     "target_gone",
                     Info,
                     "A target is not listed any more." },
+  EventDescription{ TargetLostUnderRequest,
+                    "target_lost_under_request",
+                    Info,
+                    "The connection to a target broke under a request that no "
+                    "target has answered." },
   EventDescription{ RequestReplayed,
                     "request_replayed",
                     Info,
--- a/Libraries/LibObservation/EventNumber.h
+++ b/Libraries/LibObservation/EventNumber.h
@@ -57,6 +57,7 @@
   RequestPoisoned = 604,
   LoadShed = 605,
   TargetGone = 606,
+  TargetLostUnderRequest = 607,
 
   RequestReplayed = 700,
   RequestConflict = 701,
--- a/Libraries/LibObservation/MetricCatalogue.cpp
+++ b/Libraries/LibObservation/MetricCatalogue.cpp
@@ -35,6 +35,11 @@
       "Orders to peers to gather shards of their failure domain." },
     { "verbenachute_delegations_taken_total",
       "Orders of peers that this node has begun to gather." },
+    { "verbenachute_poison_observations_total",
+      "Targets lost under requests that no target had answered, here or at a "
+      "peer." },
+    { "verbenachute_poison_convictions_total",
+      "Requests that this node refuses because they crashed targets." },
   } };
 
 constexpr std::array<MetricDescription,
--- a/Libraries/LibObservation/MetricCatalogue.h
+++ b/Libraries/LibObservation/MetricCatalogue.h
@@ -24,7 +24,9 @@
   StoreFailures,
   DelegationsSent,
   DelegationsTaken,
-  Last = DelegationsTaken,
+  PoisonObservations,
+  PoisonConvictions,
+  Last = PoisonConvictions,
 };
 
 /// Gauges without labels; their values increase and decrease.
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -1,6 +1,7 @@
 #include "EntryNodeParts.h"
 
 #include "EntrySettings.h"
+#include "OutcomeLog.h"
 
 #include <platform/KeyWire.h>
 
@@ -135,6 +136,7 @@
   for (const PoisonObservation& report : mGossip.Receive(aMessage, now)) {
     mEngine.OnPoisonObservation(report, now);
   }
+  LogPoisonNotices();
   for (const NodeStatus& status : aMessage.mStatuses) {
     mStore.OnPeerRevision(status.mStoreRevision);
     mEngine.Peers().OnPlanVersion(status.mIdentity.mName, status.mPlanVersion);
@@ -347,9 +349,21 @@
   for (const PoisonObservation& report : mEngine.TakePoisonObservations()) {
     mGossip.AddPoisonObservation(report, mLoop->Now());
   }
+  LogPoisonNotices();
   ScheduleEngine();
 }
 
+void
+EntryNode::Parts::LogPoisonNotices()
+{
+  for (const PoisonNotice& notice : mEngine.TakePoisonNotices()) {
+    mMetrics.Add(notice.mChange == PoisonChange::Convicted
+                   ? Counter::PoisonConvictions
+                   : Counter::PoisonObservations);
+    LogPoisonNotice(notice, &mLogger);
+  }
+}
+
 void
 EntryNode::Parts::ScheduleEngine()
 {
--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -62,6 +62,7 @@
   void OnStop();
   void OnShutdownTick();
   void Perform(ForwardActions aActions);
+  void LogPoisonNotices();
   void Answer(const AnswerAction& aAction);
   void Delegate(const DelegateAction& aAction);
   void ScheduleEngine();
--- a/Services/verbenachuted/OutcomeLog.cpp
+++ b/Services/verbenachuted/OutcomeLog.cpp
@@ -56,7 +56,23 @@
                  .With("unpaid", summary.mOverBudget)
                  .With("peers", summary.mPeerNames)
                  .With("delegated", summary.mDelegatedParts)
-                 .With("missing", summary.mMissingServices));
+                 .With("missing", summary.mMissingServices)
+                 .With("fingerprint", summary.mFingerprint.value()));
+}
+
+void
+LogPoisonNotice(const PoisonNotice& aNotice, Logger* aLogger)
+{
+  const char* source = aNotice.mSource == PoisonNotice::Source::OwnAttempt
+                         ? "own_attempt"
+                         : "peer";
+  aLogger->Log(LogEvent(aNotice.mChange == PoisonChange::Convicted
+                          ? EventNumber::RequestPoisoned
+                          : EventNumber::TargetLostUnderRequest)
+                 .At(Step::Dispatch)
+                 .Peer(aNotice.mObservation.mTarget.value())
+                 .With("fingerprint", aNotice.mObservation.mFingerprint.value())
+                 .With("source", source));
 }
 
 } // namespace verbenachute
--- a/Services/verbenachuted/OutcomeLog.h
+++ b/Services/verbenachuted/OutcomeLog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibForward/ForwardAction.h>
+#include <LibForward/PoisonDetector.h>
 #include <LibObservation/Logger.h>
 
 namespace verbenachute {
@@ -13,4 +14,9 @@
            const RequestId& aRequest,
            Logger* aLogger);
 
+/// Logs a target lost under a request that may have crashed it, and the moment
+/// from which this node refuses the request.
+void
+LogPoisonNotice(const PoisonNotice& aNotice, Logger* aLogger);
+
 } // namespace verbenachute
