LibForward, LibGossip: Keep crashes of targets amid many lost connections

What callers saw: a request under which three targets had ended went on being sent and ended more of them.

Cause: the tables of observations are bounded, and in each of them a flood of harmless lost connections (resets, a lost failure domain) pushed out the request that mattered.

Change: the gossip table sends and keeps first what belongs to the request that lost most targets, then this node's own, and counts only the rounds in which an observation was sent. The detector evicts entries without a conviction first, as long as these are half of it.

--- a/Libraries/LibForward/PoisonDetector.cpp
+++ b/Libraries/LibForward/PoisonDetector.cpp
@@ -1,6 +1,7 @@
 #include <LibForward/PoisonDetector.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace verbenachute {
 
@@ -21,11 +22,23 @@
   if (mEntries.size() < kMaxEntries) {
     return;
   }
-  const auto oldest = std::min_element(
-    mEntries.begin(), mEntries.end(), [](const auto& aOne, const auto& aOther) {
-      return aOne.second.mLastObservation < aOther.second.mLastObservation;
-    });
-  mEntries.erase(oldest);
+  // A flood of harmless requests that lost one connection each must not evict
+  // the poisonous ones, nor these keep out new ones.
+  const auto isConvicted = [](const auto& aEntry) {
+    return aEntry.second.mTargets.size() >= kPoisonThreshold;
+  };
+  const std::size_t convicted = static_cast<std::size_t>(
+    std::count_if(mEntries.begin(), mEntries.end(), isConvicted));
+  const bool evictsConvicted = convicted > kMaxEntries / 2;
+  const auto rank = [&](const auto& aEntry) {
+    return std::pair(isConvicted(aEntry) != evictsConvicted,
+                     aEntry.second.mLastObservation);
+  };
+  mEntries.erase(std::min_element(mEntries.begin(),
+                                  mEntries.end(),
+                                  [&](const auto& aOne, const auto& aOther) {
+                                    return rank(aOne) < rank(aOther);
+                                  }));
 }
 
 PoisonChange
--- a/Libraries/LibForward/PoisonDetector.h
+++ b/Libraries/LibForward/PoisonDetector.h
@@ -48,7 +48,7 @@
 /// Detects requests that crash each target that runs them. A request is
 /// poisonous if it has lost the connection to several different targets and was
 /// not answered in between. The number of entries is limited; the oldest are
-/// evicted first.
+/// evicted first, poisonous ones only if they take more than half of the table.
 class PoisonDetector
 {
 public:
--- a/Libraries/LibGossip/GossipTable.cpp
+++ b/Libraries/LibGossip/GossipTable.cpp
@@ -1,6 +1,7 @@
 #include <LibGossip/GossipTable.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace verbenachute {
@@ -73,11 +74,70 @@
 GossipTable::AddPoisonObservation(const PoisonObservation& aObservation,
                                   Instant aNow)
 {
-  if (mPoisonObservations.size() < kMaximumPoisonObservations) {
-    mPoisonObservations[{ aObservation.mFingerprint, aObservation.mTarget }] =
-      KnownObservation{ kPoisonObservationRounds,
-                        aNow + kPoisonObservationMemory };
+  StorePoisonObservation(aObservation, true, aNow);
+}
+
+void
+GossipTable::StorePoisonObservation(const PoisonObservation& aObservation,
+                                    bool aIsOwn,
+                                    Instant aNow)
+{
+  if (mPoisonObservations.size() >= kMaximumPoisonObservations) {
+    const std::map<Fingerprint, std::size_t> counts = LostTargetCounts();
+    const auto rank = [&](const auto& aEntry) {
+      return std::pair(counts.at(aEntry.first.first), aEntry.second.mForgetAt);
+    };
+    mPoisonObservations.erase(
+      std::min_element(mPoisonObservations.begin(),
+                       mPoisonObservations.end(),
+                       [&](const auto& aOne, const auto& aOther) {
+                         return rank(aOne) < rank(aOther);
+                       }));
+  }
+  mPoisonObservations[{ aObservation.mFingerprint, aObservation.mTarget }] =
+    KnownObservation{ kPoisonObservationRounds,
+                      aIsOwn,
+                      aNow + kPoisonObservationMemory };
+}
+
+std::map<Fingerprint, std::size_t>
+GossipTable::LostTargetCounts() const
+{
+  std::map<Fingerprint, std::size_t> counts;
+  for (const auto& entry : mPoisonObservations) {
+    ++counts[entry.first.first];
+  }
+  return counts;
+}
+
+std::vector<PoisonObservation>
+GossipTable::DuePoisonObservations() const
+{
+  const std::map<Fingerprint, std::size_t> counts = LostTargetCounts();
+  std::vector<decltype(mPoisonObservations)::const_iterator> due;
+  for (auto entry = mPoisonObservations.begin();
+       entry != mPoisonObservations.end();
+       ++entry) {
+    if (entry->second.mRoundsLeft > 0) {
+      due.push_back(entry);
+    }
   }
+  const auto rank = [&](const auto& aEntry) {
+    return std::tuple(counts.at(aEntry->first.first),
+                      aEntry->second.mIsOwn,
+                      aEntry->second.mRoundsLeft);
+  };
+  std::stable_sort(
+    due.begin(), due.end(), [&](const auto& aOne, const auto& aOther) {
+      return rank(aOne) > rank(aOther);
+    });
+  due.resize(std::min(due.size(), kMaximumPoisonObservationsSent));
+  std::vector<PoisonObservation> observations;
+  for (const auto& entry : due) {
+    observations.push_back(
+      PoisonObservation{ entry->first.first, entry->first.second });
+  }
+  return observations;
 }
 
 void
@@ -156,15 +216,7 @@
   }
   std::vector<GossipMessage> messages(1);
   messages.front().mStatuses.push_back(mSelf);
-  std::vector<PoisonObservation>& observations =
-    messages.front().mPoisonObservations;
-  for (const auto& [observation, state] : mPoisonObservations) {
-    if (state.mRoundsLeft > 0 &&
-        observations.size() < kMaximumPoisonObservationsSent) {
-      observations.push_back(
-        PoisonObservation{ observation.first, observation.second });
-    }
-  }
+  messages.front().mPoisonObservations = DuePoisonObservations();
   for (Peer* peer : selected) {
     if (messages.back().mStatuses.size() > mSettings.mMaximumEntries) {
       messages.emplace_back().mStatuses.push_back(mSelf);
@@ -215,9 +267,8 @@
   }
   std::vector<Datagram> datagrams =
     BuildDatagrams(AnnouncementScope::GossipPeers, aNow);
-  for (auto& entry : mPoisonObservations) {
-    unsigned& roundsLeft = entry.second.mRoundsLeft;
-    roundsLeft -= roundsLeft > 0 ? 1 : 0;
+  for (const PoisonObservation& sent : DuePoisonObservations()) {
+    --mPoisonObservations.at({ sent.mFingerprint, sent.mTarget }).mRoundsLeft;
   }
   std::erase_if(mPoisonObservations, [&](const auto& aEntry) {
     return aNow >= aEntry.second.mForgetAt;
@@ -308,7 +359,7 @@
   for (const PoisonObservation& observation : aMessage.mPoisonObservations) {
     if (!mPoisonObservations.contains(
           { observation.mFingerprint, observation.mTarget })) {
-      AddPoisonObservation(observation, aNow);
+      StorePoisonObservation(observation, false, aNow);
       newObservations.push_back(observation);
     }
   }
--- a/Libraries/LibGossip/GossipTable.h
+++ b/Libraries/LibGossip/GossipTable.h
@@ -156,6 +156,8 @@
   struct KnownObservation
   {
     unsigned mRoundsLeft = 0;
+    /// Whether this node made the observation.
+    bool mIsOwn = false;
     /// Until then copies that other nodes still send are not taken for new.
     Instant mForgetAt;
   };
@@ -166,12 +168,20 @@
     std::vector<SocketAddress> mOtherDomains;
   };
 
+  void StorePoisonObservation(const PoisonObservation& aObservation,
+                              bool aIsOwn,
+                              Instant aNow);
   /// Raises this node's incarnation above that which others know.
   void SupersedeIncarnation(Incarnation aKnown);
   /// Messages with this node's status, those that changed recently and those
   /// that are marked by the flag, which is then cleared.
   [[nodiscard]] std::vector<GossipMessage> BuildMessages(RelayFlag aRelay,
                                                          Instant aNow);
+  /// Number of targets that each request is known to have lost.
+  [[nodiscard]] std::map<Fingerprint, std::size_t> LostTargetCounts() const;
+  /// The observations to send next: those of the requests that lost most
+  /// targets first, then this node's own, then those that were sent least.
+  [[nodiscard]] std::vector<PoisonObservation> DuePoisonObservations() const;
   [[nodiscard]] static bool IsRecentlyChanged(const Peer& aPeer, Instant aNow);
   [[nodiscard]] bool IsInOwnDomain(const Peer& aPeer) const;
   [[nodiscard]] std::vector<Datagram> BuildDatagrams(AnnouncementScope aScope,
