LibForward, LibGossip: Tell nodes that start late of convicted requests

What callers saw: a request under which three targets had ended was sent on by each node that had started since, and ended targets of its own at each.

Cause: an observation is sent in 6 rounds and kept for 10 s by the gossip table, while a conviction lasts 60 s. A node that starts, or that was frozen or cut off meanwhile, begins at zero.

Change: nodes tell each other their convictions each second, with the age of the last observation, so that a conviction ends everywhere at the same time: 12 bytes each, at most 32 a message. Nodes of earlier releases read them as an observation of an unnamed target. A convicted request that comes after its 60 s is convicted again by the first target it ends.

--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -345,6 +345,19 @@
   AddPoisonObservation(aObservation, PoisonNotice::Source::Peer, aNow);
 }
 
+void
+ForwardEngine::OnPoisonConviction(const PoisonConviction& aConviction,
+                                  Instant aNow)
+{
+  const PoisonChange change = mPoison.OnConviction(aConviction, aNow);
+  if (change != PoisonChange::None) {
+    mPoisonNotices.push_back(
+      PoisonNotice{ PoisonObservation{ aConviction.mFingerprint, TargetName() },
+                    change,
+                    PoisonNotice::Source::Peer });
+  }
+}
+
 void
 ForwardEngine::AddPoisonObservation(const PoisonObservation& aObservation,
                                     PoisonNotice::Source aSource,
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -101,6 +101,14 @@
 
   /// Adds an observation that another node has recorded.
   void OnPoisonObservation(const PoisonObservation& aObservation, Instant aNow);
+  /// Adds a conviction of another node.
+  void OnPoisonConviction(const PoisonConviction& aConviction, Instant aNow);
+  /// The requests that this node refuses because they crash targets.
+  [[nodiscard]] std::vector<PoisonConviction> PoisonConvictions(
+    Instant aNow) const
+  {
+    return mPoison.Convictions(aNow);
+  }
   /// Observations that this node has recorded since the last call.
   [[nodiscard]] std::vector<PoisonObservation> TakePoisonObservations();
   /// Observations of any node that changed what this node knows since the last
--- a/Libraries/LibForward/PoisonDetector.cpp
+++ b/Libraries/LibForward/PoisonDetector.cpp
@@ -8,8 +8,14 @@
 namespace {
 
 // How long a request stays poisonous after its last observation.
-constexpr Duration kEntryLifetime = seconds(60);
+constexpr Duration kConvictionTime = seconds(60);
+// How long a conviction is remembered after that. One observation in this time
+// convicts the request again.
+constexpr Duration kConvictionMemory = seconds(600);
 constexpr std::size_t kMaxEntries = 1024;
+// Longer than a datagram is under way, also to a node that is frozen for a
+// moment.
+constexpr Duration kAgeTolerance = seconds(1);
 
 } // namespace
 
@@ -17,7 +23,9 @@
 PoisonDetector::EvictOldEntries(Instant aNow)
 {
   std::erase_if(mEntries, [&](const auto& aEntry) {
-    return aNow - aEntry.second.mLastObservation > kEntryLifetime;
+    const Duration lifetime =
+      aEntry.second.mIsConvicted ? kConvictionMemory : kConvictionTime;
+    return aNow - aEntry.second.mLastObservation > lifetime;
   });
   if (mEntries.size() < kMaxEntries) {
     return;
@@ -25,7 +33,7 @@
   // A flood of harmless requests that lost one connection each must not evict
   // the poisonous ones, nor these keep out new ones.
   const auto isConvicted = [](const auto& aEntry) {
-    return aEntry.second.mTargets.size() >= kPoisonThreshold;
+    return aEntry.second.mIsConvicted;
   };
   const std::size_t convicted = static_cast<std::size_t>(
     std::count_if(mEntries.begin(), mEntries.end(), isConvicted));
@@ -47,13 +55,57 @@
 {
   EvictOldEntries(aNow);
   Entry& entry = mEntries[aObservation.mFingerprint];
+  const bool wasPoisonous =
+    entry.mIsConvicted && aNow - entry.mLastObservation <= kConvictionTime;
   const bool isNew = entry.mTargets.insert(aObservation.mTarget).second;
   entry.mLastObservation = aNow;
   if (!isNew) {
     return PoisonChange::None;
   }
-  return entry.mTargets.size() == kPoisonThreshold ? PoisonChange::Convicted
-                                                   : PoisonChange::TargetAdded;
+  const bool isConvicted =
+    entry.mIsConvicted || entry.mTargets.size() >= kPoisonThreshold;
+  if (wasPoisonous || !isConvicted) {
+    return PoisonChange::TargetAdded;
+  }
+  entry.mIsConvicted = true;
+  return PoisonChange::Convicted;
+}
+
+PoisonChange
+PoisonDetector::OnConviction(const PoisonConviction& aConviction, Instant aNow)
+{
+  if (aConviction.mAge < Duration(0) || aConviction.mAge > kConvictionTime) {
+    return PoisonChange::None;
+  }
+  const Instant lastObservation = aNow - aConviction.mAge;
+  const auto found = mEntries.find(aConviction.mFingerprint);
+  if (found != mEntries.end() && found->second.mIsConvicted) {
+    // The age is that of the sending, so that a smaller difference may only be
+    // the time on the way. Taking it over would keep the conviction alive for
+    // as long as nodes send it to each other.
+    if (lastObservation - found->second.mLastObservation > kAgeTolerance) {
+      found->second.mLastObservation = lastObservation;
+    }
+    return PoisonChange::None;
+  }
+  EvictOldEntries(aNow);
+  Entry& entry = mEntries[aConviction.mFingerprint];
+  entry.mLastObservation = std::max(entry.mLastObservation, lastObservation);
+  entry.mIsConvicted = true;
+  return PoisonChange::Convicted;
+}
+
+std::vector<PoisonConviction>
+PoisonDetector::Convictions(Instant aNow) const
+{
+  std::vector<PoisonConviction> convictions;
+  for (const auto& [fingerprint, entry] : mEntries) {
+    const Duration age = aNow - entry.mLastObservation;
+    if (entry.mIsConvicted && age <= kConvictionTime) {
+      convictions.push_back(PoisonConviction{ fingerprint, age });
+    }
+  }
+  return convictions;
 }
 
 void
@@ -68,9 +120,8 @@
 PoisonDetector::IsPoisonous(Fingerprint aFingerprint, Instant aNow)
 {
   const auto found = mEntries.find(aFingerprint);
-  return found != mEntries.end() &&
-         found->second.mTargets.size() >= kPoisonThreshold &&
-         aNow - found->second.mLastObservation <= kEntryLifetime;
+  return found != mEntries.end() && found->second.mIsConvicted &&
+         aNow - found->second.mLastObservation <= kConvictionTime;
 }
 
 } // namespace verbenachute
--- a/Libraries/LibForward/PoisonDetector.h
+++ b/Libraries/LibForward/PoisonDetector.h
@@ -20,6 +20,18 @@
                          const PoisonObservation&) = default;
 };
 
+/// A request that has crashed so many targets that no node runs it. Nodes tell
+/// each other until it expires, so that one that starts late knows it too.
+struct PoisonConviction
+{
+  Fingerprint mFingerprint;
+  /// Time since the last target was lost.
+  Duration mAge{ 0 };
+
+  friend bool operator==(const PoisonConviction&,
+                         const PoisonConviction&) = default;
+};
+
 /// What an observation changed at this node.
 enum class PoisonChange
 {
@@ -31,7 +43,8 @@
   Convicted,
 };
 
-/// An observation that changed what this node knows, for the log.
+/// An observation that changed what this node knows, for the log. The target is
+/// empty if a peer reported a conviction.
 struct PoisonNotice
 {
   enum class Source
@@ -59,6 +72,10 @@
   /// This or another node reports a connection lost under a request.
   PoisonChange OnPoisonObservation(const PoisonObservation& aObservation,
                                    Instant aNow);
+  /// Another node has convicted a request. Returns whether this was new.
+  PoisonChange OnConviction(const PoisonConviction& aConviction, Instant aNow);
+  /// The convictions that have not expired, in no particular order.
+  [[nodiscard]] std::vector<PoisonConviction> Convictions(Instant aNow) const;
   /// A target answered the request, so it is harmless.
   void OnAnswered(Fingerprint aFingerprint);
   [[nodiscard]] bool IsPoisonous(Fingerprint aFingerprint, Instant aNow);
@@ -68,6 +85,7 @@
   {
     std::set<TargetName> mTargets;
     Instant mLastObservation;
+    bool mIsConvicted = false;
   };
 
   void EvictOldEntries(Instant aNow);
--- a/Libraries/LibGossip/GossipCodec.cpp
+++ b/Libraries/LibGossip/GossipCodec.cpp
@@ -9,6 +9,7 @@
 constexpr std::size_t kStatusFields = 16;
 constexpr std::uint32_t kNoAge = 0xffffffff;
 constexpr std::size_t kPoisonObservationFields = 2;
+constexpr std::size_t kPoisonConvictionFields = 3;
 // A datagram holds a few dozen entries at most.
 constexpr std::size_t kMaximumEntries = 256;
 
@@ -79,12 +80,21 @@
   for (const NodeStatus& status : aMessage.mStatuses) {
     WriteStatus(status, aWriter);
   }
-  aWriter->Number(aMessage.mPoisonObservations.size());
+  aWriter->Number(aMessage.mPoisonObservations.size() +
+                  aMessage.mPoisonConvictions.size());
   for (const PoisonObservation& observation : aMessage.mPoisonObservations) {
     aWriter->Array(kPoisonObservationFields);
     aWriter->Id(observation.mFingerprint);
     aWriter->Id(observation.mTarget);
   }
+  // Nodes of earlier releases read these as observations of a single, unnamed
+  // target.
+  for (const PoisonConviction& conviction : aMessage.mPoisonConvictions) {
+    aWriter->Array(kPoisonConvictionFields);
+    aWriter->Id(conviction.mFingerprint);
+    aWriter->Id(TargetName());
+    aWriter->Time(conviction.mAge);
+  }
 }
 
 GossipMessage
@@ -99,8 +109,14 @@
   for (std::size_t i = 0; i < reportCount; ++i) {
     FieldReader observation = aReader->Array();
     const Fingerprint fingerprint = observation.Id<Fingerprint>();
-    message.mPoisonObservations.push_back(
-      PoisonObservation{ fingerprint, observation.Id<TargetName>() });
+    const TargetName target = observation.Id<TargetName>();
+    if (target.value().empty() && observation.Remaining() > 0) {
+      message.mPoisonConvictions.push_back(
+        PoisonConviction{ fingerprint, observation.Time() });
+    } else {
+      message.mPoisonObservations.push_back(
+        PoisonObservation{ fingerprint, target });
+    }
   }
   return message;
 }
--- a/Libraries/LibGossip/GossipTable.cpp
+++ b/Libraries/LibGossip/GossipTable.cpp
@@ -29,6 +29,7 @@
 constexpr Duration kPoisonObservationMemory = seconds(10);
 constexpr std::size_t kMaximumPoisonObservations = 512;
 constexpr std::size_t kMaximumPoisonObservationsSent = 64;
+constexpr std::size_t kMaximumPoisonConvictionsSent = 32;
 
 } // namespace
 
@@ -140,6 +141,23 @@
   return observations;
 }
 
+std::vector<PoisonConviction>
+GossipTable::DuePoisonConvictions() const
+{
+  const bool isDue = mSelf.mGossipRole == GossipRole::Relayed ||
+                     mRoundCount % mSettings.mUnchangedEntryInterval == 0;
+  std::vector<PoisonConviction> due;
+  const std::size_t total = mPoisonConvictions.size();
+  const std::size_t count =
+    isDue ? std::min(total, kMaximumPoisonConvictionsSent) : 0;
+  const std::size_t turn = mRoundCount / mSettings.mUnchangedEntryInterval;
+  for (std::size_t i = 0; i < count; ++i) {
+    due.push_back(
+      mPoisonConvictions[(turn * kMaximumPoisonConvictionsSent + i) % total]);
+  }
+  return due;
+}
+
 void
 GossipTable::SetGossipRole(GossipRole aGossipRole)
 {
@@ -217,6 +235,7 @@
   std::vector<GossipMessage> messages(1);
   messages.front().mStatuses.push_back(mSelf);
   messages.front().mPoisonObservations = DuePoisonObservations();
+  messages.front().mPoisonConvictions = DuePoisonConvictions();
   for (Peer* peer : selected) {
     if (messages.back().mStatuses.size() > mSettings.mMaximumEntries) {
       messages.emplace_back().mStatuses.push_back(mSelf);
--- a/Libraries/LibGossip/GossipTable.h
+++ b/Libraries/LibGossip/GossipTable.h
@@ -90,6 +90,12 @@
   void AddPoisonObservation(const PoisonObservation& aObservation,
                             Instant aNow);
 
+  /// The requests that this node refuses, for the messages of the next round.
+  void SetPoisonConvictions(std::vector<PoisonConviction> aConvictions)
+  {
+    mPoisonConvictions = std::move(aConvictions);
+  }
+
   /// Executes one round and returns its datagrams. Call it once in each
   /// Settings::mPeriod.
   [[nodiscard]] std::vector<Datagram> Round(Instant aNow);
@@ -179,6 +185,9 @@
                                                          Instant aNow);
   /// Number of targets that each request is known to have lost.
   [[nodiscard]] std::map<Fingerprint, std::size_t> LostTargetCounts() const;
+  /// Convictions for the messages of this round: a part of them in turn, in the
+  /// rounds that carry unchanged entries.
+  [[nodiscard]] std::vector<PoisonConviction> DuePoisonConvictions() const;
   /// The observations to send next: those of the requests that lost most
   /// targets first, then this node's own, then those that were sent least.
   [[nodiscard]] std::vector<PoisonObservation> DuePoisonObservations() const;
@@ -210,6 +219,7 @@
   std::set<SocketAddress> mSeeds;
   std::map<std::pair<Fingerprint, TargetName>, KnownObservation>
     mPoisonObservations;
+  std::vector<PoisonConviction> mPoisonConvictions;
   unsigned mRoundCount = 0;
   std::minstd_rand mRandom;
 };
--- a/Libraries/LibGossip/NodeStatus.h
+++ b/Libraries/LibGossip/NodeStatus.h
@@ -68,6 +68,7 @@
 {
   std::vector<NodeStatus> mStatuses;
   std::vector<PoisonObservation> mPoisonObservations;
+  std::vector<PoisonConviction> mPoisonConvictions;
 
   friend bool operator==(const GossipMessage&, const GossipMessage&) = default;
 };
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -136,6 +136,9 @@
   for (const PoisonObservation& report : mGossip.Receive(aMessage, now)) {
     mEngine.OnPoisonObservation(report, now);
   }
+  for (const PoisonConviction& conviction : aMessage.mPoisonConvictions) {
+    mEngine.OnPoisonConviction(conviction, now);
+  }
   LogPoisonNotices();
   for (const NodeStatus& status : aMessage.mStatuses) {
     mStore.OnPeerRevision(status.mStoreRevision);
@@ -161,6 +164,7 @@
   const Instant now = mLoop->Now();
   UpdateOwnStatus();
   mGossip.SetUsedMillicores(mCpuUsage.Millicores(now));
+  mGossip.SetPoisonConvictions(mEngine.PoisonConvictions(now));
   SendGossip(mGossip.Round(now));
   UpdateAdvertisedNodes(now);
   mEngine.SetNodes(mRecentlyAdvertised.Current(now), mSelf.mName);
--- a/Tests/LibForward/PoisonFleet.cpp
+++ b/Tests/LibForward/PoisonFleet.cpp
@@ -230,6 +230,8 @@
     }
     node.mGossip->SetGossipRole(i < kDirectNodes ? GossipRole::Direct
                                                  : GossipRole::Relayed);
+    node.mGossip->SetPoisonConvictions(
+      RigOf(i).mEngine.PoisonConvictions(mNow));
     for (const GossipTable::Datagram& datagram : node.mGossip->Round(mNow)) {
       const Result<GossipMessage> message =
         DecodeGossip(EncodeGossip(datagram.mMessage));
@@ -246,6 +248,10 @@
              mNodes[to].mGossip->Receive(ValueOf(message), mNow)) {
           RigOf(to).mEngine.OnPoisonObservation(observation, mNow);
         }
+        for (const PoisonConviction& conviction :
+             ValueOf(message).mPoisonConvictions) {
+          RigOf(to).mEngine.OnPoisonConviction(conviction, mNow);
+        }
       }
     }
   }
--- a/Tests/LibForward/TestParts.cpp
+++ b/Tests/LibForward/TestParts.cpp
@@ -158,6 +158,38 @@
   CHECK(!detector.IsPoisonous(fingerprint, now));
 }
 
+// Guards against convictions that nodes keep alive by telling each other.
+TEST_CASE("A conviction that nodes tell each other expires everywhere")
+{
+  const Fingerprint fingerprint(1);
+  Instant now(seconds(1000));
+  PoisonDetector first;
+  PoisonDetector second;
+  for (const char* target : { "a", "b", "c" }) {
+    first.OnPoisonObservation({ fingerprint, TargetName(target) }, now);
+  }
+  const Instant convicted = now;
+  const auto tell = [&](const PoisonDetector& aFrom, PoisonDetector* aTo) {
+    for (const PoisonConviction& conviction : aFrom.Convictions(now)) {
+      aTo->OnConviction(conviction, now + milliseconds(50));
+    }
+  };
+  for (; now < convicted + seconds(200); now += milliseconds(250)) {
+    tell(first, &second);
+    tell(second, &first);
+    const bool expected = now - convicted < seconds(60);
+    if (now < convicted + seconds(59) || now > convicted + seconds(62)) {
+      CHECK(first.IsPoisonous(fingerprint, now) == expected);
+      CHECK(second.IsPoisonous(fingerprint, now + milliseconds(50)) ==
+            expected);
+    }
+  }
+  CHECK(second.OnConviction({ fingerprint, Duration(-1) }, now) ==
+        PoisonChange::None);
+  CHECK(second.OnConviction({ fingerprint, seconds(61) }, now) ==
+        PoisonChange::None);
+}
+
 TEST_CASE("The number of requests that are tracked as poisonous is limited")
 {
   PoisonDetector detector;
--- a/Tests/LibForward/TestPoisonFleet.cpp
+++ b/Tests/LibForward/TestPoisonFleet.cpp
@@ -9,6 +9,39 @@
 // A request that crashes the targets that run it comes again for a minute. The
 // users allow three further retries by nodes in touch.
 
+// Guards against each node that starts late losing targets of its own.
+TEST_CASE("A request that crashes targets, while nodes restart in turn")
+{
+  for (const std::size_t nodes : { 8, 83 }) {
+    CAPTURE(nodes);
+    PoisonFleet fleet(nodes, 4, PoisonFleet::Comeback::NewName);
+    fleet.AskAnywhere(seconds(12), milliseconds(500));
+    for (std::size_t i = 0; i < 8; ++i) {
+      fleet.Restart(i);
+      fleet.Pass(seconds(5));
+      fleet.AskAnywhere(seconds(2), milliseconds(200));
+    }
+    CHECK(fleet.Crashes() >= 3);
+    CHECK(fleet.LateRetries() <= PoisonFleet::kAllowedLateRetries);
+  }
+}
+
+// Guards against a node that was cut off losing targets of its own.
+TEST_CASE("A request that crashes targets, while nodes are cut off in turn")
+{
+  PoisonFleet fleet(8, 4, PoisonFleet::Comeback::NewName);
+  for (std::size_t i = 0; i < 4; ++i) {
+    fleet.Cut(i);
+    fleet.Pass(seconds(1));
+    fleet.AskAnywhere(seconds(1), milliseconds(50));
+    fleet.Pass(seconds(6));
+    fleet.Heal(i);
+    fleet.Pass(seconds(5));
+    fleet.AskAnywhere(seconds(1), milliseconds(50));
+  }
+  CHECK(fleet.LateRetries() <= PoisonFleet::kAllowedLateRetries);
+}
+
 // Guards against harmless lost connections crowding out the crashes.
 TEST_CASE("A request that crashes targets, amid many lost connections")
 {
--- a/Tests/LibGossip/TestGossipTable.cpp
+++ b/Tests/LibGossip/TestGossipTable.cpp
@@ -392,12 +392,18 @@
 
 TEST_CASE("Bytes that are not a gossip message are refused")
 {
-  const std::string encoded = EncodeGossip({ { StatusOf(1) }, {} });
+  GossipMessage sent;
+  sent.mStatuses = { StatusOf(1) };
+  sent.mPoisonConvictions = { { Fingerprint(7), seconds(20) } };
+  const std::string encoded = EncodeGossip(sent);
   for (std::size_t size = 0; size < encoded.size(); ++size) {
     CHECK(IsError(DecodeGossip(std::string_view(encoded).substr(0, size))));
   }
   CHECK(IsError(DecodeGossip("hello")));
-  CHECK(!IsError(DecodeGossip(encoded)));
+  const Result<GossipMessage> received = DecodeGossip(encoded);
+  REQUIRE(!IsError(received));
+  CHECK(ValueOf(received).mPoisonConvictions == sent.mPoisonConvictions);
+  CHECK(ValueOf(received).mPoisonObservations.empty());
 }
 
 } // namespace verbenachute
