LibForward, LibGossip: Count a target that is back under its name as another one

What callers saw: a request went on ending the two targets of a service for as long as it came again.

Cause: crashes were counted by the target's name. A target that starts again under its name counted once, so that a service with two such targets never reached the three crashes that convict a request.

Change: an observation names the start of the target's process too, as the platform's list states it. Nodes of earlier releases ignore the field.

--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -165,7 +165,8 @@
       part.mMayHaveRun = true;
     }
     if (aFailure == AttemptFailure::ConnectionLost) {
-      request->second.mLostTargets.insert(attempt.mTarget);
+      request->second.mLostTargets.insert(PoisonObservation{
+        request->second.mFingerprint, attempt.mTarget, attempt.mTargetStart });
     }
     RetryPart(attempt.mNumber, &request->second, attempt.mPart, aNow);
     Evaluate(attempt.mNumber, aNow);
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -188,7 +188,7 @@
     Instant mWaitUntil;
     Fingerprint mFingerprint;
     /// Targets whose connection was lost while they ran the request.
-    std::set<TargetName> mLostTargets;
+    std::set<PoisonObservation> mLostTargets;
     ForwardSummary mSummary;
     std::optional<Instant> mWake;
   };
@@ -198,6 +198,7 @@
     RequestNumber mNumber;
     std::size_t mPart = 0;
     TargetName mTarget;
+    UnixMilliseconds mTargetStart{ 0 };
     Instant mSent;
     std::string mRoute;
     /// Whether the request does not need the result any more; it only updates
--- a/Libraries/LibForward/ForwardEngineOutcomes.cpp
+++ b/Libraries/LibForward/ForwardEngineOutcomes.cpp
@@ -290,11 +290,9 @@
       aRequest.mSummary.mPartsDone > 0) {
     return;
   }
-  for (const TargetName& target : aRequest.mLostTargets) {
-    mPoisonObservations.push_back(
-      PoisonObservation{ aRequest.mFingerprint, target });
-    AddPoisonObservation(
-      mPoisonObservations.back(), PoisonNotice::Source::OwnAttempt, aNow);
+  for (const PoisonObservation& lost : aRequest.mLostTargets) {
+    mPoisonObservations.push_back(lost);
+    AddPoisonObservation(lost, PoisonNotice::Source::OwnAttempt, aNow);
   }
 }
 
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -323,8 +323,14 @@
   if (mayHedge) {
     part.mHedgeAt = aNow + HedgeDelay(*aRequest, part, aNow);
   }
-  mAttempts.emplace(
-    id, Attempt{ aNumber, aPart, listed.mName, aNow, route.mName, false });
+  mAttempts.emplace(id,
+                    Attempt{ aNumber,
+                             aPart,
+                             listed.mName,
+                             listed.mStartTime,
+                             aNow,
+                             route.mName,
+                             false });
   BeginProbes(aTarget, aNow);
   aTarget->OnSent(id, tailLatency, aNow);
   ++aRequest->mSummary.mAttempts;
--- a/Libraries/LibForward/PoisonDetector.cpp
+++ b/Libraries/LibForward/PoisonDetector.cpp
@@ -57,13 +57,13 @@
   Entry& entry = mEntries[aObservation.mFingerprint];
   const bool wasPoisonous =
     entry.mIsConvicted && aNow - entry.mLastObservation <= kConvictionTime;
-  const bool isNew = entry.mTargets.insert(aObservation.mTarget).second;
+  const bool isNew = entry.mObservations.insert(aObservation).second;
   entry.mLastObservation = aNow;
   if (!isNew) {
     return PoisonChange::None;
   }
   const bool isConvicted =
-    entry.mIsConvicted || entry.mTargets.size() >= kPoisonThreshold;
+    entry.mIsConvicted || entry.mObservations.size() >= kPoisonThreshold;
   if (wasPoisonous || !isConvicted) {
     return PoisonChange::TargetAdded;
   }
--- a/Libraries/LibForward/PoisonDetector.h
+++ b/Libraries/LibForward/PoisonDetector.h
@@ -15,7 +15,12 @@
 {
   Fingerprint mFingerprint;
   TargetName mTarget;
+  /// When the target's process had started: a target that crashed and came back
+  /// under its name is another one.
+  UnixMilliseconds mTargetStart{ 0 };
 
+  friend auto operator<=>(const PoisonObservation&,
+                          const PoisonObservation&) = default;
   friend bool operator==(const PoisonObservation&,
                          const PoisonObservation&) = default;
 };
@@ -83,7 +88,7 @@
 private:
   struct Entry
   {
-    std::set<TargetName> mTargets;
+    std::set<PoisonObservation> mObservations;
     Instant mLastObservation;
     bool mIsConvicted = false;
   };
--- a/Libraries/LibGossip/GossipCodec.cpp
+++ b/Libraries/LibGossip/GossipCodec.cpp
@@ -8,7 +8,7 @@
 
 constexpr std::size_t kStatusFields = 16;
 constexpr std::uint32_t kNoAge = 0xffffffff;
-constexpr std::size_t kPoisonObservationFields = 2;
+constexpr std::size_t kPoisonObservationFields = 3;
 constexpr std::size_t kPoisonConvictionFields = 3;
 // A datagram holds a few dozen entries at most.
 constexpr std::size_t kMaximumEntries = 256;
@@ -86,6 +86,7 @@
     aWriter->Array(kPoisonObservationFields);
     aWriter->Id(observation.mFingerprint);
     aWriter->Id(observation.mTarget);
+    aWriter->Number(observation.mTargetStart.count());
   }
   // Nodes of earlier releases read these as observations of a single, unnamed
   // target.
@@ -114,8 +115,13 @@
       message.mPoisonConvictions.push_back(
         PoisonConviction{ fingerprint, observation.Time() });
     } else {
+      // Earlier releases do not send the start of the target.
+      const UnixMilliseconds start(
+        observation.Remaining() == 0
+          ? 0
+          : observation.Number<UnixMilliseconds::rep>());
       message.mPoisonObservations.push_back(
-        PoisonObservation{ fingerprint, target });
+        PoisonObservation{ fingerprint, target, start });
     }
   }
   return message;
--- a/Libraries/LibGossip/GossipTable.cpp
+++ b/Libraries/LibGossip/GossipTable.cpp
@@ -86,7 +86,8 @@
   if (mPoisonObservations.size() >= kMaximumPoisonObservations) {
     const std::map<Fingerprint, std::size_t> counts = LostTargetCounts();
     const auto rank = [&](const auto& aEntry) {
-      return std::pair(counts.at(aEntry.first.first), aEntry.second.mForgetAt);
+      return std::pair(counts.at(aEntry.first.mFingerprint),
+                       aEntry.second.mForgetAt);
     };
     mPoisonObservations.erase(
       std::min_element(mPoisonObservations.begin(),
@@ -95,10 +96,9 @@
                          return rank(aOne) < rank(aOther);
                        }));
   }
-  mPoisonObservations[{ aObservation.mFingerprint, aObservation.mTarget }] =
-    KnownObservation{ kPoisonObservationRounds,
-                      aIsOwn,
-                      aNow + kPoisonObservationMemory };
+  mPoisonObservations[aObservation] = KnownObservation{
+    kPoisonObservationRounds, aIsOwn, aNow + kPoisonObservationMemory
+  };
 }
 
 std::map<Fingerprint, std::size_t>
@@ -106,7 +106,7 @@
 {
   std::map<Fingerprint, std::size_t> counts;
   for (const auto& entry : mPoisonObservations) {
-    ++counts[entry.first.first];
+    ++counts[entry.first.mFingerprint];
   }
   return counts;
 }
@@ -124,7 +124,7 @@
     }
   }
   const auto rank = [&](const auto& aEntry) {
-    return std::tuple(counts.at(aEntry->first.first),
+    return std::tuple(counts.at(aEntry->first.mFingerprint),
                       aEntry->second.mIsOwn,
                       aEntry->second.mRoundsLeft);
   };
@@ -135,8 +135,7 @@
   due.resize(std::min(due.size(), kMaximumPoisonObservationsSent));
   std::vector<PoisonObservation> observations;
   for (const auto& entry : due) {
-    observations.push_back(
-      PoisonObservation{ entry->first.first, entry->first.second });
+    observations.push_back(entry->first);
   }
   return observations;
 }
@@ -287,7 +286,7 @@
   std::vector<Datagram> datagrams =
     BuildDatagrams(AnnouncementScope::GossipPeers, aNow);
   for (const PoisonObservation& sent : DuePoisonObservations()) {
-    --mPoisonObservations.at({ sent.mFingerprint, sent.mTarget }).mRoundsLeft;
+    --mPoisonObservations.at(sent).mRoundsLeft;
   }
   std::erase_if(mPoisonObservations, [&](const auto& aEntry) {
     return aNow >= aEntry.second.mForgetAt;
@@ -376,8 +375,7 @@
   }
   std::vector<PoisonObservation> newObservations;
   for (const PoisonObservation& observation : aMessage.mPoisonObservations) {
-    if (!mPoisonObservations.contains(
-          { observation.mFingerprint, observation.mTarget })) {
+    if (!mPoisonObservations.contains(observation)) {
       StorePoisonObservation(observation, false, aNow);
       newObservations.push_back(observation);
     }
--- a/Libraries/LibGossip/GossipTable.h
+++ b/Libraries/LibGossip/GossipTable.h
@@ -217,8 +217,7 @@
   NodeStatus mSelf;
   std::map<NodeName, Peer> mPeers;
   std::set<SocketAddress> mSeeds;
-  std::map<std::pair<Fingerprint, TargetName>, KnownObservation>
-    mPoisonObservations;
+  std::map<PoisonObservation, KnownObservation> mPoisonObservations;
   std::vector<PoisonConviction> mPoisonConvictions;
   unsigned mRoundCount = 0;
   std::minstd_rand mRandom;
--- a/Tests/LibForward/TestPoisonFleet.cpp
+++ b/Tests/LibForward/TestPoisonFleet.cpp
@@ -55,6 +55,15 @@
   CHECK(fleet.LateRetries() <= PoisonFleet::kAllowedLateRetries);
 }
 
+// Guards against a target that is back under its name counting once only.
+TEST_CASE("A request that crashes targets that come back under their names")
+{
+  PoisonFleet fleet(8, 2, PoisonFleet::Comeback::SameName);
+  fleet.AskAnywhere(seconds(60), milliseconds(100));
+  CHECK(fleet.Crashes() >= 3);
+  CHECK(fleet.LateRetries() <= PoisonFleet::kAllowedLateRetries);
+}
+
 } // namespace
 
 } // namespace verbenachute
