LibForward, platform: Count a target lost within its response as crashed

What callers saw: a request went on ending targets that crash once they have begun to answer.

Cause: only a connection that was lost before the response counted as an observation; one lost within it was told to the engine as a malformed response.

Change: the failure has a name of its own, ResponseTruncated, and counts. A response that is malformed on a live connection does not.

The test of the mapping checks both failures.

--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -164,7 +164,8 @@
     if (aFailure != AttemptFailure::NotSent) {
       part.mMayHaveRun = true;
     }
-    if (aFailure == AttemptFailure::ConnectionLost) {
+    if (aFailure == AttemptFailure::ConnectionLost ||
+        aFailure == AttemptFailure::ResponseTruncated) {
       request->second.mLostTargets.insert(PoisonObservation{
         request->second.mFingerprint, attempt.mTarget, attempt.mTargetStart });
     }
--- a/Libraries/LibForward/PartReply.h
+++ b/Libraries/LibForward/PartReply.h
@@ -52,7 +52,9 @@
   NotSent,
   /// The connection was lost after the request was sent; it may have run.
   ConnectionLost,
-  /// The response was truncated or malformed; the request may have run.
+  /// The connection was lost within the response; the request may have run.
+  ResponseTruncated,
+  /// The response was malformed; the request may have run.
   MalformedResponse,
   TimedOut,
 };
--- a/Tests/LibForward/TestPoisonFleet.cpp
+++ b/Tests/LibForward/TestPoisonFleet.cpp
@@ -64,6 +64,24 @@
   CHECK(fleet.LateRetries() <= PoisonFleet::kAllowedLateRetries);
 }
 
+// Guards against crashes in the middle of a response not counting.
+TEST_CASE("A request that crashes targets after the head of the response")
+{
+  PoisonFleet fleet(8, 4, PoisonFleet::Comeback::NewName);
+  fleet.mCrashFailure = AttemptFailure::ResponseTruncated;
+  fleet.AskAnywhere(seconds(60), milliseconds(100));
+  CHECK(fleet.LateRetries() <= PoisonFleet::kAllowedLateRetries);
+}
+
+// Guards against crashes under hedges not counting.
+TEST_CASE("A request that crashes targets after it has been hedged")
+{
+  PoisonFleet fleet(8, 4, PoisonFleet::Comeback::NewName);
+  fleet.mTimeToCrash = milliseconds(150);
+  fleet.AskAnywhere(seconds(60), milliseconds(500));
+  CHECK(fleet.LateRetries() <= PoisonFleet::kAllowedLateRetries);
+}
+
 } // namespace
 
 } // namespace verbenachute
--- a/Tests/Platform/TestRequestWire.cpp
+++ b/Tests/Platform/TestRequestWire.cpp
@@ -87,6 +87,8 @@
   CHECK(AttemptFailureOf(StreamFailure::ClosedBeforeResponse) ==
         AttemptFailure::ConnectionLost);
   CHECK(AttemptFailureOf(StreamFailure::ClosedDuringResponse) ==
+        AttemptFailure::ResponseTruncated);
+  CHECK(AttemptFailureOf(StreamFailure::Malformed) ==
         AttemptFailure::MalformedResponse);
 }
 
