LibForward: Do not send a running request again once it is convicted

Cause: whether a request crashes targets was asked at its admission alone. Its hedges, retries and parts that waited went out after the conviction.

Change: no part of a convicted request is started, hedged or retried. An attempt that may have run still ends as failed, not as refused.

--- a/Libraries/LibForward/ForwardEngineDelegation.cpp
+++ b/Libraries/LibForward/ForwardEngineDelegation.cpp
@@ -180,6 +180,13 @@
                           const std::vector<std::size_t>& aParts,
                           Instant aNow)
 {
+  if (mPoison.IsPoisonous(aRequest->mFingerprint, aNow)) {
+    // It was admitted before it was convicted, and has waited since.
+    for (const std::size_t part : aParts) {
+      aRequest->mParts[part].mState = PartState::Failed;
+    }
+    return;
+  }
   DelegateParts(aNumber, aRequest, aParts, aNow);
   PeerBatches batches;
   for (const std::size_t part : aParts) {
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -351,6 +351,9 @@
                           const std::vector<std::size_t>& aParts,
                           Instant aNow)
 {
+  if (mPoison.IsPoisonous(aRequest->mFingerprint, aNow)) {
+    return;
+  }
   PeerBatches batches;
   for (const std::size_t index : aParts) {
     Part& part = aRequest->mParts[index];
@@ -392,6 +395,7 @@
   const bool mayRepeat = !part.mMayHaveRun || aRequest->mRoute->mRepeatPolicy ==
                                                 RepeatPolicy::Idempotent;
   if (!mayRepeat || !HasTimeLeft(*aRequest, aNow) ||
+      mPoison.IsPoisonous(aRequest->mFingerprint, aNow) ||
       part.mTriedTargets.size() >= aRequest->mMaximumAttempts) {
     part.mState = PartState::Failed;
     return;
--- a/Tests/LibForward/TestForwardEngine.cpp
+++ b/Tests/LibForward/TestForwardEngine.cpp
@@ -401,6 +401,42 @@
         RefusalReason::Poisonous);
 }
 
+// Guards against retries and hedges of a request that was admitted before it
+// was known to crash targets.
+TEST_CASE("A running request that turns out to crash targets is not sent again")
+{
+  for (const bool isLost : { true, false }) {
+    CAPTURE(isLost);
+    ForwardRig rig(1, 1.0);
+    rig.ListAll();
+    const RequestNumber query = rig.Submit("/gather/deadly");
+    REQUIRE(rig.mSent.size() == 1);
+    ForwardRig other(1, 1.0);
+    for (const char* name : { "s0-2", "s0-3", "s0-4" }) {
+      other.ListTarget(name, "s0");
+    }
+    for (int i = 0; i < 3; ++i) {
+      const RequestNumber lost = other.Submit("/gather/deadly");
+      while (other.AnswerOf(lost) == nullptr) {
+        other.Break(other.Open().front().mAttempt,
+                    AttemptFailure::ConnectionLost);
+      }
+      other.Pass(seconds(3));
+    }
+    for (const PoisonConviction& conviction :
+         other.mEngine.PoisonConvictions(other.mNow)) {
+      rig.mEngine.OnPoisonConviction(conviction, rig.mNow);
+    }
+    if (isLost) {
+      rig.Break(rig.mSent[0].mAttempt, AttemptFailure::ConnectionLost);
+    } else {
+      rig.Pass(milliseconds(1500));
+    }
+    CHECK(rig.mSent.size() == 1);
+    CHECK(rig.OutcomeOf<FailedOutcome>(query) != nullptr);
+  }
+}
+
 TEST_CASE("More nodes than connections: no target is over its cap, every "
           "node reaches every shard")
 {
