LibForward, platform: Keep the rate that a target names

Cause: nothing read the rate. The one rate that was kept, that of cold targets, was counted in the choice of a target, also for candidates that were not taken.

Change: TargetGate decides whether this node may send to a target now, and if not, when; first attempts, hedges, retries, probes and parts of delegations ask there, and what is sent is counted. Hedges leave half of the burst to first attempts. What does not fit goes to another copy, waits inside its objective, or is refused at once with the time at which enough shards have room. An answer without a rate lifts it; one that cannot be read changes nothing and is logged (608), changes are logged (609) and counted.

--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -110,7 +110,9 @@
   TargetRecord* target = mTargets.Find(attempt.mTarget);
   if (target != nullptr) {
     mDomains.OnResponse(target->DomainIndex());
+    const TargetGate before = target->Gate();
     target->OnReply(aAttempt, aReply, statistics->second.MedianLatency(), aNow);
+    AddGateNotice(*target, before);
   }
   if (aReply.mKind == ReplyKind::Answered) {
     statistics->second.ObserveLatency(aNow - attempt.mSent);
@@ -377,6 +379,23 @@
   return std::exchange(mPoisonObservations, {});
 }
 
+void
+ForwardEngine::AddGateNotice(const TargetRecord& aTarget,
+                             const TargetGate& aBefore)
+{
+  const std::optional<double>& rate = aTarget.Gate().NamedRate();
+  if (rate.has_value() != aBefore.NamedRate().has_value()) {
+    mGateNotices.push_back(
+      GateNotice{ aTarget.Listed().mName, HoldReason::NamedRate, rate });
+  }
+}
+
+std::vector<GateNotice>
+ForwardEngine::TakeGateNotices()
+{
+  return std::exchange(mGateNotices, {});
+}
+
 std::vector<PoisonNotice>
 ForwardEngine::TakePoisonNotices()
 {
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -115,6 +115,10 @@
   /// call.
   [[nodiscard]] std::vector<PoisonNotice> TakePoisonNotices();
 
+  /// Targets that this node holds back from, or no longer does, since the last
+  /// call.
+  [[nodiscard]] std::vector<GateNotice> TakeGateNotices();
+
   /// Number of requests without an outcome.
   [[nodiscard]] std::size_t RunningRequests() const { return mRequests.size(); }
 
@@ -238,9 +242,11 @@
   {
     /// Null if no target can be asked now.
     TargetRecord* mTarget = nullptr;
-    /// Whether a suitable target was skipped because it has no free connection
-    /// or has reached its cold-start limit.
+    /// Whether a suitable target was skipped because it has no free connection.
     bool mHasBusyTarget = false;
+    /// When the first of the targets that were skipped because of a rate limit
+    /// may be sent the request; empty if there is none.
+    std::optional<Instant> mHoldEndsAt;
   };
 
   /// Parts that a peer gathers for one request.
@@ -272,9 +278,15 @@
     const CallerRequest& aRequest);
   void SetTimes(Request* aRequest, Instant aNow);
   void MakeParts(Request* aRequest, Instant aNow);
-  [[nodiscard]] bool IsServiceable(const ServiceName& aService,
-                                   const CallerId& aCaller,
-                                   Instant aNow) const;
+  /// When a target of the service can be sent a part of the request; empty if
+  /// that is not known.
+  [[nodiscard]] std::optional<Instant> ServiceableFrom(
+    const ServiceName& aService,
+    const CallerId& aCaller,
+    Instant aNow) const;
+  /// How long a part waits for a rate limit: a query that would be late is
+  /// answered without the part, or refused.
+  [[nodiscard]] static Instant HoldLimit(const Request& aRequest, Instant aNow);
 
   // Parts.
   /// Chooses a target of a part that is not delegated. Without one that can be
@@ -330,16 +342,17 @@
   [[nodiscard]] Choice ChooseTarget(const Request& aRequest,
                                     const Part& aPart,
                                     TargetScope aScope,
+                                    AttemptPurpose aPurpose,
                                     Instant aNow);
   /// Whether the target is ready and the operators' rules let it take work of
   /// the caller.
   [[nodiscard]] bool MayServe(const TargetRecord& aTarget,
                               const CallerId& aCaller) const;
-  /// Whether the cold-start limit of the target lets this node send a request.
-  /// If so, the request is counted.
-  [[nodiscard]] bool TakeColdAllowance(TargetRecord* aTarget,
-                                       const ServiceSettings* aServiceSettings,
-                                       Instant aNow);
+  /// This node's shares of the rates that limit a target now.
+  [[nodiscard]] TargetRateShares RateSharesOf(
+    const TargetRecord& aTarget,
+    const ServiceSettings* aServiceSettings,
+    Instant aNow) const;
   /// Maximum number of connections from this node to one target of the service;
   /// at least 1.
   [[nodiscard]] std::uint32_t ConnectionShare(
@@ -506,6 +519,8 @@
   void AddPoisonObservation(const PoisonObservation& aObservation,
                             PoisonNotice::Source aSource,
                             Instant aNow);
+  /// Notes how the gate of a target differs from what it was before.
+  void AddGateNotice(const TargetRecord& aTarget, const TargetGate& aBefore);
   /// Abandons all running attempts of the request.
   void AbandonAll(const Request& aRequest, Instant aNow);
   /// Cancels all running attempts of the request at once. The next OnTime
@@ -554,6 +569,7 @@
   PoisonDetector mPoison;
   std::vector<PoisonObservation> mPoisonObservations;
   std::vector<PoisonNotice> mPoisonNotices;
+  std::vector<GateNotice> mGateNotices;
   std::uint64_t mNextAttempt;
   std::minstd_rand mRandom;
   ForwardActions mActions;
--- a/Libraries/LibForward/ForwardEngineAdmission.cpp
+++ b/Libraries/LibForward/ForwardEngineAdmission.cpp
@@ -137,25 +137,42 @@
   }
 }
 
-bool
-ForwardEngine::IsServiceable(const ServiceName& aService,
-                             const CallerId& aCaller,
-                             Instant aNow) const
+std::optional<Instant>
+ForwardEngine::ServiceableFrom(const ServiceName& aService,
+                               const CallerId& aCaller,
+                               Instant aNow) const
 {
   const std::vector<TargetRecord*>& targets = mTargets.Of(aService);
-  const std::uint32_t share = ConnectionShare(mPlan->FindService(aService));
-  return std::any_of(
-    targets.begin(), targets.end(), [&](const TargetRecord* aTarget) {
-      const std::size_t domain = aTarget->DomainIndex();
-      // While all its probes are under way, a request could only wait for them.
-      const bool mayProbe =
-        mDomains.IsProbeDue(domain, aNow) &&
-        aTarget->InFlight() < (aTarget->IsSuspect(aNow) ? 1 : share);
-      const bool unreachable =
-        mDomains.IsUnreachable(domain, aNow) && !mayProbe;
-      return MayServe(*aTarget, aCaller) && !aTarget->IsDown(aNow) &&
-             !unreachable;
-    });
+  const ServiceSettings* serviceSettings = mPlan->FindService(aService);
+  const std::uint32_t share = ConnectionShare(serviceSettings);
+  const auto state = mServices.find(aService);
+  const double ahead =
+    state == mServices.end()
+      ? 0
+      : static_cast<double>(state->second.mWaiting.size()) /
+          static_cast<double>(std::max<std::size_t>(1, targets.size()));
+  std::optional<Instant> earliest;
+  for (const TargetRecord* target : targets) {
+    const std::size_t domain = target->DomainIndex();
+    // While all its probes are under way, a request could only wait for them.
+    const bool mayProbe =
+      mDomains.IsProbeDue(domain, aNow) &&
+      target->InFlight() < (target->IsSuspect(aNow) ? 1 : share);
+    const bool unreachable = mDomains.IsUnreachable(domain, aNow) && !mayProbe;
+    if (!MayServe(*target, aCaller) || target->IsDown(aNow) || unreachable) {
+      continue;
+    }
+    const GateDecision gate =
+      target->Gate().Decide(RateSharesOf(*target, serviceSettings, aNow),
+                            AttemptPurpose::First,
+                            ahead,
+                            aNow);
+    const std::optional<Instant> from = gate.MaySend() ? aNow : gate.mEndsAt;
+    if (from.has_value()) {
+      earliest = std::min(earliest.value_or(*from), *from);
+    }
+  }
+  return earliest;
 }
 
 std::optional<RefusedOutcome>
@@ -182,9 +199,16 @@
 std::optional<RefusedOutcome>
 ForwardEngine::CoverageRefusal(Request* aRequest, Instant aNow) const
 {
+  const Instant limit = HoldLimit(*aRequest, aNow);
   std::size_t serviceable = 0;
+  std::vector<Instant> times;
   for (const Part& part : aRequest->mParts) {
-    if (IsServiceable(part.mService, aRequest->mRequest->mCaller, aNow)) {
+    const std::optional<Instant> from =
+      ServiceableFrom(part.mService, aRequest->mRequest->mCaller, aNow);
+    if (from.has_value()) {
+      times.push_back(*from);
+    }
+    if (from.has_value() && *from < limit) {
       ++serviceable;
     } else {
       aRequest->mSummary.AddMissing(part.mService);
@@ -192,11 +216,17 @@
   }
   const std::size_t minimum =
     aRequest->mShards != nullptr ? aRequest->mShards->MinimumShards() : 1;
-  if (serviceable < minimum) {
+  if (serviceable >= minimum) {
+    aRequest->mSummary.mMissingServices.clear();
+    return std::nullopt;
+  }
+  if (times.size() < minimum) {
     return RefusedOutcome{ RefusalReason::NoTarget, kRetryAfterNoTarget };
   }
-  aRequest->mSummary.mMissingServices.clear();
-  return std::nullopt;
+  const auto enough = times.begin() + static_cast<std::ptrdiff_t>(minimum) - 1;
+  std::nth_element(times.begin(), enough, times.end());
+  return RefusedOutcome{ RefusalReason::RateLimited,
+                         std::max(*enough - aNow, kRetryAfterOverload) };
 }
 
 } // namespace verbenachute
--- a/Libraries/LibForward/ForwardEngineDelegated.cpp
+++ b/Libraries/LibForward/ForwardEngineDelegated.cpp
@@ -97,6 +97,7 @@
                                      aUrgency == DelegationUrgency::Always
                                        ? TargetScope::OwnDomain
                                        : TargetScope::AllDomains,
+                                     AttemptPurpose::First,
                                      aNow);
   if (choice.mTarget == nullptr ||
       choice.mTarget->Listed().mDomain != mSettings.mDomain) {
--- a/Libraries/LibForward/ForwardEngineDelegation.cpp
+++ b/Libraries/LibForward/ForwardEngineDelegation.cpp
@@ -41,8 +41,9 @@
   const std::vector<const NodeName*>& aPeers,
   Instant aNow)
 {
-  const std::uint32_t share =
-    ConnectionShare(aRequest.mPlan->FindService(aPart.mService));
+  const ServiceSettings* serviceSettings =
+    aRequest.mPlan->FindService(aPart.mService);
+  const std::uint32_t share = ConnectionShare(serviceSettings);
   const Duration medianLatency = StatisticsOf(*aRequest.mRoute).MedianLatency();
   std::optional<Duration> ownLatency;
   std::vector<std::pair<std::size_t, Duration>> remoteLatencies;
@@ -54,7 +55,12 @@
     const std::size_t domain = target->DomainIndex();
     const Duration latency = target->ExpectedLatency(medianLatency, aNow);
     if (target->Listed().mDomain == mSettings.mDomain) {
-      if (target->InFlight() < share) {
+      const GateDecision gate =
+        target->Gate().Decide(RateSharesOf(*target, serviceSettings, aNow),
+                              AttemptPurpose::First,
+                              0,
+                              aNow);
+      if (target->InFlight() < share && gate.MaySend()) {
         ownLatency = std::min(ownLatency.value_or(latency), latency);
       }
     } else if (domain < aPeers.size() && aPeers[domain] != nullptr &&
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -69,33 +69,43 @@
   return (aIndex + aTargets - start) % aTargets < used;
 }
 
-bool
-ForwardEngine::TakeColdAllowance(TargetRecord* aTarget,
-                                 const ServiceSettings* aServiceSettings,
-                                 Instant aNow)
+TargetRateShares
+ForwardEngine::RateSharesOf(const TargetRecord& aTarget,
+                            const ServiceSettings* aServiceSettings,
+                            Instant aNow) const
 {
-  if (aServiceSettings == nullptr || aServiceSettings->mColdRate <= 0 ||
-      !aTarget->IsCold(aNow)) {
-    return true;
-  }
-  const double share =
-    aServiceSettings->mColdRate / static_cast<double>(mNodes.size());
-  if (share >= 1) {
-    return aTarget->TryAcquireColdSend(share, aNow);
+  TargetRateShares shares;
+  const bool isCold = aServiceSettings != nullptr &&
+                      aServiceSettings->mColdRate > 0 && aTarget.IsCold(aNow);
+  const std::optional<double>& namedRate = aTarget.Gate().NamedRate();
+  if (!isCold && !namedRate.has_value()) {
+    return shares;
   }
-  // The share of each node is less than one request per second. Only the first
-  // nodes by rendezvous weight of this target send to it, at up to one request
-  // per second each.
-  const std::size_t senders = std::max<std::size_t>(
-    1, static_cast<std::size_t>(aServiceSettings->mColdRate));
-  const std::string& name = aTarget->Listed().mName.value();
+  // The nodes that send where there are fewer requests than nodes are the first
+  // ones by the rendezvous weight of the target.
+  const std::string& name = aTarget.Listed().mName.value();
   const std::uint64_t own = RendezvousWeight(name, mSelf.value());
   const std::size_t nodesBefore = static_cast<std::size_t>(
     std::count_if(mNodes.begin(), mNodes.end(), [&](const NodeName& aNode) {
       return RendezvousWeight(name, aNode.value()) > own;
     }));
-  const double rate = std::min(1.0, aServiceSettings->mColdRate);
-  return nodesBefore < senders && aTarget->TryAcquireColdSend(rate, aNow);
+  if (isCold) {
+    shares.mCold = TargetGate::ColdShare(
+      aServiceSettings->mColdRate, nodesBefore, mNodes.size());
+  }
+  if (namedRate.has_value()) {
+    shares.mNamed =
+      TargetGate::NamedShare(*namedRate, nodesBefore, mNodes.size());
+  }
+  return shares;
+}
+
+Instant
+ForwardEngine::HoldLimit(const Request& aRequest, Instant aNow)
+{
+  return aRequest.mShards != nullptr && aNow < aRequest.mPartialAnswerAt
+           ? std::min(aRequest.mWaitUntil, aRequest.mPartialAnswerAt)
+           : aRequest.mWaitUntil;
 }
 
 bool
@@ -117,6 +127,7 @@
 ForwardEngine::ChooseTarget(const Request& aRequest,
                             const Part& aPart,
                             TargetScope aScope,
+                            AttemptPurpose aPurpose,
                             Instant aNow)
 {
   const ServiceSettings* serviceSettings =
@@ -152,6 +163,15 @@
       choice.mHasBusyTarget = true;
       continue;
     }
+    const GateDecision gate = target->Gate().Decide(
+      RateSharesOf(*target, serviceSettings, aNow), aPurpose, 0, aNow);
+    if (!gate.MaySend()) {
+      if (gate.mEndsAt.has_value()) {
+        choice.mHoldEndsAt =
+          std::min(choice.mHoldEndsAt.value_or(*gate.mEndsAt), *gate.mEndsAt);
+      }
+      continue;
+    }
     double cost =
       static_cast<double>(target->ExpectedLatency(medianLatency, aNow).count());
     if (suspect) {
@@ -164,10 +184,6 @@
     if (choice.mTarget != nullptr && cost >= best) {
       continue;
     }
-    if (!TakeColdAllowance(target, serviceSettings, aNow)) {
-      choice.mHasBusyTarget = true;
-      continue;
-    }
     choice.mTarget = target;
     best = cost;
   }
@@ -193,8 +209,8 @@
                                  Instant aNow)
 {
   Part& part = aRequest->mParts[aPart];
-  const Choice choice =
-    ChooseTarget(*aRequest, part, TargetScope::AllDomains, aNow);
+  const Choice choice = ChooseTarget(
+    *aRequest, part, TargetScope::AllDomains, AttemptPurpose::First, aNow);
   if (choice.mTarget != nullptr) {
     return choice.mTarget;
   }
@@ -210,7 +226,10 @@
                              Instant aNow)
 {
   Part& part = aRequest->mParts[aPart];
-  if (!aChoice.mHasBusyTarget || aNow >= aRequest->mWaitUntil) {
+  const bool holdEndsInTime = aChoice.mHoldEndsAt.has_value() &&
+                              *aChoice.mHoldEndsAt < HoldLimit(*aRequest, aNow);
+  if ((!aChoice.mHasBusyTarget && !holdEndsInTime) ||
+      aNow >= aRequest->mWaitUntil) {
     part.mState = PartState::Failed;
     return;
   }
@@ -221,6 +240,10 @@
                                 2 * part.mRetryDelay);
     part.mRetryAt = aNow + part.mRetryDelay;
   }
+  if (holdEndsInTime) {
+    part.mRetryAt = std::min(part.mRetryAt.value_or(*aChoice.mHoldEndsAt),
+                             *aChoice.mHoldEndsAt);
+  }
   if (!part.mIsQueued) {
     part.mIsQueued = true;
     StateOf(part.mService).mWaiting.emplace_back(aNumber, aPart);
@@ -332,17 +355,19 @@
                              route.mName,
                              false });
   BeginProbes(aTarget, aNow);
+  const ServiceSettings* serviceSettings =
+    aRequest->mPlan->FindService(part.mService);
+  aTarget->Gate().OnSent(RateSharesOf(*aTarget, serviceSettings, aNow), aNow);
   aTarget->OnSent(id, tailLatency, aNow);
   ++aRequest->mSummary.mAttempts;
-  mActions.push_back(
-    SendAction{ id,
-                listed.mName,
-                listed.mAddress,
-                aRequest->mRequest,
-                aRequest->mDeadline - aNow,
-                ConnectionShare(aRequest->mPlan->FindService(part.mService)),
-                aPurpose,
-                listed.mDomain != mSettings.mDomain });
+  mActions.push_back(SendAction{ id,
+                                 listed.mName,
+                                 listed.mAddress,
+                                 aRequest->mRequest,
+                                 aRequest->mDeadline - aNow,
+                                 ConnectionShare(serviceSettings),
+                                 aPurpose,
+                                 listed.mDomain != mSettings.mDomain });
 }
 
 void
@@ -361,8 +386,8 @@
         !HasTimeLeft(*aRequest, aNow)) {
       continue;
     }
-    const Choice choice =
-      ChooseTarget(*aRequest, part, TargetScope::AllDomains, aNow);
+    const Choice choice = ChooseTarget(
+      *aRequest, part, TargetScope::AllDomains, AttemptPurpose::Hedge, aNow);
     if (choice.mTarget == nullptr || choice.mTarget->IsStalled(aNow)) {
       continue;
     }
@@ -400,8 +425,8 @@
     part.mState = PartState::Failed;
     return;
   }
-  const Choice choice =
-    ChooseTarget(*aRequest, part, TargetScope::AllDomains, aNow);
+  const Choice choice = ChooseTarget(
+    *aRequest, part, TargetScope::AllDomains, AttemptPurpose::Retry, aNow);
   if (choice.mTarget == nullptr) {
     WaitForTarget(aNumber, aRequest, aPart, choice, aNow);
     return;
@@ -447,9 +472,12 @@
     }
     Part& part = request->second.mParts[next.second];
     const bool isWaiting = part.mState == PartState::Waiting;
-    if (isWaiting &&
-        ChooseTarget(request->second, part, TargetScope::AllDomains, aNow)
-            .mTarget == nullptr) {
+    if (isWaiting && ChooseTarget(request->second,
+                                  part,
+                                  TargetScope::AllDomains,
+                                  AttemptPurpose::First,
+                                  aNow)
+                         .mTarget == nullptr) {
       return;
     }
     waiting.pop_front();
--- a/Libraries/LibForward/PartReply.h
+++ b/Libraries/LibForward/PartReply.h
@@ -43,6 +43,11 @@
   std::string mSignature;
   /// Empty if the target reported no load.
   std::optional<ReportedLoad> mLoad;
+  /// Requests per second that the target takes from all nodes together, as long
+  /// as its responses say so; empty if it named no rate.
+  std::optional<double> mNamedRate;
+  /// Names of header fields that could not be read, separated by spaces.
+  std::string mUnreadableFields;
 };
 
 /// Why an attempt ended without a response.
--- a/Libraries/LibForward/Refusal.cpp
+++ b/Libraries/LibForward/Refusal.cpp
@@ -20,6 +20,8 @@
       return "poisonous";
     case RefusalReason::TooLate:
       return "too_late";
+    case RefusalReason::RateLimited:
+      return "rate_limited";
   }
   VERIFY(!"unknown reason");
 }
--- a/Libraries/LibForward/Refusal.h
+++ b/Libraries/LibForward/Refusal.h
@@ -17,6 +17,9 @@
   Poisonous,
   /// The deadline of the caller passed before the request could be sent.
   TooLate,
+  /// Too few shards have a target that takes a request now: the rates of the
+  /// others are used up.
+  RateLimited,
 };
 
 /// The name that is used in logs, such as "no_target".
--- a/Libraries/LibForward/TargetRecord.cpp
+++ b/Libraries/LibForward/TargetRecord.cpp
@@ -38,6 +38,7 @@
 
 TargetRecord::TargetRecord(ListedTarget aListed, Instant aNow)
   : mListed(std::move(aListed))
+  , mGate(aNow)
 {
   ResetHistory(aNow);
 }
@@ -55,8 +56,7 @@
   mSuspectUntil = aNow;
   mDeclinedUntil = aNow;
   mColdUntil = aNow + mListed.mColdTimeLeft;
-  mColdTokens = 1;
-  mColdTokensRefilled = aNow;
+  mGate = TargetGate(aNow);
 }
 
 void
@@ -107,6 +107,9 @@
     mDownUntil = aNow + kMaxBackOff;
     return;
   }
+  if (aReply.mUnreadableFields.empty()) {
+    mGate.OnNamedRate(aReply.mNamedRate);
+  }
   mDownUntil = aNow;
   mSuspectUntil = aNow;
   mConsecutiveFailures = 0;
@@ -265,18 +268,4 @@
   return latency;
 }
 
-bool
-TargetRecord::TryAcquireColdSend(double aPerSecond, Instant aNow)
-{
-  const double elapsed =
-    std::chrono::duration<double>(aNow - mColdTokensRefilled).count();
-  mColdTokensRefilled = aNow;
-  mColdTokens = std::min(1.0, mColdTokens + elapsed * aPerSecond);
-  if (mColdTokens < 1) {
-    return false;
-  }
-  mColdTokens -= 1;
-  return true;
-}
-
 } // namespace verbenachute
--- a/Libraries/LibForward/TargetRecord.h
+++ b/Libraries/LibForward/TargetRecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibForward/PartReply.h>
+#include <LibForward/TargetGate.h>
 #include <LibRouting/ListedTarget.h>
 
 #include <map>
@@ -46,6 +47,8 @@
   /// An attempt is taking longer than usual and has not been answered.
   [[nodiscard]] bool IsStalled(Instant aNow) const;
   [[nodiscard]] bool IsCold(Instant aNow) const { return aNow < mColdUntil; }
+  [[nodiscard]] const TargetGate& Gate() const { return mGate; }
+  [[nodiscard]] TargetGate& Gate() { return mGate; }
   /// The next attempt probes whether the target answers again; further attempts
   /// wait for its result.
   void BeginProbe(Instant aNow);
@@ -57,11 +60,6 @@
   /// Estimated share of attempts that fail, from 0 to 1.
   [[nodiscard]] double FailureRate(Instant aNow) const;
 
-  /// Takes one token of the rate limit for a cold target; false if there is
-  /// none. aPerSecond is this node's share of the requests per second that the
-  /// target can take.
-  [[nodiscard]] bool TryAcquireColdSend(double aPerSecond, Instant aNow);
-
 private:
   struct InFlightAttempt
   {
@@ -90,8 +88,7 @@
   Instant mSuspectUntil;
   Instant mDeclinedUntil;
   Instant mColdUntil;
-  double mColdTokens = 1;
-  Instant mColdTokensRefilled;
+  TargetGate mGate;
 };
 
 } // namespace verbenachute
--- a/Libraries/LibObservation/EventNumber.h
+++ b/Libraries/LibObservation/EventNumber.h
@@ -58,6 +58,8 @@
   LoadShed = 605,
   TargetGone = 606,
   TargetLostUnderRequest = 607,
+  TargetFieldUnreadable = 608,
+  TargetHoldChanged = 609,
 
   RequestReplayed = 700,
   RequestConflict = 701,
--- a/Libraries/LibObservation/MetricCatalogue.cpp
+++ b/Libraries/LibObservation/MetricCatalogue.cpp
@@ -40,6 +40,8 @@
       "peer." },
     { "verbenachute_poison_convictions_total",
       "Requests that this node refuses because they crashed targets." },
+    { "verbenachute_target_hold_changes_total",
+      "Times that a target has begun or ceased to ask for fewer requests." },
   } };
 
 constexpr std::array<MetricDescription,
--- a/Libraries/LibObservation/MetricCatalogue.h
+++ b/Libraries/LibObservation/MetricCatalogue.h
@@ -26,7 +26,8 @@
   DelegationsTaken,
   PoisonObservations,
   PoisonConvictions,
-  Last = PoisonConvictions,
+  TargetHoldChanges,
+  Last = TargetHoldChanges,
 };
 
 /// Gauges without labels; their values increase and decrease.
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -51,6 +51,11 @@
       *mLoop,
       mMetrics,
       [this](AttemptId aAttempt, PartReply aReply) {
+        if (!aReply.mUnreadableFields.empty()) {
+          mLogger.Log(LogEvent(EventNumber::TargetFieldUnreadable)
+                        .At(Step::Dispatch)
+                        .With("fields", aReply.mUnreadableFields));
+        }
         Perform(mEngine.OnReply(aAttempt, std::move(aReply), mLoop->Now()));
       },
       [this](AttemptId aAttempt, AttemptFailure aFailure) {
@@ -354,6 +359,10 @@
     mGossip.AddPoisonObservation(report, mLoop->Now());
   }
   LogPoisonNotices();
+  for (const GateNotice& notice : mEngine.TakeGateNotices()) {
+    mMetrics.Add(Counter::TargetHoldChanges);
+    LogGateNotice(notice, &mLogger);
+  }
   ScheduleEngine();
 }
 
--- a/Services/verbenachuted/OutcomeLog.cpp
+++ b/Services/verbenachuted/OutcomeLog.cpp
@@ -75,4 +75,17 @@
                  .With("source", source));
 }
 
+void
+LogGateNotice(const GateNotice& aNotice, Logger* aLogger)
+{
+  LogEvent event = LogEvent(EventNumber::TargetHoldChanged)
+                     .At(Step::Dispatch)
+                     .Peer(aNotice.mTarget.value())
+                     .With("reason", HoldReasonName(aNotice.mReason));
+  if (aNotice.mValue.has_value()) {
+    event.With("value", std::to_string(*aNotice.mValue));
+  }
+  aLogger->Log(event);
+}
+
 } // namespace verbenachute
--- a/Services/verbenachuted/OutcomeLog.h
+++ b/Services/verbenachuted/OutcomeLog.h
@@ -2,6 +2,7 @@
 
 #include <LibForward/ForwardAction.h>
 #include <LibForward/PoisonDetector.h>
+#include <LibForward/TargetGate.h>
 #include <LibObservation/Logger.h>
 
 namespace verbenachute {
@@ -19,4 +20,8 @@
 void
 LogPoisonNotice(const PoisonNotice& aNotice, Logger* aLogger);
 
+/// Logs that a target asks for fewer requests, or no longer does.
+void
+LogGateNotice(const GateNotice& aNotice, Logger* aLogger);
+
 } // namespace verbenachute
--- a/Tests/Platform/TestRequestWire.cpp
+++ b/Tests/Platform/TestRequestWire.cpp
@@ -80,6 +80,32 @@
            .mLoad.has_value());
 }
 
+// Guards against targets that are sent more than the rate they name.
+TEST_CASE("The rate that a target names is read and bounded")
+{
+  const auto read = [](const char* aValue) {
+    HttpResponse response;
+    response.mStatus = 200;
+    response.mFields.Add("Server-Stamp", "s");
+    response.mFields.Add("Server-Limit", aValue);
+    return ReadTargetResponse(std::move(response));
+  };
+  CHECK(read("24.4").mNamedRate == std::optional(24.4));
+  CHECK(read("24.4").mUnreadableFields.empty());
+  CHECK(read("24.4").mFields.Find("Server-Limit") == nullptr);
+  CHECK(read("0").mNamedRate == std::optional(0.1));
+  CHECK(!read("1e300").mNamedRate.has_value());
+  CHECK(read("1e300").mUnreadableFields.empty());
+  for (const char* value : { "-1", "many", "", "nan", "inf", "3,4", "1e999" }) {
+    CAPTURE(value);
+    CHECK(!read(value).mNamedRate.has_value());
+    CHECK(read(value).mUnreadableFields == "Server-Limit");
+  }
+  HttpResponse without;
+  without.mStatus = 200;
+  CHECK(!ReadTargetResponse(std::move(without)).mNamedRate.has_value());
+}
+
 TEST_CASE("Only a failure to connect proves that nothing was sent")
 {
   CHECK(AttemptFailureOf(StreamFailure::NotConnected) ==
