Tests: Odd entries of another writer, and responses cut within their head

An entry of a target that is nested 100,000 deep, holds a number too large or a port out of range, read in a page and by a watch: it names no target, the entries before and after it are listed, the revision goes on.

A response without length that ends at each byte of its head: a failure of the attempt each time, never a response.

--- a/Tests/LibEntry/TestEntryState.cpp
+++ b/Tests/LibEntry/TestEntryState.cpp
@@ -1,5 +1,7 @@
 #include <LibEntry/EntryState.h>
 
+#include <platform/StoreWire.h>
+
 #include <doctest/doctest.h>
 
 namespace verbenachute {
@@ -46,6 +48,26 @@
          R"(","WarmupLeftMs":0,"SeqNo":4})";
 }
 
+std::string
+Base64(std::string_view aBytes)
+{
+  static constexpr std::string_view kDigits =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string text;
+  for (std::size_t i = 0; i < aBytes.size(); i += 3) {
+    std::uint32_t group = 0;
+    for (std::size_t j = 0; j < 3; ++j) {
+      const char byte = i + j < aBytes.size() ? aBytes[i + j] : '\0';
+      group = group << 8U | static_cast<unsigned char>(byte);
+    }
+    for (std::size_t j = 0; j < 4; ++j) {
+      text +=
+        i + j > aBytes.size() ? '=' : kDigits[group >> (18 - 6 * j) & 63U];
+    }
+  }
+  return text;
+}
+
 constexpr const char* kPlan =
   R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/a/",)"
   R"("RouteKind":"safe","Backend":"b"}],)"
@@ -76,6 +98,77 @@
   CHECK(rig.mEntryState.UnreadableEntries() == 2);
 }
 
+// Guards against a node that ends, or stops following the store, because of one
+// odd entry of another writer.
+TEST_CASE("An odd entry among the targets' own changes nothing for the others")
+{
+  const std::string good = Entry("ready", "a");
+  const auto with = [&](const char* aField, const std::string& aValue) {
+    std::string entry = good;
+    const std::size_t at = entry.find(std::string("\"") + aField);
+    const std::size_t begin = entry.find(':', at) + 1;
+    std::size_t end = entry.find(',', begin);
+    end = end == std::string::npos ? entry.size() - 1 : end;
+    return entry.replace(begin, end - begin, aValue);
+  };
+  const std::string deep =
+    std::string(100'000, '[') + std::string(100'000, ']');
+  const std::string odd[] = {
+    deep,
+    std::string(100'000, '['),
+    std::string(100'000, '{'),
+    with("Capacity", deep),
+    with("Capacity", "1e400"),
+    with("Capacity", "-1"),
+    with("Capacity", std::string(400, '9')),
+    with("SeqNo", "18446744073709551616"),
+    with("SeqNo", "1e20"),
+    with("WarmupLeftMs", "1e300"),
+    with("WarmupLeftMs", "-5"),
+    with("WarmupLeftMs", std::string(100'000, '1')),
+    with("Address", R"("10.0.0.1:65536")"),
+    with("Address", R"("10.0.0.1:-1")"),
+    with("Address", R"("10.0.0.1:0")"),
+    with("Address", R"("10.0.0.1:99999999999999999999")"),
+    with("Address", R"("10.0.0.1:")"),
+  };
+  for (const std::string& value : odd) {
+    CAPTURE(value.substr(0, 150));
+    const std::string items =
+      R"([{"Key":"servers/i-1","Value":")" + Base64(good) +
+      R"(","Revision":1,"CreatedRev":1,"Lease":0},)"
+      R"({"Key":"servers/i-2","Value":")" +
+      Base64(value) +
+      R"(","Revision":2,"CreatedRev":1,"Lease":0},)"
+      R"({"Key":"servers/i-3","Value":")" +
+      Base64(good) + R"(","Revision":3,"CreatedRev":1,"Lease":0}])";
+    HttpResponse listed;
+    listed.mStatus = 200;
+    listed.mBody = R"({"items":)" + items + R"(,"MorePages":false,"AtRev":3})";
+    HttpResponse watched;
+    watched.mStatus = 200;
+    watched.mBody = R"({"events":)" + items + R"(,"AtRev":3})";
+    Rig afterList;
+    const platform::StoreResult<StorePage> page =
+      platform::ReadPageResult(listed);
+    REQUIRE(std::holds_alternative<StorePage>(page));
+    REQUIRE(std::get<StorePage>(page).mItems.size() == 3);
+    for (const StoreItem& item : std::get<StorePage>(page).mItems) {
+      afterList.Apply(item.mKey.c_str(), item.mValue);
+    }
+    CHECK(afterList.mEngine.Targets().size() == 2);
+    Rig afterWatch;
+    const platform::StoreResult<StoreChanges> changes =
+      platform::WatchResult(watched);
+    REQUIRE(std::holds_alternative<StoreChanges>(changes));
+    CHECK(std::get<StoreChanges>(changes).mStoreRevision == StoreRevision(3));
+    afterWatch.mEntryState.Apply(
+      std::get<StoreChanges>(changes).mChanges, afterWatch.mFollower, kNow);
+    CHECK(afterWatch.mEngine.Targets().size() == 2);
+    CHECK(afterWatch.mEntryState.UnreadableEntries() == 1);
+  }
+}
+
 TEST_CASE("A failure domain that is out gets no requests until it is back in")
 {
   Rig rig;
--- a/Tests/LibHttp/TestHttpStreams.cpp
+++ b/Tests/LibHttp/TestHttpStreams.cpp
@@ -242,6 +242,24 @@
         StreamFailure::ClosedDuringResponse);
 }
 
+// Guards against a response that was cut within its head and is passed on as a
+// whole one without a body.
+TEST_CASE("A response that ends within its head is a failure, wherever it ends")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n"
+                           "Server-Stamp: s\r\nConnection: close\r\n\r\n";
+  for (std::size_t size = 0; size < head.size(); ++size) {
+    CAPTURE(size);
+    CannedResponseServer server(head.substr(0, size),
+                                CannedResponseServer::Ending::Close);
+    const StreamOutcome outcome = OutcomeOf(server.Address());
+    REQUIRE(std::holds_alternative<StreamFailure>(outcome));
+    CHECK(std::get<StreamFailure>(outcome) ==
+          (size == 0 ? StreamFailure::ClosedBeforeResponse
+                     : StreamFailure::ClosedDuringResponse));
+  }
+}
+
 TEST_CASE(
   "A connection is reset if its request is abandoned, and closed if idle")
 {
