LibForward, verbenachuted: Answer every request before a planned stop ends

A report of other operators: requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end.

Cause: it can happen here. From 65% of the grace on a node takes no new connections, but what comes on an open one was sent to targets with its whole time left, up to 6 s, while the process ends 0.35 s before the grace does, whatever runs.

Change: from SIGTERM on the engine knows when the process ends. What runs is answered before; a new request that must not run twice and might outlast the process is refused as not run, so that its caller may go to another node; others get what time there is.

Test: "A node that is about to end answers every request before it does", written with the code.

--- a/Libraries/LibEntry/GracefulShutdown.cpp
+++ b/Libraries/LibEntry/GracefulShutdown.cpp
@@ -39,6 +39,14 @@
                   mSettings.mGrace * kMaxServingPercent / 100);
 }
 
+std::optional<Instant>
+GracefulShutdown::LatestExit() const
+{
+  return mStopTime.has_value()
+           ? std::optional(*mStopTime + mSettings.mGrace - kExitReserve)
+           : std::nullopt;
+}
+
 GracefulShutdownPhase
 GracefulShutdown::Advance(std::size_t aConnections,
                           std::size_t aRequests,
--- a/Libraries/LibEntry/GracefulShutdown.h
+++ b/Libraries/LibEntry/GracefulShutdown.h
@@ -42,6 +42,8 @@
                                               std::size_t aRequests,
                                               Instant aNow);
   [[nodiscard]] GracefulShutdownPhase Phase() const { return mPhase; }
+  /// When the process exits at the latest; empty before OnStop.
+  [[nodiscard]] std::optional<Instant> LatestExit() const;
 
 private:
   [[nodiscard]] Duration ServingTime() const;
--- a/Libraries/LibEntry/OutcomeMetrics.cpp
+++ b/Libraries/LibEntry/OutcomeMetrics.cpp
@@ -21,6 +21,8 @@
       return ErrorCode::Overloaded;
     case RefusalReason::Declined:
       return ErrorCode::Refused;
+    case RefusalReason::Leaving:
+      return ErrorCode::Draining;
     case RefusalReason::Poisonous:
       return ErrorCode::Poisoned;
     case RefusalReason::TooLate:
--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -7,6 +7,13 @@
 
 namespace verbenachute {
 
+namespace {
+
+// Time that the last answers need to be written before the process ends.
+constexpr Duration kExitReserve = milliseconds(50);
+
+} // namespace
+
 ForwardEngine::ForwardEngine(const ForwardSettings& aSettings)
   : mSettings(aSettings)
   , mAdmissionFilter([](const ListedTarget&, const CallerId&) { return true; })
@@ -63,6 +70,18 @@
     std::lower_bound(mNodes.begin(), mNodes.end(), aSelf) - mNodes.begin());
 }
 
+ForwardActions
+ForwardEngine::SetExit(Instant aExit, Instant aNow)
+{
+  mAnswerBy = aExit - kExitReserve;
+  for (auto& [number, request] : mRequests) {
+    request.mDeadline = std::min(request.mDeadline, *mAnswerBy);
+    request.mWaitUntil = std::min(request.mWaitUntil, *mAnswerBy);
+    ScheduleWake(number, &request, aNow);
+  }
+  return TakeActions();
+}
+
 ForwardActions
 ForwardEngine::TakeActions()
 {
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -50,6 +50,10 @@
   /// gets no share: it uses one connection per target and sends no hedges or
   /// retries.
   void SetNodes(std::vector<NodeName> aServingNodes, const NodeName& aSelf);
+  /// The process ends at aExit: every request is answered before. From then on
+  /// a request that must not run twice and might not end in time is refused as
+  /// not run.
+  [[nodiscard]] ForwardActions SetExit(Instant aExit, Instant aNow);
   /// The peers to which this node may delegate shards.
   [[nodiscard]] PeerRecords& Peers() { return mPeers; }
   [[nodiscard]] TargetRecords& Targets() { return mTargets; }
@@ -186,6 +190,8 @@
     /// all.
     std::string mFloor;
     Instant mDeadline;
+    /// Whether the process ends before the time of the request is up.
+    bool mEndsWithProcess = false;
     /// Time from which an incomplete answer is preferred to a late one.
     Instant mPartialAnswerAt;
     /// When parts that wait for a target fail.
@@ -547,6 +553,8 @@
   ServingPlanPointer mPreviousPlan;
   AdmissionFilter mAdmissionFilter;
   DepartureCheck mMayHaveLeft;
+  /// When every request must be answered; empty unless the process is ending.
+  std::optional<Instant> mAnswerBy;
   /// Sorted by name, this node included.
   std::vector<NodeName> mNodes;
   /// Index of this node in mNodes.
--- a/Libraries/LibForward/ForwardEngineAdmission.cpp
+++ b/Libraries/LibForward/ForwardEngineAdmission.cpp
@@ -102,6 +102,12 @@
   if (mSettings.mPartialAnswers == PartialAnswers::WhenMissingShardsFailed) {
     aRequest->mPartialAnswerAt = aRequest->mDeadline;
   }
+  if (mAnswerBy.has_value()) {
+    aRequest->mEndsWithProcess = *mAnswerBy < aRequest->mDeadline;
+    aRequest->mDeadline = std::min(aRequest->mDeadline, *mAnswerBy);
+    aRequest->mPartialAnswerAt =
+      std::min(aRequest->mPartialAnswerAt, aRequest->mDeadline);
+  }
   const Duration connectionWait(static_cast<Duration::rep>(
     mSettings.mConnectionWaitShare *
     static_cast<double>(route.mLatencyObjective.count())));
@@ -178,6 +184,10 @@
 std::optional<RefusedOutcome>
 ForwardEngine::AdmissionRefusal(const Request& aRequest, Instant aNow)
 {
+  if (aRequest.mEndsWithProcess &&
+      aRequest.mRoute->mRepeatPolicy == RepeatPolicy::AtMostOnce) {
+    return RefusedOutcome{ RefusalReason::Leaving, Duration(0) };
+  }
   if (!HasTimeLeft(aRequest, aNow)) {
     return RefusedOutcome{ RefusalReason::TooLate, Duration(0) };
   }
--- a/Libraries/LibForward/Refusal.cpp
+++ b/Libraries/LibForward/Refusal.cpp
@@ -22,6 +22,8 @@
       return "too_late";
     case RefusalReason::RateLimited:
       return "rate_limited";
+    case RefusalReason::Leaving:
+      return "leaving";
   }
   VERIFY(!"unknown reason");
 }
--- a/Libraries/LibForward/Refusal.h
+++ b/Libraries/LibForward/Refusal.h
@@ -20,6 +20,8 @@
   /// Too few shards have a target that takes a request now: the rates of the
   /// others are used up.
   RateLimited,
+  /// This node is about to end, and the request might not have ended by then.
+  Leaving,
 };
 
 /// The name that is used in logs, such as "no_target".
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -314,6 +314,7 @@
   mShutdown.OnStop(now);
   UpdateOwnStatus();
   SendGossip(mGossip.Announce(AnnouncementScope::AllNodes, now));
+  Perform(mEngine.SetExit(*mShutdown.LatestExit(), now));
   OnShutdownTick();
 }
 
--- a/Tests/LibForward/TestForwardEngine.cpp
+++ b/Tests/LibForward/TestForwardEngine.cpp
@@ -401,6 +401,34 @@
         RefusalReason::Poisonous);
 }
 
+// Guards against requests that come late in a planned stop and are cut when
+// the process ends.
+TEST_CASE("A node that is about to end answers every request before it does")
+{
+  ForwardRig rig;
+  rig.ListAll();
+  const RequestNumber running = rig.Submit("/single/1");
+  const RequestNumber runningOnce = rig.Submit("/once/1");
+  const Instant exit = rig.mNow + seconds(1);
+  rig.Take(rig.mEngine.SetExit(exit, rig.mNow));
+  // It might take longer than the process has.
+  const RequestNumber once = rig.Submit("/once/2");
+  const RefusedOutcome* refused = rig.OutcomeOf<RefusedOutcome>(once);
+  REQUIRE(refused != nullptr);
+  CHECK(refused->mReason == RefusalReason::Leaving);
+  const RequestNumber shortOnce = rig.Submit("/once/3", milliseconds(400));
+  CHECK(rig.AnswerOf(shortOnce) == nullptr);
+  const RequestNumber single = rig.Submit("/single/2");
+  const RequestNumber gather = rig.Submit("/gather/2");
+  CHECK(rig.AnswerOf(single) == nullptr);
+  rig.Pass(milliseconds(980));
+  for (const RequestNumber number :
+       { running, runningOnce, shortOnce, single, gather }) {
+    CAPTURE(number.value());
+    CHECK(rig.OutcomeOf<FailedOutcome>(number) != nullptr);
+  }
+}
+
 // Guards against retries and hedges of a request that was admitted before it
 // was known to crash targets.
 TEST_CASE("A running request that turns out to crash targets is not sent again")
