LibForward, platform: Send nothing to targets that leave or ask for a pause

Cause: nothing read what a target says of this in its responses; a node went on sending to one that leaves until the store told it, and to one that had turned work away at once.

Change: the adapter decodes both into facts of the reply, and TargetGate holds the target back: until the end of the incarnation when it leaves, also where the list still names it, names it again or names it as ready; for up to 60 s when it asks for a pause, which another response does not shorten and which is no failure. Responses to a connection of an earlier incarnation say nothing about the new one. Where too few shards are left, the query is refused at once with the earliest time at which enough of them take work; so is one whose attempts were turned away.

Telling peers is left open.

Tests: "A target that says that it leaves gets no new work, whatever its entry says", "A target that asks for a pause gets nothing until it is over", "What a target says of leaving and of a pause is read and bounded".

--- a/Libraries/LibEntry/OutcomeMetrics.cpp
+++ b/Libraries/LibEntry/OutcomeMetrics.cpp
@@ -17,7 +17,7 @@
     case RefusalReason::NoTarget:
       return ErrorCode::Unavailable;
     case RefusalReason::Overloaded:
-    case RefusalReason::RateLimited:
+    case RefusalReason::TargetsHeld:
       return ErrorCode::Overloaded;
     case RefusalReason::Declined:
       return ErrorCode::Refused;
--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -131,7 +131,7 @@
     mDomains.OnResponse(target->DomainIndex());
     const TargetGate before = target->Gate();
     target->OnReply(aAttempt, aReply, statistics->second.MedianLatency(), aNow);
-    AddGateNotice(*target, before);
+    AddGateNotice(*target, before, aNow);
   }
   if (aReply.mKind == ReplyKind::Answered) {
     statistics->second.ObserveLatency(aNow - attempt.mSent);
@@ -400,13 +400,24 @@
 
 void
 ForwardEngine::AddGateNotice(const TargetRecord& aTarget,
-                             const TargetGate& aBefore)
+                             const TargetGate& aBefore,
+                             Instant aNow)
 {
   const std::optional<double>& rate = aTarget.Gate().NamedRate();
   if (rate.has_value() != aBefore.NamedRate().has_value()) {
     mGateNotices.push_back(
       GateNotice{ aTarget.Listed().mName, HoldReason::NamedRate, rate });
   }
+  if (aTarget.Gate().IsLeaving() && !aBefore.IsLeaving()) {
+    mGateNotices.push_back(
+      GateNotice{ aTarget.Listed().mName, HoldReason::Leaving, std::nullopt });
+  }
+  const Instant pausedUntil = aTarget.Gate().PausedUntil();
+  if (pausedUntil > aBefore.PausedUntil()) {
+    const std::chrono::duration<double> pause = pausedUntil - aNow;
+    mGateNotices.push_back(
+      GateNotice{ aTarget.Listed().mName, HoldReason::Paused, pause.count() });
+  }
 }
 
 std::vector<GateNotice>
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -526,7 +526,9 @@
                             PoisonNotice::Source aSource,
                             Instant aNow);
   /// Notes how the gate of a target differs from what it was before.
-  void AddGateNotice(const TargetRecord& aTarget, const TargetGate& aBefore);
+  void AddGateNotice(const TargetRecord& aTarget,
+                     const TargetGate& aBefore,
+                     Instant aNow);
   /// Abandons all running attempts of the request.
   void AbandonAll(const Request& aRequest, Instant aNow);
   /// Cancels all running attempts of the request at once. The next OnTime
--- a/Libraries/LibForward/ForwardEngineAdmission.cpp
+++ b/Libraries/LibForward/ForwardEngineAdmission.cpp
@@ -218,7 +218,7 @@
     if (from.has_value()) {
       times.push_back(*from);
     }
-    if (from.has_value() && *from < limit) {
+    if (from.has_value() && (*from <= aNow || *from < limit)) {
       ++serviceable;
     } else {
       aRequest->mSummary.AddMissing(part.mService);
@@ -235,7 +235,7 @@
   }
   const auto enough = times.begin() + static_cast<std::ptrdiff_t>(minimum) - 1;
   std::nth_element(times.begin(), enough, times.end());
-  return RefusedOutcome{ RefusalReason::RateLimited,
+  return RefusedOutcome{ RefusalReason::TargetsHeld,
                          std::max(*enough - aNow, kRetryAfterOverload) };
 }
 
--- a/Libraries/LibForward/ForwardEngineOutcomes.cpp
+++ b/Libraries/LibForward/ForwardEngineOutcomes.cpp
@@ -133,6 +133,13 @@
     Finish(aNumber, FailedOutcome{ reason }, aNow);
     return;
   }
+  aRequest->mSummary.mMissingServices.clear();
+  const std::optional<RefusedOutcome> held = CoverageRefusal(aRequest, aNow);
+  aRequest->mSummary.mMissingServices.clear();
+  if (held.has_value() && held->mReason == RefusalReason::TargetsHeld) {
+    Finish(aNumber, *held, aNow);
+    return;
+  }
   const bool isConnecting =
     std::any_of(aRequest->mParts.begin(),
                 aRequest->mParts.end(),
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -29,6 +29,7 @@
                         const CallerId& aCaller) const
 {
   return aTarget.Listed().mAvailability == TargetAvailability::Ready &&
+         !aTarget.Gate().IsLeaving() &&
          mAdmissionFilter(aTarget.Listed(), aCaller);
 }
 
--- a/Libraries/LibForward/PartReply.h
+++ b/Libraries/LibForward/PartReply.h
@@ -46,6 +46,13 @@
   /// Requests per second that the target takes from all nodes together, as long
   /// as its responses say so; empty if it named no rate.
   std::optional<double> mNamedRate;
+  /// Whether the target named a rate that could not be read.
+  bool mIsNamedRateUnreadable = false;
+  /// Whether the target says that it is about to end.
+  bool mIsLeaving = false;
+  /// For how long the target wants no request from this node; empty if it did
+  /// not say.
+  std::optional<Duration> mPause;
   /// Names of header fields that could not be read, separated by spaces.
   std::string mUnreadableFields;
 };
--- a/Libraries/LibForward/Refusal.cpp
+++ b/Libraries/LibForward/Refusal.cpp
@@ -20,8 +20,8 @@
       return "poisonous";
     case RefusalReason::TooLate:
       return "too_late";
-    case RefusalReason::RateLimited:
-      return "rate_limited";
+    case RefusalReason::TargetsHeld:
+      return "targets_held";
     case RefusalReason::Leaving:
       return "leaving";
   }
--- a/Libraries/LibForward/Refusal.h
+++ b/Libraries/LibForward/Refusal.h
@@ -18,8 +18,8 @@
   /// The deadline of the caller passed before the request could be sent.
   TooLate,
   /// Too few shards have a target that takes a request now: the rates of the
-  /// others are used up.
-  RateLimited,
+  /// others are used up, or they have asked for a pause.
+  TargetsHeld,
   /// This node is about to end, and the request might not have ended by then.
   Leaving,
 };
--- a/Libraries/LibForward/TargetGate.cpp
+++ b/Libraries/LibForward/TargetGate.cpp
@@ -22,6 +22,10 @@
   switch (aReason) {
     case HoldReason::None:
       return "none";
+    case HoldReason::Leaving:
+      return "leaving";
+    case HoldReason::Paused:
+      return "paused";
     case HoldReason::ColdRate:
       return "cold_rate";
     case HoldReason::NamedRate:
@@ -60,7 +64,8 @@
 }
 
 TargetGate::TargetGate(Instant aNow)
-  : mColdBucket(aNow)
+  : mPausedUntil(aNow)
+  , mColdBucket(aNow)
   , mNamedBucket(aNow)
 {
 }
@@ -73,6 +78,12 @@
   mNamedRate = aPerSecond;
 }
 
+void
+TargetGate::OnPaused(Instant aUntil)
+{
+  mPausedUntil = std::max(mPausedUntil, aUntil);
+}
+
 void
 TargetGate::OnSent(const TargetRateShares& aShares, Instant aNow)
 {
@@ -108,6 +119,12 @@
       hold(aReason, aBucket.TimeOf(aNeeded, *aShare, aNow));
     }
   };
+  if (mIsLeaving) {
+    hold(HoldReason::Leaving, std::nullopt);
+  }
+  if (aNow < mPausedUntil) {
+    hold(HoldReason::Paused, mPausedUntil);
+  }
   checkRate(HoldReason::ColdRate, aShares.mCold, mColdBucket, 1 + aAhead);
   double needed = 1 + aAhead;
   if (aPurpose == AttemptPurpose::Hedge && aShares.mNamed.has_value()) {
--- a/Libraries/LibForward/TargetGate.h
+++ b/Libraries/LibForward/TargetGate.h
@@ -13,6 +13,10 @@
 enum class HoldReason
 {
   None,
+  /// The target has said that it is about to end.
+  Leaving,
+  /// The target has asked this node to send nothing for a while.
+  Paused,
   /// The target is cold and this node has used up its share of the rate that
   /// such targets take.
   ColdRate,
@@ -29,8 +33,8 @@
 {
   TargetName mTarget;
   HoldReason mReason = HoldReason::None;
-  /// Requests per second from all nodes for a rate; empty if the target no
-  /// longer names one.
+  /// Requests per second from all nodes for a rate, seconds for a pause; empty
+  /// if the target no longer names a rate.
   std::optional<double> mValue;
 };
 
@@ -74,6 +78,13 @@
   {
     return mNamedRate;
   }
+  /// The target is about to end. There is no way back for this incarnation.
+  void OnLeaving() { mIsLeaving = true; }
+  [[nodiscard]] bool IsLeaving() const { return mIsLeaving; }
+  /// The target wants nothing from this node until then. An earlier time than
+  /// that of another response does not shorten the pause.
+  void OnPaused(Instant aUntil);
+  [[nodiscard]] Instant PausedUntil() const { return mPausedUntil; }
   /// A request is sent.
   void OnSent(const TargetRateShares& aShares, Instant aNow);
   /// aAhead is the number of requests that wait to be sent first.
@@ -113,6 +124,8 @@
     Instant mUpdated;
   };
 
+  bool mIsLeaving = false;
+  Instant mPausedUntil;
   std::optional<double> mNamedRate;
   Bucket mColdBucket;
   Bucket mNamedBucket;
--- a/Libraries/LibForward/TargetRecord.cpp
+++ b/Libraries/LibForward/TargetRecord.cpp
@@ -57,6 +57,7 @@
   mDeclinedUntil = aNow;
   mColdUntil = aNow + mListed.mColdTimeLeft;
   mGate = TargetGate(aNow);
+  ++mIncarnationCount;
 }
 
 void
@@ -76,7 +77,8 @@
 void
 TargetRecord::OnSent(AttemptId aAttempt, Duration aTailLatency, Instant aNow)
 {
-  mInFlight.emplace(aAttempt, InFlightAttempt{ aNow, aTailLatency });
+  mInFlight.emplace(aAttempt,
+                    InFlightAttempt{ aNow, aTailLatency, mIncarnationCount });
 }
 
 double
@@ -98,6 +100,8 @@
     return;
   }
   const Duration latency = aNow - sent->second.mSent;
+  const bool isSameIncarnation =
+    sent->second.mIncarnationCount == mIncarnationCount;
   mInFlight.erase(sent);
   if (aReply.mLoad.has_value()) {
     mLoad = *aReply.mLoad;
@@ -107,12 +111,16 @@
     mDownUntil = aNow + kMaxBackOff;
     return;
   }
-  if (aReply.mUnreadableFields.empty()) {
-    mGate.OnNamedRate(aReply.mNamedRate);
+  if (isSameIncarnation) {
+    ApplyWishes(aReply, aNow);
   }
   mDownUntil = aNow;
   mSuspectUntil = aNow;
   mConsecutiveFailures = 0;
+  if (aReply.mPause.has_value()) {
+    // A target that asks for a pause is well.
+    return;
+  }
   if (aReply.mKind != ReplyKind::Answered) {
     RecordFailure(kSampleWeight, aNow);
     return;
@@ -129,6 +137,20 @@
   mLastSample = aNow;
 }
 
+void
+TargetRecord::ApplyWishes(const PartReply& aReply, Instant aNow)
+{
+  if (!aReply.mIsNamedRateUnreadable) {
+    mGate.OnNamedRate(aReply.mNamedRate);
+  }
+  if (aReply.mIsLeaving) {
+    mGate.OnLeaving();
+  }
+  if (aReply.mPause.has_value()) {
+    mGate.OnPaused(aNow + *aReply.mPause);
+  }
+}
+
 void
 TargetRecord::RecordFailure(double aWeight, Instant aNow)
 {
--- a/Libraries/LibForward/TargetRecord.h
+++ b/Libraries/LibForward/TargetRecord.h
@@ -65,9 +65,13 @@
   {
     Instant mSent;
     Duration mTailLatency{ 0 };
+    /// mIncarnationCount when it was sent.
+    std::uint64_t mIncarnationCount = 0;
   };
 
   void ResetHistory(Instant aNow);
+  /// Applies what the target says of the requests that it wants.
+  void ApplyWishes(const PartReply& aReply, Instant aNow);
   void RecordFailure(double aWeight, Instant aNow);
   [[nodiscard]] Duration BackOff() const;
   [[nodiscard]] double Decayed(double aValue,
@@ -89,6 +93,9 @@
   Instant mDeclinedUntil;
   Instant mColdUntil;
   TargetGate mGate;
+  /// Restarts, and changes of the address or the service, of which this node
+  /// has learned.
+  std::uint64_t mIncarnationCount = 0;
 };
 
 } // namespace verbenachute
--- a/Libraries/LibForward/TargetRecords.cpp
+++ b/Libraries/LibForward/TargetRecords.cpp
@@ -4,6 +4,12 @@
 
 namespace verbenachute {
 
+namespace {
+
+constexpr std::size_t kMaximumLeftTargets = 256;
+
+} // namespace
+
 void
 TargetRecords::List(const ListedTarget& aTarget, Instant aNow)
 {
@@ -12,6 +18,15 @@
     record = std::make_unique<TargetRecord>(aTarget, aNow);
     record->SetDomainIndex(DomainIndex(aTarget.mDomain));
     AddToService(record.get());
+    const bool hasLeft = std::any_of(
+      mLeftTargets.begin(), mLeftTargets.end(), [&](const ListedTarget& aLeft) {
+        return aLeft.mName == aTarget.mName &&
+               aLeft.mStartTime == aTarget.mStartTime &&
+               aLeft.mAddress == aTarget.mAddress;
+      });
+    if (hasLeft) {
+      record->Gate().OnLeaving();
+    }
     return;
   }
   const ServiceName oldService = record->Listed().mService;
@@ -31,6 +46,12 @@
     return;
   }
   RemoveFromService(found->second->Listed().mService, found->second.get());
+  if (found->second->Gate().IsLeaving()) {
+    mLeftTargets.push_back(found->second->Listed());
+    if (mLeftTargets.size() > kMaximumLeftTargets) {
+      mLeftTargets.pop_front();
+    }
+  }
   mTargets.erase(found);
 }
 
--- a/Libraries/LibForward/TargetRecords.h
+++ b/Libraries/LibForward/TargetRecords.h
@@ -3,6 +3,7 @@
 #include <LibForward/ShardCover.h>
 #include <LibForward/TargetRecord.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -43,6 +44,9 @@
   void AddToService(TargetRecord* aRecord);
 
   std::map<TargetName, std::unique_ptr<TargetRecord>> mTargets;
+  /// Targets that were unlisted after they had said that they end: their entry
+  /// may come back before they do. The oldest are dropped.
+  std::deque<ListedTarget> mLeftTargets;
   /// Domains in the order in which they were first seen.
   std::vector<FailureDomain> mDomains;
   std::unordered_map<ServiceName, std::vector<TargetRecord*>> mServices;
--- a/Tests/LibForward/TestTargetGate.cpp
+++ b/Tests/LibForward/TestTargetGate.cpp
@@ -123,7 +123,7 @@
       }
     }
     REQUIRE(refused != nullptr);
-    CHECK(refused->mReason == RefusalReason::RateLimited);
+    CHECK(refused->mReason == RefusalReason::TargetsHeld);
     CHECK(refused->mRetryAfter > milliseconds(100));
     CHECK(static_cast<double>(rig.mSent.size()) <= AllowedInWindow(2));
     const Duration wait = refused->mRetryAfter;
@@ -163,7 +163,7 @@
     reply.mKind = ReplyKind::Answered;
     reply.mStatus = 200;
     reply.mSignature = "signature";
-    reply.mUnreadableFields = "rate";
+    reply.mIsNamedRateUnreadable = true;
     rig.Take(rig.mEngine.OnReply(attempt, reply, rig.mNow));
     CHECK(isLimited());
   }
@@ -187,6 +187,133 @@
   }
 }
 
+// Guards against new work for a target that is about to end.
+TEST_CASE("A target that says that it leaves gets no new work, whatever its "
+          "entry says")
+{
+  ForwardRig rig;
+  rig.ListTarget("single-0", "single");
+  rig.ListTarget("single-1", "single");
+  const RequestNumber running = rig.Submit("/single/running");
+  const TargetName leaving = rig.mSent.back().mTarget;
+  const AttemptId first = rig.mSent.back().mAttempt;
+  PartReply reply;
+  reply.mStatus = 503;
+  reply.mIsLeaving = true;
+  SUBCASE("answered")
+  {
+    reply.mStatus = 200;
+    reply.mKind = ReplyKind::Answered;
+    reply.mSignature = "signature";
+    rig.Take(rig.mEngine.OnReply(first, reply, rig.mNow));
+    CHECK(rig.OutcomeOf<RelayedOutcome>(running) != nullptr);
+  }
+  SUBCASE("failed, and retried elsewhere")
+  {
+    rig.Take(rig.mEngine.OnReply(first, reply, rig.mNow));
+    REQUIRE(rig.mSent.size() == 2);
+    CHECK(rig.mSent.back().mTarget != leaving);
+  }
+  SUBCASE("turned away")
+  {
+    reply.mKind = ReplyKind::Declined;
+    rig.Take(rig.mEngine.OnReply(first, reply, rig.mNow));
+  }
+  SUBCASE("answered after the other target had")
+  {
+    rig.Pass(milliseconds(150));
+    REQUIRE(rig.Open().size() == 2);
+    rig.Answer(rig.Open().back().mAttempt);
+    rig.Take(rig.mEngine.OnReply(first, reply, rig.mNow));
+  }
+  TargetRecords& targets = rig.mEngine.Targets();
+  ListedTarget listed = targets.Find(leaving)->Listed();
+  const auto sendsToIt = [&]() {
+    rig.mSent.clear();
+    for (int i = 0; i < 20; ++i) {
+      rig.Submit("/single/1");
+      rig.Pass(milliseconds(300));
+      for (const SendAction& open : rig.Open()) {
+        rig.Answer(open.mAttempt);
+      }
+    }
+    return std::any_of(
+      rig.mSent.begin(), rig.mSent.end(), [&](const SendAction& aSend) {
+        return aSend.mTarget == leaving;
+      });
+  };
+  CHECK(!sendsToIt());
+  listed.mAvailability = TargetAvailability::Draining;
+  targets.List(listed, rig.mNow);
+  listed.mAvailability = TargetAvailability::Ready;
+  targets.List(listed, rig.mNow);
+  CHECK(!sendsToIt());
+  targets.Unlist(leaving);
+  targets.List(listed, rig.mNow);
+  CHECK(!sendsToIt());
+  listed.mStartTime = UnixMilliseconds(7);
+  targets.List(listed, rig.mNow);
+  CHECK(sendsToIt());
+}
+
+// Guards against requests to a target that has asked for a pause, and against
+// taking the pause for a failure.
+TEST_CASE("A target that asks for a pause gets nothing until it is over")
+{
+  ForwardRig rig;
+  rig.ListTarget("single-0", "single");
+  PartReply turnedAway;
+  turnedAway.mKind = ReplyKind::Declined;
+  turnedAway.mStatus = 503;
+  turnedAway.mPause = seconds(2);
+  const RequestNumber one = rig.Submit("/single/1");
+  const RequestNumber two = rig.Submit("/single/2");
+  REQUIRE(rig.Open().size() == 2);
+  const AttemptId second = rig.Open()[1].mAttempt;
+  rig.Take(rig.mEngine.OnReply(rig.Open()[0].mAttempt, turnedAway, rig.mNow));
+  const TargetRecord* target =
+    rig.mEngine.Targets().Find(TargetName("single-0"));
+  CHECK(target->FailureRate(rig.mNow) == 0);
+  CHECK(!target->IsSuspect(rig.mNow));
+  const RefusedOutcome* refused = rig.OutcomeOf<RefusedOutcome>(one);
+  REQUIRE(refused != nullptr);
+  CHECK(refused->mReason == RefusalReason::TargetsHeld);
+  CHECK(refused->mRetryAfter == seconds(2));
+  // A response that was under way does not shorten it.
+  turnedAway.mPause = milliseconds(10);
+  rig.Take(rig.mEngine.OnReply(second, turnedAway, rig.mNow));
+  CHECK(rig.OutcomeOf<RefusedOutcome>(two) != nullptr);
+  rig.mSent.clear();
+  SUBCASE("alone")
+  {
+    while (rig.mNow < Instant(seconds(1001)) + milliseconds(990)) {
+      const RequestNumber number = rig.Submit("/single/1");
+      refused = rig.OutcomeOf<RefusedOutcome>(number);
+      REQUIRE(refused != nullptr);
+      CHECK(rig.mNow + refused->mRetryAfter >= Instant(seconds(1002)));
+      rig.Pass(milliseconds(100));
+    }
+    CHECK(rig.mSent.empty());
+    rig.Pass(milliseconds(110));
+    rig.Submit("/single/1");
+    CHECK(rig.mSent.size() == 1);
+  }
+  SUBCASE("another copy takes the work, hedges and retries included")
+  {
+    rig.ListTarget("single-1", "single");
+    for (int i = 0; i < 4; ++i) {
+      const RequestNumber number = rig.Submit("/single/1");
+      rig.Pass(milliseconds(200));
+      rig.Break(rig.Open().back().mAttempt, AttemptFailure::ConnectionLost);
+      rig.Pass(milliseconds(200));
+      CHECK(rig.AnswerOf(number) != nullptr);
+    }
+    for (const SendAction& send : rig.mSent) {
+      CHECK(send.mTarget == TargetName("single-1"));
+    }
+  }
+}
+
 // Guards against queries that take what the targets offer for parts of answers
 // that cannot be completed.
 TEST_CASE("A query for which too few shards have room is refused as a whole")
@@ -205,7 +332,7 @@
   const RequestNumber query = rig.Submit("/gather/1");
   const RefusedOutcome* refused = rig.OutcomeOf<RefusedOutcome>(query);
   REQUIRE(refused != nullptr);
-  CHECK(refused->mReason == RefusalReason::RateLimited);
+  CHECK(refused->mReason == RefusalReason::TargetsHeld);
   CHECK(rig.mSent.empty());
 }
 
--- a/Tests/Platform/TestRequestWire.cpp
+++ b/Tests/Platform/TestRequestWire.cpp
@@ -106,6 +106,37 @@
   CHECK(!ReadTargetResponse(std::move(without)).mNamedRate.has_value());
 }
 
+// Guards against new work for targets that leave or have turned work away.
+TEST_CASE("What a target says of leaving and of a pause is read and bounded")
+{
+  const auto read = [](int aStatus, const char* aName, const char* aValue) {
+    HttpResponse response;
+    response.mStatus = aStatus;
+    response.mFields.Add("Not-Executed", "1");
+    response.mFields.Add(aName, aValue);
+    return ReadTargetResponse(std::move(response));
+  };
+  CHECK(read(200, "Server-Leaving", "1").mIsLeaving);
+  CHECK(read(503, "Server-Leaving", "1").mIsLeaving);
+  CHECK(!read(503, "Server-Leaving", "0").mIsLeaving);
+  CHECK(read(503, "Server-Leaving", "0").mUnreadableFields.empty());
+  CHECK(!read(200, "Server-Leaving", "soon").mIsLeaving);
+  CHECK(read(200, "Server-Leaving", "soon").mUnreadableFields ==
+        "Server-Leaving");
+  CHECK(read(503, "Retry-After", "1.5").mPause == milliseconds(1500));
+  CHECK(read(503, "Retry-After", "1e9").mPause == seconds(60));
+  CHECK(read(503, "Retry-After", "1.5").mKind == ReplyKind::Declined);
+  CHECK(!read(429, "Retry-After", "1.5").mPause.has_value());
+  CHECK(!read(503, "Retry-After", "0").mPause.has_value());
+  CHECK(read(503, "Retry-After", "0").mUnreadableFields.empty());
+  for (const char* value :
+       { "-1", "", "nan", "inf", "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+    CAPTURE(value);
+    CHECK(!read(503, "Retry-After", value).mPause.has_value());
+    CHECK(read(503, "Retry-After", value).mUnreadableFields == "Retry-After");
+  }
+}
+
 TEST_CASE("Only a failure to connect proves that nothing was sent")
 {
   CHECK(AttemptFailureOf(StreamFailure::NotConnected) ==
