Meta: Count a soak seed that did not run as neither passed nor failed

In a fresh clone Meta/fault-soak.sh built nothing: it printed no result and a violation for each seed that never started. It builds the two programs if they are missing, or says in one line that it could not and ends with status 3; seeds without a result are counted apart.

--- a/Libraries/LibForward/PoisonDetector.h
+++ b/Libraries/LibForward/PoisonDetector.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace verbenachute {
@@ -19,8 +20,12 @@
   /// under its name is another one.
   UnixMilliseconds mTargetStart{ 0 };
 
-  friend auto operator<=>(const PoisonObservation&,
-                          const PoisonObservation&) = default;
+  friend bool operator<(const PoisonObservation& aOne,
+                        const PoisonObservation& aOther)
+  {
+    return std::tie(aOne.mFingerprint, aOne.mTarget, aOne.mTargetStart) <
+           std::tie(aOther.mFingerprint, aOther.mTarget, aOther.mTargetStart);
+  }
   friend bool operator==(const PoisonObservation&,
                          const PoisonObservation&) = default;
 };
--- a/Libraries/LibGossip/GossipTable.cpp
+++ b/Libraries/LibGossip/GossipTable.cpp
@@ -134,6 +134,7 @@
     });
   due.resize(std::min(due.size(), kMaximumPoisonObservationsSent));
   std::vector<PoisonObservation> observations;
+  observations.reserve(due.size());
   for (const auto& entry : due) {
     observations.push_back(entry->first);
   }
@@ -150,6 +151,7 @@
   const std::size_t count =
     isDue ? std::min(total, kMaximumPoisonConvictionsSent) : 0;
   const std::size_t turn = mRoundCount / mSettings.mUnchangedEntryInterval;
+  due.reserve(count);
   for (std::size_t i = 0; i < count; ++i) {
     due.push_back(
       mPoisonConvictions[(turn * kMaximumPoisonConvictionsSent + i) % total]);
--- a/Meta/fault-soak.sh
+++ b/Meta/fault-soak.sh
@@ -5,7 +5,9 @@
 # promises are checked while it runs, from what callers and targets see.
 #   Meta/fault-soak.sh --seeds N [--first-seed S] [--seconds T] [--nodes N]
 #     [--crash-share P] [--keep-logs]
-# Last line: seeds N, failed M, queries Q, violations V.
+# Builds the two programs if they are missing. Last line: seeds N, failed M,
+# queries Q, violations V, not run K. A seed that did not run to its end is not
+# a violation. Status: 0 all passed, 1 a seed failed, 2 usage, 3 not run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -38,6 +40,20 @@
 [[ $seeds =~ ^[1-9][0-9]*$ && $first_seed =~ ^[0-9]+$ ]] || usage
 [[ $length =~ ^[1-9][0-9]*$ && $nodes =~ ^[1-9]$ ]] || usage
 
+service=$build/Services/verbenachuted/verbenachuted
+standin=$build/StandIns/Deployment/deployment-standin
+if [ ! -x "$service" ] || [ ! -x "$standin" ]; then
+  log=$(mktemp)
+  if ! { cmake -S . -B "$build" -G Ninja &&
+    cmake --build "$build" --target verbenachuted deployment-standin; } \
+    >"$log" 2>&1; then
+    echo "fault-soak: cannot build verbenachuted and deployment-standin in" \
+      "$build; see $log" >&2
+    exit 3
+  fi
+  rm -f "$log"
+fi
+
 domains=(caxias-a caxias-b bento-c)
 declare -A pid_of=()
 deployment=
@@ -80,7 +96,7 @@
     kill -KILL "${pid_of[$1]}" 2>/dev/null || true
     wait "${pid_of[$1]}" 2>/dev/null || true
   fi
-  "$build/Services/verbenachuted/verbenachuted" "--name=$1" --region=sul-rs \
+  "$service" "--name=$1" --region=sul-rs \
     "--failure_domain=${domains[$(((number - 1) % 3))]}" \
     "--domains=caxias-a=sul-rs,caxias-b=sul-rs,bento-c=sul-rs" \
     "--caller_address=127.0.0.1:$base" "--peer_address=127.0.0.1:$((base + 1))" \
@@ -120,7 +136,7 @@
   for number in $(seq "$nodes"); do
     echo "retry_ratio = 0.2" >"$folder/node-$number.settings"
   done
-  exec {commands}< <(exec "$build/StandIns/Deployment/deployment-standin" \
+  exec {commands}< <(exec "$standin" \
     "--seed=$1" "--seconds=$length" "--nodes=$nodes" \
     "--crash_share=$crash_share" \
     "--domains=$(IFS=,; echo "${domains[*]}")" "--first_port=$first_port" \
@@ -140,14 +156,16 @@
     unset "pid_of[$name]"
   done
   crashes=$(count_crashes)
-  found=1 asked=0
+  found=0 asked=0
   if [ -n "$result" ]; then
     found=$(awk '{ print $NF }' <<<"$result")
     asked=$(awk '{ print $5 }' <<<"$result")
+  else
+    not_run=$((not_run + 1))
   fi
   found=$((found + crashes))
   echo "seed $1: ${result:-no result}, crashes $crashes"
-  if [ "$found" -gt 0 ]; then
+  if [ "$found" -gt 0 ] || [ -z "$result" ]; then
     grep VIOLATION "$folder/deployment.log" | head -n 5 || true
     echo "  logs are in $folder"
   elif [ "$keep" = yes ]; then
@@ -157,12 +175,14 @@
   fi
 }
 
-failed=0 queries=0 violations=0
+failed=0 queries=0 violations=0 not_run=0
 for seed in $(seq "$first_seed" $((first_seed + seeds - 1))); do
   run_seed "$seed"
   queries=$((queries + asked))
   violations=$((violations + found))
   [ "$found" -eq 0 ] || failed=$((failed + 1))
 done
-echo "seeds $seeds, failed $failed, queries $queries, violations $violations"
-[ "$failed" -eq 0 ]
+echo "seeds $seeds, failed $failed, queries $queries," \
+  "violations $violations, not run $not_run"
+[ "$failed" -eq 0 ] || exit 1
+[ "$not_run" -eq 0 ] || exit 3
