LibForward: Count only requests that still wait as ahead of a new one

Cause: whether a limited target has room for a new request was judged by the length of the service's queue, which keeps requests that have ended until an attempt ends. If their callers had left, so that no attempt ended any more, each new request was refused for good.

Change: only parts that still wait count, and only for targets with a rate limit.

Test: "Requests that have ended do not keep others from a limited target", no send before, one after.

--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -284,6 +284,8 @@
     const CallerRequest& aRequest);
   void SetTimes(Request* aRequest, Instant aNow);
   void MakeParts(Request* aRequest, Instant aNow);
+  /// Number of parts that wait for a target of the service.
+  [[nodiscard]] std::size_t WaitingParts(const ServiceName& aService) const;
   /// When a target of the service can be sent a part of the request; empty if
   /// that is not known.
   [[nodiscard]] std::optional<Instant> ServiceableFrom(
--- a/Libraries/LibForward/ForwardEngineAdmission.cpp
+++ b/Libraries/LibForward/ForwardEngineAdmission.cpp
@@ -143,6 +143,24 @@
   }
 }
 
+std::size_t
+ForwardEngine::WaitingParts(const ServiceName& aService) const
+{
+  const auto state = mServices.find(aService);
+  if (state == mServices.end()) {
+    return 0;
+  }
+  // The queue keeps parts of requests that have ended until an attempt ends.
+  const std::deque<std::pair<RequestNumber, std::size_t>>& waiting =
+    state->second.mWaiting;
+  return static_cast<std::size_t>(
+    std::count_if(waiting.begin(), waiting.end(), [&](const auto& aEntry) {
+      const auto request = mRequests.find(aEntry.first);
+      return request != mRequests.end() &&
+             request->second.mParts[aEntry.second].mState == PartState::Waiting;
+    }));
+}
+
 std::optional<Instant>
 ForwardEngine::ServiceableFrom(const ServiceName& aService,
                                const CallerId& aCaller,
@@ -151,12 +169,8 @@
   const std::vector<TargetRecord*>& targets = mTargets.Of(aService);
   const ServiceSettings* serviceSettings = mPlan->FindService(aService);
   const std::uint32_t share = ConnectionShare(serviceSettings);
-  const auto state = mServices.find(aService);
-  const double ahead =
-    state == mServices.end()
-      ? 0
-      : static_cast<double>(state->second.mWaiting.size()) /
-          static_cast<double>(std::max<std::size_t>(1, targets.size()));
+  // Counted only for targets with a rate limit.
+  std::optional<double> ahead;
   std::optional<Instant> earliest;
   for (const TargetRecord* target : targets) {
     const std::size_t domain = target->DomainIndex();
@@ -168,11 +182,16 @@
     if (!MayServe(*target, aCaller) || target->IsDown(aNow) || unreachable) {
       continue;
     }
-    const GateDecision gate =
-      target->Gate().Decide(RateSharesOf(*target, serviceSettings, aNow),
-                            AttemptPurpose::First,
-                            ahead,
-                            aNow);
+    const TargetRateShares shares =
+      RateSharesOf(*target, serviceSettings, aNow);
+    const bool isLimited =
+      shares.mCold.has_value() || shares.mNamed.has_value();
+    if (isLimited && !ahead.has_value()) {
+      ahead = static_cast<double>(WaitingParts(aService)) /
+              static_cast<double>(targets.size());
+    }
+    const GateDecision gate = target->Gate().Decide(
+      shares, AttemptPurpose::First, ahead.value_or(0), aNow);
     const std::optional<Instant> from = gate.MaySend() ? aNow : gate.mEndsAt;
     if (from.has_value()) {
       earliest = std::min(earliest.value_or(*from), *from);
--- a/Tests/LibForward/TestTargetGate.cpp
+++ b/Tests/LibForward/TestTargetGate.cpp
@@ -314,6 +314,28 @@
   }
 }
 
+// Guards against a limited target that is never asked again, because requests
+// that have ended still count as waiting.
+TEST_CASE("Requests that have ended do not keep others from a limited target")
+{
+  ForwardRig rig;
+  rig.ListTarget("single-0", "single");
+  rig.mEngine.SetNodes(std::vector<NodeName>(8, NodeName("n")), NodeName("n"));
+  std::vector<RequestNumber> numbers;
+  for (int i = 0; i < 60; ++i) {
+    numbers.push_back(rig.Submit("/single/1"));
+  }
+  REQUIRE(!rig.Open().empty());
+  NameRate(&rig, rig.Open().front().mAttempt, 1);
+  for (const RequestNumber number : numbers) {
+    rig.Take(rig.mEngine.OnCallerDisconnected(number, rig.mNow));
+  }
+  rig.Pass(seconds(60));
+  rig.mSent.clear();
+  rig.Submit("/single/1");
+  CHECK(rig.mSent.size() == 1);
+}
+
 // Guards against queries that take what the targets offer for parts of answers
 // that cannot be completed.
 TEST_CASE("A query for which too few shards have room is refused as a whole")
