--- a/Tests/LibForward/TestForwardEngine.cpp
+++ b/Tests/LibForward/TestForwardEngine.cpp
@@ -353,6 +353,25 @@
   CHECK(rig.OutcomeOf<GatheredOutcome>(query) != nullptr);
 }
 
+namespace {
+
+/// Sends the query "/gather/deadly" three times; each target that is asked is
+/// lost.
+void
+LoseTargetsOfDeadlyQuery(ForwardRig* aRig)
+{
+  for (int i = 0; i < 3; ++i) {
+    const RequestNumber query = aRig->Submit("/gather/deadly");
+    while (aRig->AnswerOf(query) == nullptr) {
+      aRig->Break(aRig->Open().front().mAttempt,
+                  AttemptFailure::ConnectionLost);
+    }
+    aRig->Pass(seconds(3));
+  }
+}
+
+} // namespace
+
 TEST_CASE("A query that crashes its targets is refused after a few")
 {
   ForwardRig rig(1, 1.0);
@@ -383,14 +402,7 @@
   for (const char* name : { "s0-0", "s0-1", "s0-2" }) {
     other.ListTarget(name, "s0");
   }
-  for (int i = 0; i < 3; ++i) {
-    const RequestNumber query = other.Submit("/gather/deadly");
-    while (other.AnswerOf(query) == nullptr) {
-      other.Break(other.Open().front().mAttempt,
-                  AttemptFailure::ConnectionLost);
-    }
-    other.Pass(seconds(3));
-  }
+  LoseTargetsOfDeadlyQuery(&other);
   for (const PoisonObservation& observation :
        other.mEngine.TakePoisonObservations()) {
     rig.mEngine.OnPoisonObservation(observation, rig.mNow);
@@ -443,14 +455,7 @@
     for (const char* name : { "s0-2", "s0-3", "s0-4" }) {
       other.ListTarget(name, "s0");
     }
-    for (int i = 0; i < 3; ++i) {
-      const RequestNumber lost = other.Submit("/gather/deadly");
-      while (other.AnswerOf(lost) == nullptr) {
-        other.Break(other.Open().front().mAttempt,
-                    AttemptFailure::ConnectionLost);
-      }
-      other.Pass(seconds(3));
-    }
+    LoseTargetsOfDeadlyQuery(&other);
     for (const PoisonConviction& conviction :
          other.mEngine.PoisonConvictions(other.mNow)) {
       rig.mEngine.OnPoisonConviction(conviction, rig.mNow);
