--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -84,12 +84,14 @@
   }
   // The nodes that send where there are fewer requests than nodes are the first
   // ones by the rendezvous weight of the target.
-  const std::string& name = aTarget.Listed().mName.value();
-  const std::uint64_t own = RendezvousWeight(name, mSelf.value());
-  const std::size_t nodesBefore = static_cast<std::size_t>(
-    std::count_if(mNodes.begin(), mNodes.end(), [&](const NodeName& aNode) {
-      return RendezvousWeight(name, aNode.value()) > own;
-    }));
+  const auto nodesBefore = [&]() {
+    const std::string& name = aTarget.Listed().mName.value();
+    const std::uint64_t own = RendezvousWeight(name, mSelf.value());
+    return static_cast<std::size_t>(
+      std::count_if(mNodes.begin(), mNodes.end(), [&](const NodeName& aNode) {
+        return RendezvousWeight(name, aNode.value()) > own;
+      }));
+  };
   if (isCold) {
     shares.mCold = TargetGate::ColdShare(
       aServiceSettings->mColdRate, nodesBefore, mNodes.size());
--- a/Libraries/LibForward/TargetGate.cpp
+++ b/Libraries/LibForward/TargetGate.cpp
@@ -136,7 +136,7 @@
 
 RateShare
 TargetGate::ColdShare(double aPerSecond,
-                      std::size_t aNodesBefore,
+                      const NodesBefore& aNodesBefore,
                       std::size_t aNodes)
 {
   const double share =
@@ -148,19 +148,20 @@
   // nodes send, at up to one request per second each.
   const std::size_t senders =
     std::max<std::size_t>(1, static_cast<std::size_t>(aPerSecond));
-  return RateShare{ aNodesBefore < senders ? std::min(1.0, aPerSecond) : 0, 1 };
+  return RateShare{ aNodesBefore() < senders ? std::min(1.0, aPerSecond) : 0,
+                    1 };
 }
 
 RateShare
 TargetGate::NamedShare(double aPerSecond,
-                       std::size_t aNodesBefore,
+                       const NodesBefore& aNodesBefore,
                        std::size_t aNodes)
 {
   const double burst = aPerSecond + kNamedBurst;
   // Each sender's burst is one request at least.
   const std::size_t senders = std::clamp<std::size_t>(
     static_cast<std::size_t>(burst), 1, std::max<std::size_t>(1, aNodes));
-  if (aNodesBefore >= senders) {
+  if (senders < aNodes && aNodesBefore() >= senders) {
     return RateShare{ 0, 1 };
   }
   const double count = static_cast<double>(senders);
--- a/Libraries/LibForward/TargetGate.h
+++ b/Libraries/LibForward/TargetGate.h
@@ -5,6 +5,7 @@
 #include <LibForward/AttemptBudget.h>
 
 #include <cstddef>
+#include <functional>
 #include <optional>
 
 namespace verbenachute {
@@ -93,14 +94,17 @@
                                     double aAhead,
                                     Instant aNow) const;
 
-  /// Share of one node of a cold target's rate. aNodesBefore of aNodes nodes
-  /// come before it in the order of this target.
+  /// Counts the nodes before this one in the order of a target.
+  using NodesBefore = std::function<std::size_t()>;
+
+  /// Share of one of aNodes nodes of a cold target's rate. aNodesBefore is
+  /// called only if not all nodes send.
   [[nodiscard]] static RateShare ColdShare(double aPerSecond,
-                                           std::size_t aNodesBefore,
+                                           const NodesBefore& aNodesBefore,
                                            std::size_t aNodes);
   /// The same for a rate that a target has named.
   [[nodiscard]] static RateShare NamedShare(double aPerSecond,
-                                            std::size_t aNodesBefore,
+                                            const NodesBefore& aNodesBefore,
                                             std::size_t aNodes);
 
 private:
--- a/Tests/LibForward/TestTargetGate.cpp
+++ b/Tests/LibForward/TestTargetGate.cpp
@@ -71,7 +71,8 @@
            now += milliseconds(10)) {
         for (std::size_t i = 0; i < nodes; ++i) {
           TargetRateShares shares;
-          shares.mNamed = TargetGate::NamedShare(rate, i, nodes);
+          shares.mNamed = TargetGate::NamedShare(
+            rate, [i]() { return i; }, nodes);
           while (
             gates[i].Decide(shares, AttemptPurpose::First, 0, now).MaySend()) {
             gates[i].OnSent(shares, now);
