Review: Add stand-ins for the scripts of cases

The review shows faults with scripts that start the daemon with the command and template of the deploy file. review-store is the project's stand-in of the store as a process of its own, with a port for a case that acts as operator and as searcher; review-world plays searchers, consumers and the operator and checks one rule a case. review/build.sh builds both beside the project, without a change outside review/.

--- /dev/null
+++ b/review/StandIns/Deployment/Cases.cpp
@@ -0,0 +1,403 @@
+#include "Cases.h"
+
+#include <LibJson/JsonText.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace verbenachute::review {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kTooMany = 429;
+constexpr int kUnavailable = 503;
+
+/// Calls aTask each aInterval from now on, aCount times.
+void
+Repeat(World& aWorld,
+       Duration aInterval,
+       std::size_t aCount,
+       const std::function<void(std::size_t)>& aTask)
+{
+  for (std::size_t i = 0; i < aCount; ++i) {
+    aWorld.After(static_cast<Duration::rep>(i) * aInterval,
+                 [aTask, i]() { aTask(i); });
+  }
+}
+
+// Case storm: a big configuration changes in quick succession.
+
+constexpr std::size_t kAddedRoutes = 1400;
+constexpr std::size_t kShards = 30;
+constexpr std::size_t kStormVersions = 25;
+constexpr Duration kStormGap = milliseconds(60);
+constexpr Duration kConfigApply = milliseconds(3000);
+constexpr std::size_t kMaxValueBytes = 1048576;
+
+std::string
+ShardName(std::size_t aShard)
+{
+  return "painel-doca-" + std::to_string(10 + aShard);
+}
+
+std::string
+StormPlan(std::uint64_t aVersion, bool aIsNew)
+{
+  Json::Value plan = EmptyPlan(aVersion);
+  Json::Value moved = RouteJson("moved", "safe", seconds(2));
+  moved["Backend"] = aIsNew ? "beta" : "alpha";
+  plan["Routes"].append(moved);
+  if (aIsNew) {
+    Json::Value added = RouteJson("added", "safe", seconds(2));
+    added["Backend"] = "beta";
+    plan["Routes"].append(added);
+  }
+  for (std::size_t i = 0; i < kAddedRoutes; ++i) {
+    Json::Value route =
+      RouteJson("idle-" + std::to_string(1000 + i), "safe", seconds(2));
+    route["TopK"] = 20;
+    route["MinCoverage"] = 0.89;
+    for (std::size_t shard = 0; shard < kShards; ++shard) {
+      route["Gather"].append(ShardName(shard));
+    }
+    plan["Routes"].append(route);
+  }
+  plan["Backends"].append(BackendJson("alpha"));
+  plan["Backends"].append(BackendJson("beta"));
+  for (std::size_t shard = 0; shard < kShards; ++shard) {
+    plan["Backends"].append(BackendJson(ShardName(shard)));
+  }
+  return CompactJson(plan);
+}
+
+void
+CheckStormAnswer(World& aWorld, const std::string& aId, const Request& aRequest)
+{
+  const std::string where = " at node " + std::to_string(aRequest.mNode + 1);
+  if (aRequest.mPath.starts_with("/added/") && aRequest.mStatus == kNotFound) {
+    aWorld.Broken(aId + where + ": 404 for a route that was added");
+  }
+  for (const std::string& service : aRequest.mRuns) {
+    if (service == "alpha") {
+      aWorld.Broken(aId + where + ": run by the service of the older version");
+    }
+  }
+}
+
+void
+ProbeAfterStorm(World& aWorld)
+{
+  constexpr std::size_t kProbes = 40;
+  Repeat(aWorld, milliseconds(100), kProbes, [&aWorld](std::size_t aRound) {
+    for (std::size_t node = 0; node < aWorld.Nodes(); ++node) {
+      for (const char* path : { "/added/x", "/moved/x" }) {
+        static_cast<void>(
+          aWorld.Send(node,
+                      "GET",
+                      path + std::to_string(aRound),
+                      seconds(2),
+                      "",
+                      [&aWorld](const std::string& aId, const Request& aSent) {
+                        CheckStormAnswer(aWorld, aId, aSent);
+                      }));
+      }
+    }
+  });
+  aWorld.After(seconds(8), [&aWorld]() { aWorld.End(); });
+}
+
+void
+SendStorm(World& aWorld,
+          const std::shared_ptr<std::vector<std::string>>& aPlans)
+{
+  Repeat(
+    aWorld, kStormGap, aPlans->size(), [&aWorld, aPlans](std::size_t aIndex) {
+      aWorld.Put("op/config", aPlans->at(aIndex), [&aWorld, aPlans, aIndex]() {
+        aWorld.Record("acknowledged version " + std::to_string(2 + aIndex));
+        if (aIndex + 1 == aPlans->size()) {
+          aWorld.After(kConfigApply + milliseconds(200),
+                       [&aWorld]() { ProbeAfterStorm(aWorld); });
+        }
+      });
+    });
+}
+
+void
+Storm(World& aWorld)
+{
+  static_cast<void>(aWorld.AddSearcher("i-alpha-1", "alpha", "zone-a"));
+  static_cast<void>(aWorld.AddSearcher("i-alpha-2", "alpha", "zone-b"));
+  static_cast<void>(aWorld.AddSearcher("i-beta-1", "beta", "zone-a"));
+  static_cast<void>(aWorld.AddSearcher("i-beta-2", "beta", "zone-b"));
+  const std::string first = StormPlan(1, false);
+  if (first.size() > kMaxValueBytes) {
+    aWorld.Fail("the configuration is larger than MaxValueBytes");
+    return;
+  }
+  aWorld.Record("configuration of " + std::to_string(first.size()) + " bytes");
+  aWorld.Put("op/config", first);
+  aWorld.WhenReady([&aWorld]() {
+    const std::size_t versions = aWorld.HasTrouble() ? kStormVersions : 1;
+    // Written before, so that each version goes out at its moment.
+    const std::shared_ptr<std::vector<std::string>> plans =
+      std::make_shared<std::vector<std::string>>();
+    for (std::size_t i = 0; i < versions; ++i) {
+      plans->push_back(StormPlan(2 + i, i + 1 == versions));
+    }
+    aWorld.After(seconds(5), [&aWorld, plans]() { SendStorm(aWorld, plans); });
+  });
+}
+
+// Case refused: a searcher fails part of the requests that it has run.
+
+constexpr double kFailingShare = 0.4;
+constexpr std::size_t kBookingSearchers = 7;
+constexpr std::size_t kBookings = 600;
+constexpr Duration kBookingInterval = milliseconds(50);
+
+/// Runs of each booking, whatever the ids of its requests.
+using BookingRuns = std::map<std::size_t, std::size_t>;
+
+enum class Try
+{
+  First,
+  /// After a promise that the booking has not run.
+  Again,
+};
+
+void
+SendBooking(World& aWorld,
+            std::size_t aNumber,
+            Try aTry,
+            const std::shared_ptr<BookingRuns>& aRuns)
+{
+  const auto done = [&aWorld, aNumber, aTry, aRuns](const std::string& aId,
+                                                    const Request& aSent) {
+    const bool isPromise =
+      aSent.mStatus == kUnavailable || aSent.mStatus == kTooMany;
+    if (isPromise && !aSent.mRuns.empty()) {
+      aWorld.Broken(aId + " was answered " + std::to_string(aSent.mStatus) +
+                    " and has run");
+    }
+    std::size_t& runs = (*aRuns)[aNumber];
+    runs += aSent.mRuns.size();
+    if (runs > 1) {
+      aWorld.Record("booking " + std::to_string(aNumber) + " ran " +
+                    std::to_string(runs) + " times");
+    }
+    if (isPromise && aTry == Try::First) {
+      SendBooking(aWorld, aNumber, Try::Again, aRuns);
+    }
+  };
+  const std::string number = std::to_string(aNumber);
+  static_cast<void>(aWorld.Send(aNumber % aWorld.Nodes(),
+                                "POST",
+                                "/book/" + number,
+                                seconds(2),
+                                "booking " + number,
+                                done));
+}
+
+void
+Refused(World& aWorld)
+{
+  Json::Value plan = EmptyPlan(1);
+  Json::Value route = RouteJson("book", "unsafe", seconds(2));
+  route["Backend"] = "booking";
+  plan["Routes"].append(route);
+  plan["Backends"].append(BackendJson("booking"));
+  for (std::size_t i = 0; i < kBookingSearchers; ++i) {
+    Searcher& searcher = aWorld.AddSearcher(
+      "i-booking-" + std::to_string(i + 1), "booking", "zone-a");
+    searcher.SetFailureStatus(kUnavailable);
+    if (aWorld.HasTrouble() && i == 0) {
+      searcher.SetAnswers(
+        [number = std::make_shared<std::size_t>(0)](const std::string&) {
+          // Evenly spread, so that each run of the case does the same.
+          const auto failures = [](std::size_t aCount) {
+            return static_cast<std::size_t>(static_cast<double>(aCount) *
+                                            kFailingShare);
+          };
+          ++*number;
+          return failures(*number) > failures(*number - 1) ? Answer::OwnFailure
+                                                           : Answer::Success;
+        });
+    }
+  }
+  aWorld.Put("op/config", CompactJson(plan));
+  aWorld.WhenReady([&aWorld]() {
+    const std::shared_ptr<BookingRuns> runs = std::make_shared<BookingRuns>();
+    Repeat(aWorld,
+           kBookingInterval,
+           kBookings,
+           [&aWorld, runs](std::size_t aNumber) {
+             SendBooking(aWorld, aNumber, Try::First, runs);
+           });
+    aWorld.After(kBookingInterval * kBookings + seconds(4), [&aWorld, runs]() {
+      const auto twice =
+        std::count_if(runs->begin(), runs->end(), [](const auto& aEntry) {
+          return aEntry.second > 1;
+        });
+      std::printf("bookings that ran twice: %zu\n",
+                  static_cast<std::size_t>(twice));
+      aWorld.End();
+    });
+  });
+}
+
+// Case cold: all searchers of a service crash and come back together, cold.
+
+constexpr double kWarmupPerSecond = 2;
+constexpr double kWarmupOvershoot = 1.5;
+constexpr double kWarmupSlack = 5;
+constexpr Duration kWarmup = seconds(3);
+// A cold searcher crashes at a rate well above what it tolerates.
+constexpr double kCrashFactor = 2;
+constexpr Duration kDown = milliseconds(1100);
+// Time between the starts of the searchers.
+constexpr Duration kApart = milliseconds(50);
+constexpr std::size_t kColdRequests = 1200;
+
+/// Counts requests that were sent and arrived inside one second.
+class ColdCounter
+{
+public:
+  /// True if the rule's bound is exceeded for the first time.
+  bool OnArrival(const std::string& aSearcher, Instant aSent, Instant aNow)
+  {
+    std::deque<Instant>& sent = mSent[aSearcher];
+    sent.push_back(aSent);
+    while (!sent.empty() && aNow - sent.front() > seconds(1)) {
+      sent.pop_front();
+    }
+    std::size_t& most = mMost[aSearcher];
+    const bool wasWithin = static_cast<double>(most) <= Bound();
+    most = std::max(most, sent.size());
+    return wasWithin && static_cast<double>(most) > Bound();
+  }
+
+  [[nodiscard]] static double Bound()
+  {
+    return kWarmupPerSecond * kWarmupOvershoot + kWarmupSlack;
+  }
+  [[nodiscard]] const std::map<std::string, std::size_t>& Most() const
+  {
+    return mMost;
+  }
+
+private:
+  std::map<std::string, std::deque<Instant>> mSent;
+  std::map<std::string, std::size_t> mMost;
+};
+
+/// Bookings since then that a searcher began to run and that have no success.
+void
+ReportLost(World& aWorld, Instant aSince)
+{
+  const auto& requests = aWorld.Requests();
+  const auto lost =
+    std::count_if(requests.begin(), requests.end(), [&](const auto& aEntry) {
+      return aEntry.second.mSent >= aSince && !aEntry.second.mRuns.empty() &&
+             aEntry.second.mStatus != kOk;
+    });
+  aWorld.Record("bookings that began and were lost: " + std::to_string(lost));
+  std::printf("bookings that began and were lost: %zu\n",
+              static_cast<std::size_t>(lost));
+}
+
+void
+Cold(World& aWorld)
+{
+  Json::Value plan = EmptyPlan(1);
+  Json::Value route = RouteJson("book", "unsafe", seconds(2));
+  route["Backend"] = "booking";
+  plan["Routes"].append(route);
+  Json::Value backend = BackendJson("booking");
+  backend["WarmupPerS"] = kWarmupPerSecond;
+  plan["Backends"].append(backend);
+  std::vector<Searcher*> searchers;
+  for (const char* name : { "1", "2" }) {
+    searchers.push_back(&aWorld.AddSearcher(
+      std::string("i-booking-") + name, "booking", std::string("zone-a")));
+  }
+  const std::shared_ptr<ColdCounter> counter = std::make_shared<ColdCounter>();
+  aWorld.SetArrived(
+    [&aWorld, counter](const Request& aRequest, Searcher* aSearcher) {
+      if (!aSearcher->IsCold()) {
+        return;
+      }
+      const std::string& id = aSearcher->Shape().mId;
+      aWorld.Record("arrives at the cold searcher " + id);
+      if (counter->OnArrival(id, aRequest.mSent, aWorld.Loop().Now())) {
+        aWorld.Broken("the cold searcher " + id +
+                      " got more requests in one second than the bound of " +
+                      std::to_string(ColdCounter::Bound()));
+      }
+      if (static_cast<double>(counter->Most().at(id)) >
+          kCrashFactor * ColdCounter::Bound()) {
+        aWorld.Record("the cold searcher " + id + " crashes");
+        aWorld.Loop().Defer([aSearcher]() { aSearcher->Crash(); });
+      }
+    });
+  aWorld.Put("op/config", CompactJson(plan));
+  const std::shared_ptr<Instant> back =
+    std::make_shared<Instant>(aWorld.Loop().Now());
+  aWorld.WhenReady([&aWorld, counter, searchers, back]() {
+    Repeat(
+      aWorld, milliseconds(8), kColdRequests, [&aWorld](std::size_t aNumber) {
+        static_cast<void>(aWorld.Send(aNumber % aWorld.Nodes(),
+                                      "POST",
+                                      "/book/" + std::to_string(aNumber),
+                                      seconds(2),
+                                      "booking " + std::to_string(aNumber),
+                                      {}));
+      });
+    if (aWorld.HasTrouble()) {
+      aWorld.After(seconds(5), [&aWorld, searchers]() {
+        aWorld.Record("both searchers crash");
+        for (Searcher* searcher : searchers) {
+          searcher->Crash();
+        }
+      });
+      for (std::size_t i = 0; i < searchers.size(); ++i) {
+        Searcher* searcher = searchers[i];
+        aWorld.After(seconds(5) + kDown +
+                       static_cast<Duration::rep>(i) * kApart,
+                     [&aWorld, searcher, back]() {
+                       *back = aWorld.Loop().Now();
+                       aWorld.Record(searcher->Shape().mId + " is back, cold");
+                       if (!searcher->StartAgain(kWarmup)) {
+                         aWorld.Fail("a searcher could not start again");
+                       }
+                     });
+      }
+    }
+    aWorld.After(seconds(13), [&aWorld, counter, back]() {
+      for (const auto& [id, most] : counter->Most()) {
+        aWorld.Record("most in one second at " + id + ": " +
+                      std::to_string(most));
+        std::printf("most in one second at %s: %zu\n", id.c_str(), most);
+      }
+      ReportLost(aWorld, *back);
+      aWorld.End();
+    });
+  });
+}
+
+} // namespace
+
+const std::map<std::string, std::function<void(World&)>>&
+Cases()
+{
+  static const std::map<std::string, std::function<void(World&)>> kCases = {
+    { "storm", Storm },
+    { "refused", Refused },
+    { "cold", Cold },
+  };
+  return kCases;
+}
+
+} // namespace verbenachute::review
--- /dev/null
+++ b/review/StandIns/Deployment/targets.cmake
@@ -0,0 +1,13 @@
+set(deployment ${PROJECT_SOURCE_DIR}/StandIns/Deployment)
+set(here ${PROJECT_SOURCE_DIR}/review/StandIns/Deployment)
+
+# The project's own stand-in of the platform's store, as a process.
+add_executable(review-store ${here}/Store.cpp ${deployment}/StoreModel.cpp
+                            ${deployment}/StoreServer.cpp)
+target_link_libraries(review-store PRIVATE LibHttp LibJson LibTransport
+                                           absl::strings)
+
+# Searchers, consumers and the operator of a case.
+add_executable(review-world ${here}/Main.cpp ${here}/World.cpp
+                            ${here}/CaseSearcher.cpp ${here}/Cases.cpp)
+target_link_libraries(review-world PRIVATE LibHttp LibJson LibTransport)
