--- a/review/StandIns/Deployment/CaseSearcher.cpp
+++ b/review/StandIns/Deployment/CaseSearcher.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kNoContent = 204;
 constexpr int kWrongTarget = 421;
 constexpr int kFull = 503;
 constexpr std::size_t kRecordBytes = 16;
@@ -187,6 +188,19 @@
   Job& job = mJobs.at(aNumber);
   job.mRunning = true;
   mWorld.OnRun(job.mRequest, mShape, *job.mCall);
+  const bool crashes =
+    !mCrashMarker.empty() &&
+    job.mCall->mTarget.find(mCrashMarker) != std::string::npos;
+  if (crashes) {
+    mWorld.Record(mShape.mId + " crashes");
+    mLoop.Defer([this]() { Crash(); });
+    mWorld.After(mDown, [this]() {
+      if (!IsUp() && !StartAgain(Duration(0))) {
+        mWorld.Fail("a searcher could not start again");
+      }
+    });
+    return;
+  }
   job.mTimer =
     std::make_unique<Timer>(mLoop, [this, aNumber]() { Finish(aNumber); });
   job.mTimer->Start(mShape.mWork);
@@ -218,6 +232,17 @@
     case Answer::Silence:
       mUnanswered.push_back(job->mCall);
       break;
+    case Answer::NoContent:
+      job->mCall->Respond(kNoContent, fields, "");
+      break;
+    case Answer::NoContentAndMore: {
+      const std::string more =
+        "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Stamp: another\r\n"
+        "Content-Length: 12\r\n\r\nforeign data";
+      fields.Add("Content-Length", std::to_string(more.size()));
+      job->mCall->Respond(kNoContent, fields, more);
+      break;
+    }
   }
   StartWaiting();
 }
--- a/review/StandIns/Deployment/CaseSearcher.h
+++ b/review/StandIns/Deployment/CaseSearcher.h
@@ -35,6 +35,10 @@
   OwnFailure,
   /// None; the connection stays open.
   Silence,
+  /// Success without content.
+  NoContent,
+  /// The same, with a second answer after it that stands in its length.
+  NoContentAndMore,
 };
 
 /// One searcher: it tells of itself in the store, and runs requests in slots.
@@ -49,6 +53,13 @@
   [[nodiscard]] bool Start();
   void SetAnswers(Choose aChoose) { mChoose = std::move(aChoose); }
   void SetWork(Duration aWork) { mShape.mWork = aWork; }
+  /// A request with this text in its path crashes the searcher, which is back
+  /// after some time; empty: none does.
+  void SetCrashes(std::string aMarker, Duration aDown)
+  {
+    mCrashMarker = std::move(aMarker);
+    mDown = aDown;
+  }
   /// Status of the failures of its own.
   void SetFailureStatus(int aStatus) { mFailureStatus = aStatus; }
   /// Drops all connections and runs, and stops to listen.
@@ -89,6 +100,8 @@
   std::vector<CallPointer> mUnanswered;
   Choose mChoose;
   int mFailureStatus = 500;
+  std::string mCrashMarker;
+  Duration mDown{ 0 };
   std::uint64_t mNumber = 0;
   std::uint64_t mSequence = 0;
   UnixMilliseconds mBorn{ 0 };
--- a/review/StandIns/Deployment/Cases.cpp
+++ b/review/StandIns/Deployment/Cases.cpp
@@ -1,5 +1,7 @@
 #include "Cases.h"
 
+#include "RawConsumer.h"
+
 #include <LibJson/JsonText.h>
 
 #include <algorithm>
@@ -300,8 +302,9 @@
   const auto& requests = aWorld.Requests();
   const auto lost =
     std::count_if(requests.begin(), requests.end(), [&](const auto& aEntry) {
-      return aEntry.second.mSent >= aSince && !aEntry.second.mRuns.empty() &&
-             aEntry.second.mStatus != kOk;
+      return aEntry.second.mSent >= aSince &&
+             aEntry.second.mPath.starts_with("/book/") &&
+             !aEntry.second.mRuns.empty() && aEntry.second.mStatus != kOk;
     });
   aWorld.Record("bookings that began and were lost: " + std::to_string(lost));
   std::printf("bookings that began and were lost: %zu\n",
@@ -387,15 +390,230 @@
   });
 }
 
+// Case poison: a request that crashes its searchers comes again and again.
+
+constexpr const char* kPoisonPath = "/find/crash-marker";
+constexpr Duration kContact = milliseconds(4000);
+constexpr Duration kPoisonInterval = milliseconds(40);
+constexpr Duration kPoisonTime = seconds(72);
+constexpr std::size_t kAllowedRetries = 3;
+constexpr std::size_t kCrashesToKnow = 3;
+constexpr std::size_t kFindSearchers = 12;
+constexpr Duration kFindWork = milliseconds(90);
+
+struct PoisonState
+{
+  std::size_t mCrashes = 0;
+  Instant mThirdCrash;
+  /// Requests that reached searchers too late.
+  std::set<std::string> mLate;
+  Instant mCalmFrom;
+};
+
+void
+OnPoisonArrival(World& aWorld, PoisonState* aState, const std::string& aId)
+{
+  const Instant now = aWorld.Loop().Now();
+  // Each arrival that is run crashes its searcher.
+  if (++aState->mCrashes == kCrashesToKnow) {
+    aState->mThirdCrash = now;
+    aWorld.Record("the third crash");
+  }
+  const bool isLate =
+    aState->mCrashes > kCrashesToKnow && now - aState->mThirdCrash > kContact;
+  if (isLate && aState->mLate.insert(aId).second) {
+    aWorld.Record("reaches a searcher after all: " + aId);
+    if (aState->mLate.size() == kAllowedRetries + 1) {
+      aWorld.Broken("a request that crashes searchers reached them in more "
+                    "than three retries later than ContactMs after the third "
+                    "crash");
+    }
+  }
+}
+
+void
+SendPoison(World& aWorld, std::size_t aNode, Try aTry)
+{
+  static_cast<void>(aWorld.Send(
+    aNode,
+    "GET",
+    kPoisonPath,
+    seconds(2),
+    "",
+    [&aWorld, aNode, aTry](const std::string&, const Request& aSent) {
+      // A consumer repeats a safe request once after a failure, elsewhere.
+      if (aSent.mStatus != kOk && aTry == Try::First) {
+        SendPoison(aWorld, (aNode + 1) % aWorld.Nodes(), Try::Again);
+      }
+    }));
+}
+
+void
+Poison(World& aWorld)
+{
+  Json::Value plan = EmptyPlan(1);
+  Json::Value find = RouteJson("find", "safe", seconds(2));
+  find["Backend"] = "booking";
+  plan["Routes"].append(find);
+  Json::Value book = RouteJson("book", "unsafe", seconds(2));
+  book["Backend"] = "booking";
+  plan["Routes"].append(book);
+  plan["Backends"].append(BackendJson("booking"));
+  for (std::size_t i = 0; i < kFindSearchers; ++i) {
+    Searcher& searcher =
+      aWorld.AddSearcher("i-booking-" + std::to_string(i + 1),
+                         "booking",
+                         i % 2 == 0 ? "zone-a" : "zone-b");
+    searcher.SetWork(kFindWork);
+    if (aWorld.HasTrouble()) {
+      searcher.SetCrashes("crash-marker", seconds(3));
+    }
+  }
+  const std::shared_ptr<PoisonState> state = std::make_shared<PoisonState>();
+  if (aWorld.HasTrouble()) {
+    aWorld.SetRun(
+      [&aWorld, state](const std::string& aId, const Request& aRequest) {
+        if (aRequest.mPath == kPoisonPath) {
+          OnPoisonArrival(aWorld, state.get(), aId);
+        }
+      });
+  }
+  aWorld.Put("op/config", CompactJson(plan));
+  aWorld.WhenReady([&aWorld, state]() {
+    state->mCalmFrom = aWorld.Loop().Now() + seconds(20);
+    aWorld.After(seconds(5), [&aWorld]() {
+      Repeat(aWorld,
+             kPoisonInterval,
+             static_cast<std::size_t>(kPoisonTime / kPoisonInterval),
+             [&aWorld](std::size_t aNumber) {
+               SendPoison(aWorld, aNumber % aWorld.Nodes(), Try::First);
+             });
+      Repeat(aWorld,
+             kBookingInterval,
+             static_cast<std::size_t>(kPoisonTime / kBookingInterval),
+             [&aWorld](std::size_t aNumber) {
+               const std::string number = std::to_string(aNumber);
+               static_cast<void>(aWorld.Send(aNumber % aWorld.Nodes(),
+                                             "POST",
+                                             "/book/" + number,
+                                             seconds(2),
+                                             "booking " + number,
+                                             {}));
+             });
+    });
+    aWorld.After(seconds(5) + kPoisonTime + seconds(4), [&aWorld, state]() {
+      std::printf("crashes: %zu, requests that came through late: %zu\n",
+                  state->mCrashes,
+                  state->mLate.size());
+      ReportLost(aWorld, state->mCalmFrom);
+      aWorld.End();
+    });
+  });
+}
+
+// Case foreign: a searcher adds bytes to answers that have no content.
+
+constexpr double kGarbledShare = 0.04;
+constexpr std::size_t kGarbledSearchers = 6;
+constexpr std::size_t kGarbledEach = 2;
+constexpr std::size_t kForeignRequests = 600;
+
+/// One consumer with a kept connection to one node.
+struct ForeignConsumer
+{
+  std::size_t mNode = 0;
+  std::unique_ptr<RawConsumer> mConnection;
+  std::string mLast = "none";
+};
+
+void
+SendForeign(World& aWorld,
+            const std::shared_ptr<ForeignConsumer>& aConsumer,
+            std::size_t aNumber)
+{
+  ForeignConsumer& consumer = *aConsumer;
+  if (!consumer.mConnection || consumer.mConnection->HasEnded()) {
+    consumer.mConnection = std::make_unique<RawConsumer>(
+      aWorld.Loop(),
+      aWorld.NodeAddress(consumer.mNode),
+      [&aWorld, aConsumer](const std::string& aBytes) {
+        aWorld.Broken("bytes that answer no request, on a connection to node " +
+                      std::to_string(aConsumer->mNode + 1) + " after " +
+                      aConsumer->mLast + ": " + aBytes);
+      });
+  }
+  if (!consumer.mConnection->IsReady()) {
+    return;
+  }
+  const std::string id = "q" + std::to_string(aNumber);
+  consumer.mLast = id;
+  aWorld.Record("sent " + id + " to node " +
+                std::to_string(consumer.mNode + 1));
+  const std::string body = "booking " + std::to_string(aNumber);
+  consumer.mConnection->Send(
+    "POST /book/" + std::to_string(aNumber) +
+      " HTTP/1.1\r\nHost: " + World::kHost + "\r\nRequest-Id: " + id +
+      "\r\nDeadline-Ms: 2000\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body,
+    [&aWorld, id](const RawConsumer::Answer& aAnswer) {
+      aWorld.Record("answered " + id + ": " + std::to_string(aAnswer.mStatus));
+      if (aAnswer.mHead.find(id + "\r\n") == std::string::npos) {
+        aWorld.Broken(id + " got the answer to another request");
+      }
+    });
+}
+
+void
+Foreign(World& aWorld)
+{
+  Json::Value plan = EmptyPlan(1);
+  Json::Value route = RouteJson("book", "unsafe", seconds(2));
+  route["Backend"] = "booking";
+  plan["Routes"].append(route);
+  plan["Backends"].append(BackendJson("booking"));
+  for (std::size_t i = 0; i < kGarbledSearchers; ++i) {
+    Searcher& searcher = aWorld.AddSearcher(
+      "i-booking-" + std::to_string(i + 1), "booking", "zone-a");
+    const bool garbles = aWorld.HasTrouble() && i < kGarbledEach;
+    searcher.SetAnswers(
+      [garbles, number = std::make_shared<std::size_t>(0)](const std::string&) {
+        const auto garbled = [](std::size_t aCount) {
+          return static_cast<std::size_t>(static_cast<double>(aCount) *
+                                          kGarbledShare);
+        };
+        ++*number;
+        return garbles && garbled(*number) > garbled(*number - 1)
+                 ? Answer::NoContentAndMore
+                 : Answer::NoContent;
+      });
+  }
+  aWorld.Put("op/config", CompactJson(plan));
+  aWorld.WhenReady([&aWorld]() {
+    std::vector<std::shared_ptr<ForeignConsumer>> consumers;
+    for (std::size_t node = 0; node < aWorld.Nodes(); ++node) {
+      consumers.push_back(std::make_shared<ForeignConsumer>());
+      consumers.back()->mNode = node;
+    }
+    Repeat(aWorld,
+           kBookingInterval,
+           kForeignRequests,
+           [&aWorld, consumers](std::size_t aNumber) {
+             SendForeign(
+               aWorld, consumers[aNumber % consumers.size()], aNumber);
+           });
+    aWorld.After(kBookingInterval * kForeignRequests + seconds(3),
+                 [&aWorld]() { aWorld.End(); });
+  });
+}
+
 } // namespace
 
 const std::map<std::string, std::function<void(World&)>>&
 Cases()
 {
   static const std::map<std::string, std::function<void(World&)>> kCases = {
-    { "storm", Storm },
-    { "refused", Refused },
-    { "cold", Cold },
+    { "storm", Storm },   { "refused", Refused }, { "cold", Cold },
+    { "poison", Poison }, { "foreign", Foreign },
   };
   return kCases;
 }
--- a/review/StandIns/Deployment/World.cpp
+++ b/review/StandIns/Deployment/World.cpp
@@ -264,6 +264,9 @@
   const auto found = mRequests.find(aRequest);
   if (found != mRequests.end()) {
     found->second.mRuns.push_back(aShape.mService);
+    if (mRan) {
+      mRan(aRequest, found->second);
+    }
   }
 }
 
--- a/review/StandIns/Deployment/World.h
+++ b/review/StandIns/Deployment/World.h
@@ -50,6 +50,10 @@
 
   [[nodiscard]] bool HasTrouble() const { return mSettings.mTrouble; }
   [[nodiscard]] EventLoop& Loop() { return mLoop; }
+  [[nodiscard]] const SocketAddress& NodeAddress(std::size_t aNode) const
+  {
+    return mSettings.mNodes[aNode];
+  }
   [[nodiscard]] std::size_t Nodes() const { return mSettings.mNodes.size(); }
   [[nodiscard]] Searcher& AddSearcher(const std::string& aId,
                                       const std::string& aService,
@@ -77,6 +81,9 @@
   using Arrived = std::function<void(const Request&, Searcher*)>;
   /// Calls aArrived for each request that reaches a searcher.
   void SetArrived(Arrived aArrived) { mArrived = std::move(aArrived); }
+  using Ran = std::function<void(const std::string& aId, const Request&)>;
+  /// Calls aRan for each request that a searcher begins to work on.
+  void SetRun(Ran aRan) { mRan = std::move(aRan); }
   void Record(const std::string& aText);
   /// A breach of the rule that the case is about.
   void Broken(const std::string& aText);
@@ -119,6 +126,7 @@
   std::unique_ptr<HttpClientStream> mControl;
   std::deque<Write> mWrites;
   Arrived mArrived;
+  Ran mRan;
   std::size_t mLastRequest = 0;
   std::size_t mReadyNodes = 0;
   std::size_t mBreaches = 0;
--- a/review/StandIns/Deployment/targets.cmake
+++ b/review/StandIns/Deployment/targets.cmake
@@ -9,5 +9,6 @@
 
 # Searchers, consumers and the operator of a case.
 add_executable(review-world ${here}/Main.cpp ${here}/World.cpp
-                            ${here}/CaseSearcher.cpp ${here}/Cases.cpp)
+                            ${here}/CaseSearcher.cpp ${here}/Cases.cpp
+                            ${here}/RawConsumer.cpp)
 target_link_libraries(review-world PRIVATE LibHttp LibJson LibTransport)
