Review: Show that a consumer that leaves hides what crashes searchers

Further worlds for entries that were tried: forgotten (all nodes killed at once), lost (answers lost), gathered (such a request over shards).

--- a/review/StandIns/Deployment/CaseSearcher.cpp
+++ b/review/StandIns/Deployment/CaseSearcher.cpp
@@ -192,9 +192,13 @@
     !mCrashMarker.empty() &&
     job.mCall->mTarget.find(mCrashMarker) != std::string::npos;
   if (crashes) {
-    mWorld.Record(mShape.mId + " crashes");
-    mLoop.Defer([this]() { Crash(); });
-    mWorld.After(mDown, [this]() {
+    mWorld.After(mCrashAfter, [this]() {
+      if (IsUp()) {
+        mWorld.Record(mShape.mId + " crashes");
+        Crash();
+      }
+    });
+    mWorld.After(mCrashAfter + mDown, [this]() {
       if (!IsUp() && !StartAgain(Duration(0))) {
         mWorld.Fail("a searcher could not start again");
       }
--- a/review/StandIns/Deployment/CaseSearcher.h
+++ b/review/StandIns/Deployment/CaseSearcher.h
@@ -53,11 +53,13 @@
   [[nodiscard]] bool Start();
   void SetAnswers(Choose aChoose) { mChoose = std::move(aChoose); }
   void SetWork(Duration aWork) { mShape.mWork = aWork; }
-  /// A request with this text in its path crashes the searcher, which is back
-  /// after some time; empty: none does.
-  void SetCrashes(std::string aMarker, Duration aDown)
+  /// A request with this text in its path crashes the searcher, so long after
+  /// it has begun to run it, and the searcher is back after aDown; empty: none
+  /// does.
+  void SetCrashes(std::string aMarker, Duration aAfter, Duration aDown)
   {
     mCrashMarker = std::move(aMarker);
+    mCrashAfter = aAfter;
     mDown = aDown;
   }
   /// Status of the failures of its own.
@@ -101,6 +103,7 @@
   Choose mChoose;
   int mFailureStatus = 500;
   std::string mCrashMarker;
+  Duration mCrashAfter{ 0 };
   Duration mDown{ 0 };
   std::uint64_t mNumber = 0;
   std::uint64_t mSequence = 0;
--- a/review/StandIns/Deployment/Cases.cpp
+++ b/review/StandIns/Deployment/Cases.cpp
@@ -392,6 +392,7 @@
 
 // Case poison: a request that crashes its searchers comes again and again.
 
+constexpr const char* kCrashMarker = "crash-marker";
 constexpr const char* kPoisonPath = "/find/crash-marker";
 constexpr Duration kContact = milliseconds(4000);
 constexpr Duration kPoisonInterval = milliseconds(40);
@@ -448,8 +449,9 @@
     }));
 }
 
-void
-Poison(World& aWorld)
+/// The searchers that such a request crashes, and the configuration.
+std::shared_ptr<PoisonState>
+PreparePoison(World& aWorld, Duration aCrashAfter)
 {
   Json::Value plan = EmptyPlan(1);
   Json::Value find = RouteJson("find", "safe", seconds(2));
@@ -466,10 +468,10 @@
                          i % 2 == 0 ? "zone-a" : "zone-b");
     searcher.SetWork(kFindWork);
     if (aWorld.HasTrouble()) {
-      searcher.SetCrashes("crash-marker", seconds(3));
+      searcher.SetCrashes(kCrashMarker, aCrashAfter, seconds(3));
     }
   }
-  const std::shared_ptr<PoisonState> state = std::make_shared<PoisonState>();
+  std::shared_ptr<PoisonState> state = std::make_shared<PoisonState>();
   if (aWorld.HasTrouble()) {
     aWorld.SetRun(
       [&aWorld, state](const std::string& aId, const Request& aRequest) {
@@ -479,6 +481,13 @@
       });
   }
   aWorld.Put("op/config", CompactJson(plan));
+  return state;
+}
+
+void
+Poison(World& aWorld)
+{
+  const std::shared_ptr<PoisonState> state = PreparePoison(aWorld, Duration(0));
   aWorld.WhenReady([&aWorld, state]() {
     state->mCalmFrom = aWorld.Loop().Now() + seconds(20);
     aWorld.After(seconds(5), [&aWorld]() {
@@ -606,14 +615,199 @@
   });
 }
 
+// Case leaving: the same, but the consumer leaves before the searcher crashes.
+
+constexpr Duration kLeaveAfter = milliseconds(100);
+constexpr Duration kCrashAfter = milliseconds(150);
+constexpr Duration kLeavingInterval = milliseconds(300);
+constexpr std::size_t kLeavingRequests = 27;
+
+void
+EndPoison(World& aWorld, const PoisonState& aState)
+{
+  std::printf("runs: %zu, requests that came through late: %zu\n",
+              aState.mCrashes,
+              aState.mLate.size());
+  ReportLost(aWorld, aState.mCalmFrom);
+  aWorld.End();
+}
+
+void
+Leaving(World& aWorld)
+{
+  const std::shared_ptr<PoisonState> state = PreparePoison(aWorld, kCrashAfter);
+  aWorld.WhenReady([&aWorld, state]() {
+    aWorld.After(seconds(5), [&aWorld, state]() {
+      state->mCalmFrom = aWorld.Loop().Now();
+      Repeat(aWorld,
+             kLeavingInterval,
+             kLeavingRequests,
+             [&aWorld](std::size_t aNumber) {
+               aWorld.SendAndLeave(aNumber % aWorld.Nodes(),
+                                   kPoisonPath,
+                                   seconds(2),
+                                   kLeaveAfter);
+             });
+      Repeat(aWorld,
+             kBookingInterval,
+             static_cast<std::size_t>(kLeavingInterval / kBookingInterval) *
+               kLeavingRequests,
+             [&aWorld](std::size_t aNumber) {
+               const std::string number = std::to_string(aNumber);
+               static_cast<void>(aWorld.Send(aNumber % aWorld.Nodes(),
+                                             "POST",
+                                             "/book/" + number,
+                                             seconds(2),
+                                             "booking " + number,
+                                             {}));
+             });
+    });
+    aWorld.After(seconds(5) + kLeavingInterval * kLeavingRequests + seconds(4),
+                 [&aWorld, state]() { EndPoison(aWorld, *state); });
+  });
+}
+
+// Case forgotten: all nodes are killed at once after they knew the request.
+
+constexpr Duration kPoisonBurst = seconds(2);
+
+void
+SendPoisonBurst(World& aWorld)
+{
+  Repeat(aWorld,
+         kPoisonInterval,
+         static_cast<std::size_t>(kPoisonBurst / kPoisonInterval),
+         [&aWorld](std::size_t aNumber) {
+           SendPoison(aWorld, aNumber % aWorld.Nodes(), Try::First);
+         });
+}
+
+void
+Forgotten(World& aWorld)
+{
+  const std::shared_ptr<PoisonState> state = PreparePoison(aWorld, Duration(0));
+  aWorld.WhenReady([&aWorld, state]() {
+    aWorld.After(seconds(5), [&aWorld]() { SendPoisonBurst(aWorld); });
+    aWorld.After(seconds(9), [&aWorld]() {
+      for (std::size_t node = 1; node <= aWorld.Nodes(); ++node) {
+        std::printf("signal %zu KILL\n", node);
+      }
+    });
+    aWorld.After(seconds(10), [&aWorld]() {
+      for (std::size_t node = 1; node <= aWorld.Nodes(); ++node) {
+        std::printf("start %zu\n", node);
+      }
+    });
+    // All machines are in touch again ContactMs after their start.
+    aWorld.After(seconds(16), [&aWorld]() { SendPoisonBurst(aWorld); });
+    aWorld.After(seconds(22),
+                 [&aWorld, state]() { EndPoison(aWorld, *state); });
+  });
+}
+
+// Case lost: searchers run requests and their answers are lost.
+
+void
+Lost(World& aWorld)
+{
+  Json::Value plan = EmptyPlan(1);
+  Json::Value route = RouteJson("book", "unsafe", seconds(2));
+  route["Backend"] = "booking";
+  plan["Routes"].append(route);
+  plan["Backends"].append(BackendJson("booking"));
+  for (std::size_t i = 0; i < kBookingSearchers; ++i) {
+    Searcher& searcher = aWorld.AddSearcher(
+      "i-booking-" + std::to_string(i + 1), "booking", "zone-a");
+    if (aWorld.HasTrouble() && i % 2 == 0) {
+      searcher.SetAnswers(
+        [number = std::make_shared<std::size_t>(0)](const std::string&) {
+          constexpr std::size_t kLostOf = 8;
+          return ++*number % kLostOf == 0 ? Answer::Silence : Answer::Success;
+        });
+    }
+  }
+  aWorld.Put("op/config", CompactJson(plan));
+  aWorld.WhenReady([&aWorld]() {
+    const std::shared_ptr<BookingRuns> runs = std::make_shared<BookingRuns>();
+    Repeat(aWorld,
+           kBookingInterval,
+           kBookings,
+           [&aWorld, runs](std::size_t aNumber) {
+             SendBooking(aWorld, aNumber, Try::First, runs);
+           });
+    aWorld.After(kBookingInterval * kBookings + seconds(4), [&aWorld]() {
+      std::size_t unanswered = 0;
+      for (const auto& [id, request] : aWorld.Requests()) {
+        unanswered += request.mStatus != kOk ? 1 : 0;
+        if (request.mRuns.size() > 1) {
+          aWorld.Broken(id + " ran more than once");
+        }
+      }
+      std::printf("bookings without a success: %zu\n", unanswered);
+      aWorld.End();
+    });
+  });
+}
+
+// Case gathered: a query over shards that crashes all searchers that run it.
+
+constexpr std::size_t kGatheredShards = 6;
+constexpr Duration kGatheredInterval = milliseconds(300);
+constexpr std::size_t kGatheredRequests = 60;
+
+void
+Gathered(World& aWorld)
+{
+  Json::Value plan = EmptyPlan(1);
+  Json::Value find = RouteJson("find", "safe", seconds(2));
+  find["TopK"] = 5;
+  find["MinCoverage"] = 0.89;
+  const std::shared_ptr<PoisonState> state = std::make_shared<PoisonState>();
+  for (std::size_t shard = 0; shard < kGatheredShards; ++shard) {
+    const std::string service = ShardName(shard);
+    find["Gather"].append(service);
+    plan["Backends"].append(BackendJson(service));
+    for (const char* zone : { "zone-a", "zone-b" }) {
+      Searcher& searcher =
+        aWorld.AddSearcher("i-" + service + "-" + zone, service, zone);
+      if (aWorld.HasTrouble()) {
+        searcher.SetCrashes(kCrashMarker, Duration(0), seconds(3));
+      }
+    }
+  }
+  plan["Routes"].append(find);
+  aWorld.SetRun(
+    [&aWorld, state](const std::string& aId, const Request& aRequest) {
+      if (aRequest.mPath == kPoisonPath && aWorld.HasTrouble()) {
+        OnPoisonArrival(aWorld, state.get(), aId);
+      }
+    });
+  aWorld.Put("op/config", CompactJson(plan));
+  aWorld.WhenReady([&aWorld, state]() {
+    aWorld.After(seconds(5), [&aWorld]() {
+      Repeat(aWorld,
+             kGatheredInterval,
+             kGatheredRequests,
+             [&aWorld](std::size_t aNumber) {
+               SendPoison(aWorld, aNumber % aWorld.Nodes(), Try::First);
+             });
+    });
+    aWorld.After(seconds(8) + kGatheredInterval * kGatheredRequests,
+                 [&aWorld, state]() { EndPoison(aWorld, *state); });
+  });
+}
+
 } // namespace
 
 const std::map<std::string, std::function<void(World&)>>&
 Cases()
 {
   static const std::map<std::string, std::function<void(World&)>> kCases = {
-    { "storm", Storm },   { "refused", Refused }, { "cold", Cold },
-    { "poison", Poison }, { "foreign", Foreign },
+    { "storm", Storm },         { "refused", Refused },
+    { "cold", Cold },           { "poison", Poison },
+    { "foreign", Foreign },     { "leaving", Leaving },
+    { "forgotten", Forgotten }, { "lost", Lost },
+    { "gathered", Gathered },
   };
   return kCases;
 }
--- a/review/StandIns/Deployment/World.cpp
+++ b/review/StandIns/Deployment/World.cpp
@@ -215,6 +215,33 @@
             Duration aDeadline,
             const std::string& aBody,
             Done aDone)
+{
+  return SendFor(aNode,
+                 aMethod,
+                 aPath,
+                 aDeadline,
+                 aDeadline + kAfterDeadline,
+                 aBody,
+                 std::move(aDone));
+}
+
+void
+World::SendAndLeave(std::size_t aNode,
+                    const std::string& aPath,
+                    Duration aDeadline,
+                    Duration aLeaveAfter)
+{
+  SendFor(aNode, "GET", aPath, aDeadline, aLeaveAfter, "", {});
+}
+
+std::string
+World::SendFor(std::size_t aNode,
+               const std::string& aMethod,
+               const std::string& aPath,
+               Duration aDeadline,
+               Duration aPatience,
+               const std::string& aBody,
+               Done aDone)
 {
   std::string id = "q" + std::to_string(++mLastRequest);
   Request& request = mRequests[id];
@@ -229,7 +256,7 @@
                std::chrono::duration_cast<milliseconds>(aDeadline).count()));
   HttpClientStream::Exchange exchange;
   exchange.mRequest = SerializeRequest(aMethod, aPath, fields, aBody);
-  exchange.mTimeout = aDeadline + kAfterDeadline;
+  exchange.mTimeout = aPatience;
   const std::shared_ptr<HttpClientStream> stream = StreamTo(aNode);
   Record("sent " + id + " to node " + std::to_string(aNode + 1) + ": " +
          aMethod + " " + aPath);
@@ -247,6 +274,10 @@
                                  : std::to_string(ended.mStatus)));
       // The stream is what runs this.
       mLoop.Defer([this, id, stream, done]() {
+        if (stream->IsBroken()) {
+          // Closes the connection, as a consumer does that has given up.
+          std::erase(mStreams[mRequests.at(id).mNode], stream);
+        }
         if (done) {
           done(id, mRequests.at(id));
         }
--- a/review/StandIns/Deployment/World.h
+++ b/review/StandIns/Deployment/World.h
@@ -74,6 +74,11 @@
                    Duration aDeadline,
                    const std::string& aBody,
                    Done aDone);
+  /// The same for a GET whose consumer leaves after a time.
+  void SendAndLeave(std::size_t aNode,
+                    const std::string& aPath,
+                    Duration aDeadline,
+                    Duration aLeaveAfter);
   void OnRun(const std::string& aRequest,
              const SearcherShape& aShape,
              const HttpCall& aCall);
@@ -111,6 +116,13 @@
 
   void SendNextWrite();
   void AskReady(std::size_t aNode, std::function<void()> aTask);
+  std::string SendFor(std::size_t aNode,
+                      const std::string& aMethod,
+                      const std::string& aPath,
+                      Duration aDeadline,
+                      Duration aPatience,
+                      const std::string& aBody,
+                      Done aDone);
   [[nodiscard]] std::shared_ptr<HttpClientStream> StreamTo(std::size_t aNode);
 
   EventLoop& mLoop;
--- /dev/null
+++ b/review/tried/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# See claim.txt.
+case=${1:-poison}
+nodes=8
+# shellcheck source=review/common.sh
+. "$(dirname "$0")/../common.sh"
