--- a/review/StandIns/Deployment/Cases.cpp
+++ b/review/StandIns/Deployment/Cases.cpp
@@ -797,6 +797,106 @@
   });
 }
 
+// Case stopped: nodes are stopped in turn under load, beside a searcher that
+// drains and nodes that are killed and started again.
+
+constexpr Duration kStoppedWork = milliseconds(300);
+constexpr Duration kStoppedInterval = milliseconds(20);
+constexpr std::size_t kStoppedRequests = 1500;
+constexpr Duration kKeepsAddress = milliseconds(2500);
+constexpr Duration kDrain = milliseconds(3000);
+
+void
+StopNodes(World& aWorld, const std::shared_ptr<std::set<std::size_t>>& aAvoided)
+{
+  for (std::size_t i = 0; i < 2; ++i) {
+    const Duration at = seconds(2) + static_cast<Duration::rep>(i) * seconds(9);
+    aWorld.After(at, [i]() { std::printf("signal %zu TERM\n", i + 1); });
+    // Consumers keep an address for as long as the directory says, or longer.
+    aWorld.After(at + kKeepsAddress, [aAvoided, i]() { aAvoided->insert(i); });
+    aWorld.After(at + seconds(7), [i]() { std::printf("start %zu\n", i + 1); });
+    aWorld.After(at + seconds(8), [aAvoided, i]() { aAvoided->erase(i); });
+  }
+  // The third one is killed while a searcher drains.
+  aWorld.After(milliseconds(21500), [aAvoided]() {
+    aAvoided->insert(2);
+    std::printf("signal 3 KILL\n");
+  });
+  aWorld.After(milliseconds(22500), []() { std::printf("start 3\n"); });
+  aWorld.After(milliseconds(23500), [aAvoided]() { aAvoided->erase(2); });
+}
+
+void
+Stopped(World& aWorld)
+{
+  Json::Value plan = EmptyPlan(1);
+  Json::Value route = RouteJson("book", "unsafe", seconds(2));
+  route["Backend"] = "booking";
+  plan["Routes"].append(route);
+  plan["Backends"].append(BackendJson("booking"));
+  Searcher* leaving = nullptr;
+  for (std::size_t i = 0; i < kBookingSearchers; ++i) {
+    Searcher& searcher = aWorld.AddSearcher(
+      "i-booking-" + std::to_string(i + 1), "booking", "zone-a");
+    searcher.SetWork(kStoppedWork);
+    leaving = &searcher;
+  }
+  const std::shared_ptr<Instant> drained = std::make_shared<Instant>();
+  aWorld.SetArrived([&aWorld, drained, leaving](const Request&,
+                                                Searcher* aSearcher) {
+    const bool isLate =
+      *drained != Instant() && aWorld.Loop().Now() - *drained > kDrain;
+    if (aSearcher == leaving && isLate) {
+      aWorld.Broken("a request reached a draining searcher later than DrainMs");
+    }
+  });
+  aWorld.Put("op/config", CompactJson(plan));
+  aWorld.WhenReady([&aWorld, drained, leaving]() {
+    const auto avoided = std::make_shared<std::set<std::size_t>>();
+    if (aWorld.HasTrouble()) {
+      StopNodes(aWorld, avoided);
+    }
+    aWorld.After(seconds(21), [&aWorld, drained, leaving]() {
+      leaving->Tell("draining");
+      *drained = aWorld.Loop().Now();
+    });
+    Repeat(aWorld,
+           kStoppedInterval,
+           kStoppedRequests,
+           [&aWorld, avoided](std::size_t aNumber) {
+             std::size_t node = aNumber % aWorld.Nodes();
+             while (avoided->contains(node)) {
+               node = (node + 1) % aWorld.Nodes();
+             }
+             const std::string number = std::to_string(aNumber);
+             static_cast<void>(aWorld.Send(
+               node,
+               "POST",
+               "/book/" + number,
+               seconds(2),
+               "booking " + number,
+               [&aWorld](const std::string& aId, const Request& aSent) {
+                 const bool wasKilled =
+                   aSent.mNode == 2 && aWorld.HasTrouble() &&
+                   aWorld.Loop().Now() - aSent.mSent < milliseconds(400);
+                 if (aSent.mStatus == 0 && !aSent.mRuns.empty() && !wasKilled) {
+                   aWorld.Broken(aId + " was passed on and cut");
+                 }
+               }));
+           });
+    aWorld.After(seconds(34), [&aWorld]() {
+      std::map<int, std::size_t> answers;
+      for (const auto& [id, request] : aWorld.Requests()) {
+        ++answers[request.mStatus];
+      }
+      for (const auto& [status, count] : answers) {
+        std::printf("answers %d: %zu\n", status, count);
+      }
+      aWorld.End();
+    });
+  });
+}
+
 } // namespace
 
 const std::map<std::string, std::function<void(World&)>>&
@@ -807,7 +907,7 @@
     { "cold", Cold },           { "poison", Poison },
     { "foreign", Foreign },     { "leaving", Leaving },
     { "forgotten", Forgotten }, { "lost", Lost },
-    { "gathered", Gathered },
+    { "gathered", Gathered },   { "stopped", Stopped },
   };
   return kCases;
 }
