--- a/review/StandIns/Deployment/RawConsumer.cpp
+++ b/review/Callers.cpp
@@ -1,4 +1,4 @@
-#include "RawConsumer.h"
+#include "Callers.h"
 
 #include <LibTransport/SocketOptions.h>
 
@@ -43,19 +43,19 @@
 
 } // namespace
 
-RawConsumer::RawConsumer(EventLoop& aLoop,
-                         const SocketAddress& aAddress,
-                         Unasked aUnasked)
+Callers::Callers(EventLoop& aLoop,
+                 const SocketAddress& aAddress,
+                 Unasked aUnasked)
   : mStream(bufferevent_socket_new(aLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE))
   , mUnasked(std::move(aUnasked))
 {
   bufferevent_setcb(
     mStream,
-    [](bufferevent*, void* aSelf) { static_cast<RawConsumer*>(aSelf)->Read(); },
+    [](bufferevent*, void* aSelf) { static_cast<Callers*>(aSelf)->Read(); },
     nullptr,
     [](bufferevent*, short aWhat, void* aSelf) {
       if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-        static_cast<RawConsumer*>(aSelf)->mEnded = true;
+        static_cast<Callers*>(aSelf)->mEnded = true;
       }
     },
     this);
@@ -66,20 +66,20 @@
   bufferevent_enable(mStream, EV_READ | EV_WRITE);
 }
 
-RawConsumer::~RawConsumer()
+Callers::~Callers()
 {
   bufferevent_free(mStream);
 }
 
 void
-RawConsumer::Send(const std::string& aRequest, Answered aAnswered)
+Callers::Send(const std::string& aRequest, Answered aAnswered)
 {
   mAnswered = std::move(aAnswered);
   bufferevent_write(mStream, aRequest.data(), aRequest.size());
 }
 
 void
-RawConsumer::Read()
+Callers::Read()
 {
   evbuffer* input = bufferevent_get_input(mStream);
   const std::size_t size = evbuffer_get_length(input);
--- a/review/StandIns/Deployment/RawConsumer.h
+++ b/review/Callers.h
@@ -12,7 +12,7 @@
 
 /// A consumer with one kept connection, which looks at each byte that it gets.
 /// It sends the next request only after the answer to the last one.
-class RawConsumer
+class Callers
 {
 public:
   struct Answer
@@ -26,12 +26,10 @@
   using Unasked = std::function<void(const std::string& aBytes)>;
   using Answered = std::function<void(const Answer&)>;
 
-  RawConsumer(EventLoop& aLoop,
-              const SocketAddress& aAddress,
-              Unasked aUnasked);
-  ~RawConsumer();
-  RawConsumer(const RawConsumer&) = delete;
-  RawConsumer& operator=(const RawConsumer&) = delete;
+  Callers(EventLoop& aLoop, const SocketAddress& aAddress, Unasked aUnasked);
+  ~Callers();
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
 
   /// False while a request waits, or after the connection has ended.
   [[nodiscard]] bool IsReady() const { return !mAnswered && !mEnded; }
--- a/review/StandIns/Deployment/CaseSearcher.cpp
+++ b/review/EntrySearcher.cpp
@@ -1,6 +1,6 @@
-#include "CaseSearcher.h"
+#include "EntrySearcher.h"
 
-#include "World.h"
+#include "Soak.h"
 
 #include <LibCore/SocketAddressText.h>
 #include <LibJson/JsonText.h>
@@ -40,16 +40,18 @@
 
 } // namespace
 
-Searcher::Searcher(EventLoop& aLoop, World& aWorld, const SearcherShape& aShape)
+EntrySearcher::EntrySearcher(EventLoop& aLoop,
+                             Soak& aSoak,
+                             const SearcherShape& aShape)
   : mLoop(aLoop)
-  , mWorld(aWorld)
+  , mSoak(aSoak)
   , mShape(aShape)
   , mWarmAt(aLoop.Now())
 {
 }
 
 bool
-Searcher::Start()
+EntrySearcher::Start()
 {
   ServerLimits limits;
   limits.mIdleTimeout = seconds(60);
@@ -68,14 +70,14 @@
 }
 
 bool
-Searcher::StartAgain(Duration aCold)
+EntrySearcher::StartAgain(Duration aCold)
 {
   mWarmAt = mLoop.Now() + aCold;
   return Start();
 }
 
 void
-Searcher::Tell(const std::string& aState)
+EntrySearcher::Tell(const std::string& aState)
 {
   const milliseconds cold = std::chrono::duration_cast<milliseconds>(
     std::max(Duration(0), mWarmAt - mLoop.Now()));
@@ -89,11 +91,11 @@
   entry["WarmupLeftMs"] = Json::Int64(cold.count());
   entry["SeqNo"] = Json::UInt64(++mSequence);
   entry["born"] = Json::Int64(mBorn.count());
-  mWorld.Put("servers/" + mShape.mId, CompactJson(entry));
+  mSoak.Put("servers/" + mShape.mId, CompactJson(entry));
 }
 
 void
-Searcher::Crash()
+EntrySearcher::Crash()
 {
   // Jobs hold timers, one of which may be running this.
   mLoop.Defer([jobs = std::make_shared<std::map<std::uint64_t, Job>>(
@@ -103,20 +105,20 @@
 }
 
 void
-Searcher::Leave()
+EntrySearcher::Leave()
 {
-  mWorld.Remove("servers/" + mShape.mId);
+  mSoak.Remove("servers/" + mShape.mId);
   Crash();
 }
 
 bool
-Searcher::IsCold() const
+EntrySearcher::IsCold() const
 {
   return mLoop.Now() < mWarmAt;
 }
 
 std::size_t
-Searcher::Running() const
+EntrySearcher::Running() const
 {
   return static_cast<std::size_t>(
     std::count_if(mJobs.begin(), mJobs.end(), [](const auto& aJob) {
@@ -125,7 +127,7 @@
 }
 
 void
-Searcher::Reject(const CallPointer& aCall, int aStatus)
+EntrySearcher::Reject(const CallPointer& aCall, int aStatus)
 {
   HttpFields fields;
   fields.Add("Request-Id", FieldOf(*aCall, "Request-Id"));
@@ -134,7 +136,7 @@
 }
 
 void
-Searcher::Handle(const CallPointer& aCall)
+EntrySearcher::Handle(const CallPointer& aCall)
 {
   if (aCall->mTarget == "/healthz") {
     HttpFields fields;
@@ -146,7 +148,7 @@
     Reject(aCall, kWrongTarget);
     return;
   }
-  mWorld.OnArrival(FieldOf(*aCall, "Request-Id"), this);
+  mSoak.OnArrival(FieldOf(*aCall, "Request-Id"), this);
   if (mJobs.size() >= mShape.mSlots + mShape.mQueue) {
     Reject(aCall, kFull);
     return;
@@ -167,7 +169,7 @@
 }
 
 void
-Searcher::StartWaiting()
+EntrySearcher::StartWaiting()
 {
   std::size_t running = Running();
   std::vector<std::uint64_t> next;
@@ -183,24 +185,24 @@
 }
 
 void
-Searcher::Run(std::uint64_t aNumber)
+EntrySearcher::Run(std::uint64_t aNumber)
 {
   Job& job = mJobs.at(aNumber);
   job.mRunning = true;
-  mWorld.OnRun(job.mRequest, mShape, *job.mCall);
+  mSoak.OnRun(job.mRequest, mShape, *job.mCall);
   const bool crashes =
     !mCrashMarker.empty() &&
     job.mCall->mTarget.find(mCrashMarker) != std::string::npos;
   if (crashes) {
-    mWorld.After(mCrashAfter, [this]() {
+    mSoak.After(mCrashAfter, [this]() {
       if (IsUp()) {
-        mWorld.Record(mShape.mId + " crashes");
+        mSoak.Record(mShape.mId + " crashes");
         Crash();
       }
     });
-    mWorld.After(mCrashAfter + mDown, [this]() {
+    mSoak.After(mCrashAfter + mDown, [this]() {
       if (!IsUp() && !StartAgain(Duration(0))) {
-        mWorld.Fail("a searcher could not start again");
+        mSoak.Fail("a searcher could not start again");
       }
     });
     return;
@@ -211,7 +213,7 @@
 }
 
 void
-Searcher::Finish(std::uint64_t aNumber)
+EntrySearcher::Finish(std::uint64_t aNumber)
 {
   const auto found = mJobs.find(aNumber);
   if (found == mJobs.end()) {
--- a/review/StandIns/Deployment/CaseSearcher.h
+++ b/review/EntrySearcher.h
@@ -12,7 +12,7 @@
 
 namespace verbenachute::review {
 
-class World;
+class Soak;
 
 /// How a searcher stands in the store.
 struct SearcherShape
@@ -42,12 +42,12 @@
 };
 
 /// One searcher: it tells of itself in the store, and runs requests in slots.
-class Searcher
+class EntrySearcher
 {
 public:
   using Choose = std::function<Answer(const std::string& aRequestId)>;
 
-  Searcher(EventLoop& aLoop, World& aWorld, const SearcherShape& aShape);
+  EntrySearcher(EventLoop& aLoop, Soak& aSoak, const SearcherShape& aShape);
 
   /// Listens and writes the entry; false if the address can not be bound.
   [[nodiscard]] bool Start();
@@ -94,7 +94,7 @@
   [[nodiscard]] std::size_t Running() const;
 
   EventLoop& mLoop;
-  World& mWorld;
+  Soak& mSoak;
   SearcherShape mShape;
   std::unique_ptr<HttpListener> mListener;
   std::map<std::uint64_t, Job> mJobs;
--- a/review/StandIns/Deployment/Main.cpp
+++ b/review/Main.cpp
@@ -1,4 +1,4 @@
-#include "Cases.h"
+#include "Promises.h"
 
 #include <LibCore/SocketAddressText.h>
 
@@ -66,20 +66,20 @@
     return kExitNotRun;
   }
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  World::Settings settings;
+  Soak::Settings settings;
   settings.mRecord = aArguments[RecordPath];
   settings.mTrouble = std::strcmp(aArguments[Trouble], "0") != 0;
   settings.mControl = AddressOf(aArguments[ControlAddress]);
   settings.mFirstSearcher = AddressOf(aArguments[SearcherAddress]);
   settings.mNodes = AddressesOf(aArguments[NodeAddresses]);
   settings.mReady = AddressesOf(aArguments[ReadyAddresses]);
-  World world(*ValueOf(loop), settings);
+  Soak soak(*ValueOf(loop), settings);
   ValueOf(loop)->SignalArrived().connect(
-    [&world](int) { world.Fail("stopped from outside"); });
-  world.After(kLongest, [&world]() { world.Fail("it took too long"); });
-  found->second(world);
+    [&soak](int) { soak.Fail("stopped from outside"); });
+  soak.After(kLongest, [&soak]() { soak.Fail("it took too long"); });
+  found->second(soak);
   ValueOf(loop)->Run();
-  return world.ExitStatus();
+  return soak.ExitStatus();
 }
 
 } // namespace
--- a/review/StandIns/Deployment/Cases.cpp
+++ b/review/Promises.cpp
@@ -1,6 +1,6 @@
-#include "Cases.h"
+#include "Promises.h"
 
-#include "RawConsumer.h"
+#include "Callers.h"
 
 #include <LibJson/JsonText.h>
 
@@ -19,14 +19,14 @@
 
 /// Calls aTask each aInterval from now on, aCount times.
 void
-Repeat(World& aWorld,
+Repeat(Soak& aSoak,
        Duration aInterval,
        std::size_t aCount,
        const std::function<void(std::size_t)>& aTask)
 {
   for (std::size_t i = 0; i < aCount; ++i) {
-    aWorld.After(static_cast<Duration::rep>(i) * aInterval,
-                 [aTask, i]() { aTask(i); });
+    aSoak.After(static_cast<Duration::rep>(i) * aInterval,
+                [aTask, i]() { aTask(i); });
   }
 }
 
@@ -76,80 +76,79 @@
 }
 
 void
-CheckStormAnswer(World& aWorld, const std::string& aId, const Request& aRequest)
+CheckStormAnswer(Soak& aSoak, const std::string& aId, const Request& aRequest)
 {
   const std::string where = " at node " + std::to_string(aRequest.mNode + 1);
   if (aRequest.mPath.starts_with("/added/") && aRequest.mStatus == kNotFound) {
-    aWorld.Broken(aId + where + ": 404 for a route that was added");
+    aSoak.Broken(aId + where + ": 404 for a route that was added");
   }
   for (const std::string& service : aRequest.mRuns) {
     if (service == "alpha") {
-      aWorld.Broken(aId + where + ": run by the service of the older version");
+      aSoak.Broken(aId + where + ": run by the service of the older version");
     }
   }
 }
 
 void
-ProbeAfterStorm(World& aWorld)
+ProbeAfterStorm(Soak& aSoak)
 {
   constexpr std::size_t kProbes = 40;
-  Repeat(aWorld, milliseconds(100), kProbes, [&aWorld](std::size_t aRound) {
-    for (std::size_t node = 0; node < aWorld.Nodes(); ++node) {
+  Repeat(aSoak, milliseconds(100), kProbes, [&aSoak](std::size_t aRound) {
+    for (std::size_t node = 0; node < aSoak.Nodes(); ++node) {
       for (const char* path : { "/added/x", "/moved/x" }) {
         static_cast<void>(
-          aWorld.Send(node,
-                      "GET",
-                      path + std::to_string(aRound),
-                      seconds(2),
-                      "",
-                      [&aWorld](const std::string& aId, const Request& aSent) {
-                        CheckStormAnswer(aWorld, aId, aSent);
-                      }));
+          aSoak.Send(node,
+                     "GET",
+                     path + std::to_string(aRound),
+                     seconds(2),
+                     "",
+                     [&aSoak](const std::string& aId, const Request& aSent) {
+                       CheckStormAnswer(aSoak, aId, aSent);
+                     }));
       }
     }
   });
-  aWorld.After(seconds(8), [&aWorld]() { aWorld.End(); });
+  aSoak.After(seconds(8), [&aSoak]() { aSoak.End(); });
 }
 
 void
-SendStorm(World& aWorld,
-          const std::shared_ptr<std::vector<std::string>>& aPlans)
+SendStorm(Soak& aSoak, const std::shared_ptr<std::vector<std::string>>& aPlans)
 {
   Repeat(
-    aWorld, kStormGap, aPlans->size(), [&aWorld, aPlans](std::size_t aIndex) {
-      aWorld.Put("op/config", aPlans->at(aIndex), [&aWorld, aPlans, aIndex]() {
-        aWorld.Record("acknowledged version " + std::to_string(2 + aIndex));
+    aSoak, kStormGap, aPlans->size(), [&aSoak, aPlans](std::size_t aIndex) {
+      aSoak.Put("op/config", aPlans->at(aIndex), [&aSoak, aPlans, aIndex]() {
+        aSoak.Record("acknowledged version " + std::to_string(2 + aIndex));
         if (aIndex + 1 == aPlans->size()) {
-          aWorld.After(kConfigApply + milliseconds(200),
-                       [&aWorld]() { ProbeAfterStorm(aWorld); });
+          aSoak.After(kConfigApply + milliseconds(200),
+                      [&aSoak]() { ProbeAfterStorm(aSoak); });
         }
       });
     });
 }
 
 void
-Storm(World& aWorld)
+Storm(Soak& aSoak)
 {
-  static_cast<void>(aWorld.AddSearcher("i-alpha-1", "alpha", "zone-a"));
-  static_cast<void>(aWorld.AddSearcher("i-alpha-2", "alpha", "zone-b"));
-  static_cast<void>(aWorld.AddSearcher("i-beta-1", "beta", "zone-a"));
-  static_cast<void>(aWorld.AddSearcher("i-beta-2", "beta", "zone-b"));
+  static_cast<void>(aSoak.AddSearcher("i-alpha-1", "alpha", "zone-a"));
+  static_cast<void>(aSoak.AddSearcher("i-alpha-2", "alpha", "zone-b"));
+  static_cast<void>(aSoak.AddSearcher("i-beta-1", "beta", "zone-a"));
+  static_cast<void>(aSoak.AddSearcher("i-beta-2", "beta", "zone-b"));
   const std::string first = StormPlan(1, false);
   if (first.size() > kMaxValueBytes) {
-    aWorld.Fail("the configuration is larger than MaxValueBytes");
+    aSoak.Fail("the configuration is larger than MaxValueBytes");
     return;
   }
-  aWorld.Record("configuration of " + std::to_string(first.size()) + " bytes");
-  aWorld.Put("op/config", first);
-  aWorld.WhenReady([&aWorld]() {
-    const std::size_t versions = aWorld.HasTrouble() ? kStormVersions : 1;
+  aSoak.Record("configuration of " + std::to_string(first.size()) + " bytes");
+  aSoak.Put("op/config", first);
+  aSoak.WhenReady([&aSoak]() {
+    const std::size_t versions = aSoak.HasTrouble() ? kStormVersions : 1;
     // Written before, so that each version goes out at its moment.
     const std::shared_ptr<std::vector<std::string>> plans =
       std::make_shared<std::vector<std::string>>();
     for (std::size_t i = 0; i < versions; ++i) {
       plans->push_back(StormPlan(2 + i, i + 1 == versions));
     }
-    aWorld.After(seconds(5), [&aWorld, plans]() { SendStorm(aWorld, plans); });
+    aSoak.After(seconds(5), [&aSoak, plans]() { SendStorm(aSoak, plans); });
   });
 }
 
@@ -171,40 +170,40 @@
 };
 
 void
-SendBooking(World& aWorld,
+SendBooking(Soak& aSoak,
             std::size_t aNumber,
             Try aTry,
             const std::shared_ptr<BookingRuns>& aRuns)
 {
-  const auto done = [&aWorld, aNumber, aTry, aRuns](const std::string& aId,
-                                                    const Request& aSent) {
+  const auto done = [&aSoak, aNumber, aTry, aRuns](const std::string& aId,
+                                                   const Request& aSent) {
     const bool isPromise =
       aSent.mStatus == kUnavailable || aSent.mStatus == kTooMany;
     if (isPromise && !aSent.mRuns.empty()) {
-      aWorld.Broken(aId + " was answered " + std::to_string(aSent.mStatus) +
-                    " and has run");
+      aSoak.Broken(aId + " was answered " + std::to_string(aSent.mStatus) +
+                   " and has run");
     }
     std::size_t& runs = (*aRuns)[aNumber];
     runs += aSent.mRuns.size();
     if (runs > 1) {
-      aWorld.Record("booking " + std::to_string(aNumber) + " ran " +
-                    std::to_string(runs) + " times");
+      aSoak.Record("booking " + std::to_string(aNumber) + " ran " +
+                   std::to_string(runs) + " times");
     }
     if (isPromise && aTry == Try::First) {
-      SendBooking(aWorld, aNumber, Try::Again, aRuns);
+      SendBooking(aSoak, aNumber, Try::Again, aRuns);
     }
   };
   const std::string number = std::to_string(aNumber);
-  static_cast<void>(aWorld.Send(aNumber % aWorld.Nodes(),
-                                "POST",
-                                "/book/" + number,
-                                seconds(2),
-                                "booking " + number,
-                                done));
+  static_cast<void>(aSoak.Send(aNumber % aSoak.Nodes(),
+                               "POST",
+                               "/book/" + number,
+                               seconds(2),
+                               "booking " + number,
+                               done));
 }
 
 void
-Refused(World& aWorld)
+Refused(Soak& aSoak)
 {
   Json::Value plan = EmptyPlan(1);
   Json::Value route = RouteJson("book", "unsafe", seconds(2));
@@ -212,10 +211,10 @@
   plan["Routes"].append(route);
   plan["Backends"].append(BackendJson("booking"));
   for (std::size_t i = 0; i < kBookingSearchers; ++i) {
-    Searcher& searcher = aWorld.AddSearcher(
+    EntrySearcher& searcher = aSoak.AddSearcher(
       "i-booking-" + std::to_string(i + 1), "booking", "zone-a");
     searcher.SetFailureStatus(kUnavailable);
-    if (aWorld.HasTrouble() && i == 0) {
+    if (aSoak.HasTrouble() && i == 0) {
       searcher.SetAnswers(
         [number = std::make_shared<std::size_t>(0)](const std::string&) {
           // Evenly spread, so that each run of the case does the same.
@@ -229,23 +228,21 @@
         });
     }
   }
-  aWorld.Put("op/config", CompactJson(plan));
-  aWorld.WhenReady([&aWorld]() {
+  aSoak.Put("op/config", CompactJson(plan));
+  aSoak.WhenReady([&aSoak]() {
     const std::shared_ptr<BookingRuns> runs = std::make_shared<BookingRuns>();
-    Repeat(aWorld,
-           kBookingInterval,
-           kBookings,
-           [&aWorld, runs](std::size_t aNumber) {
-             SendBooking(aWorld, aNumber, Try::First, runs);
-           });
-    aWorld.After(kBookingInterval * kBookings + seconds(4), [&aWorld, runs]() {
+    Repeat(
+      aSoak, kBookingInterval, kBookings, [&aSoak, runs](std::size_t aNumber) {
+        SendBooking(aSoak, aNumber, Try::First, runs);
+      });
+    aSoak.After(kBookingInterval * kBookings + seconds(4), [&aSoak, runs]() {
       const auto twice =
         std::count_if(runs->begin(), runs->end(), [](const auto& aEntry) {
           return aEntry.second > 1;
         });
       std::printf("bookings that ran twice: %zu\n",
                   static_cast<std::size_t>(twice));
-      aWorld.End();
+      aSoak.End();
     });
   });
 }
@@ -297,22 +294,22 @@
 
 /// Bookings since then that a searcher began to run and that have no success.
 void
-ReportLost(World& aWorld, Instant aSince)
+ReportLost(Soak& aSoak, Instant aSince)
 {
-  const auto& requests = aWorld.Requests();
+  const auto& requests = aSoak.Requests();
   const auto lost =
     std::count_if(requests.begin(), requests.end(), [&](const auto& aEntry) {
       return aEntry.second.mSent >= aSince &&
              aEntry.second.mPath.starts_with("/book/") &&
              !aEntry.second.mRuns.empty() && aEntry.second.mStatus != kOk;
     });
-  aWorld.Record("bookings that began and were lost: " + std::to_string(lost));
+  aSoak.Record("bookings that began and were lost: " + std::to_string(lost));
   std::printf("bookings that began and were lost: %zu\n",
               static_cast<std::size_t>(lost));
 }
 
 void
-Cold(World& aWorld)
+Cold(Soak& aSoak)
 {
   Json::Value plan = EmptyPlan(1);
   Json::Value route = RouteJson("book", "unsafe", seconds(2));
@@ -321,71 +318,70 @@
   Json::Value backend = BackendJson("booking");
   backend["WarmupPerS"] = kWarmupPerSecond;
   plan["Backends"].append(backend);
-  std::vector<Searcher*> searchers;
+  std::vector<EntrySearcher*> searchers;
   for (const char* name : { "1", "2" }) {
-    searchers.push_back(&aWorld.AddSearcher(
+    searchers.push_back(&aSoak.AddSearcher(
       std::string("i-booking-") + name, "booking", std::string("zone-a")));
   }
   const std::shared_ptr<ColdCounter> counter = std::make_shared<ColdCounter>();
-  aWorld.SetArrived(
-    [&aWorld, counter](const Request& aRequest, Searcher* aSearcher) {
+  aSoak.SetArrived(
+    [&aSoak, counter](const Request& aRequest, EntrySearcher* aSearcher) {
       if (!aSearcher->IsCold()) {
         return;
       }
       const std::string& id = aSearcher->Shape().mId;
-      aWorld.Record("arrives at the cold searcher " + id);
-      if (counter->OnArrival(id, aRequest.mSent, aWorld.Loop().Now())) {
-        aWorld.Broken("the cold searcher " + id +
-                      " got more requests in one second than the bound of " +
-                      std::to_string(ColdCounter::Bound()));
+      aSoak.Record("arrives at the cold searcher " + id);
+      if (counter->OnArrival(id, aRequest.mSent, aSoak.Loop().Now())) {
+        aSoak.Broken("the cold searcher " + id +
+                     " got more requests in one second than the bound of " +
+                     std::to_string(ColdCounter::Bound()));
       }
       if (static_cast<double>(counter->Most().at(id)) >
           kCrashFactor * ColdCounter::Bound()) {
-        aWorld.Record("the cold searcher " + id + " crashes");
-        aWorld.Loop().Defer([aSearcher]() { aSearcher->Crash(); });
+        aSoak.Record("the cold searcher " + id + " crashes");
+        aSoak.Loop().Defer([aSearcher]() { aSearcher->Crash(); });
       }
     });
-  aWorld.Put("op/config", CompactJson(plan));
+  aSoak.Put("op/config", CompactJson(plan));
   const std::shared_ptr<Instant> back =
-    std::make_shared<Instant>(aWorld.Loop().Now());
-  aWorld.WhenReady([&aWorld, counter, searchers, back]() {
+    std::make_shared<Instant>(aSoak.Loop().Now());
+  aSoak.WhenReady([&aSoak, counter, searchers, back]() {
     Repeat(
-      aWorld, milliseconds(8), kColdRequests, [&aWorld](std::size_t aNumber) {
-        static_cast<void>(aWorld.Send(aNumber % aWorld.Nodes(),
-                                      "POST",
-                                      "/book/" + std::to_string(aNumber),
-                                      seconds(2),
-                                      "booking " + std::to_string(aNumber),
-                                      {}));
+      aSoak, milliseconds(8), kColdRequests, [&aSoak](std::size_t aNumber) {
+        static_cast<void>(aSoak.Send(aNumber % aSoak.Nodes(),
+                                     "POST",
+                                     "/book/" + std::to_string(aNumber),
+                                     seconds(2),
+                                     "booking " + std::to_string(aNumber),
+                                     {}));
       });
-    if (aWorld.HasTrouble()) {
-      aWorld.After(seconds(5), [&aWorld, searchers]() {
-        aWorld.Record("both searchers crash");
-        for (Searcher* searcher : searchers) {
+    if (aSoak.HasTrouble()) {
+      aSoak.After(seconds(5), [&aSoak, searchers]() {
+        aSoak.Record("both searchers crash");
+        for (EntrySearcher* searcher : searchers) {
           searcher->Crash();
         }
       });
       for (std::size_t i = 0; i < searchers.size(); ++i) {
-        Searcher* searcher = searchers[i];
-        aWorld.After(seconds(5) + kDown +
-                       static_cast<Duration::rep>(i) * kApart,
-                     [&aWorld, searcher, back]() {
-                       *back = aWorld.Loop().Now();
-                       aWorld.Record(searcher->Shape().mId + " is back, cold");
-                       if (!searcher->StartAgain(kWarmup)) {
-                         aWorld.Fail("a searcher could not start again");
-                       }
-                     });
+        EntrySearcher* searcher = searchers[i];
+        aSoak.After(seconds(5) + kDown + static_cast<Duration::rep>(i) * kApart,
+                    [&aSoak, searcher, back]() {
+                      *back = aSoak.Loop().Now();
+                      aSoak.Record(searcher->Shape().mId + " is back, cold");
+                      if (!searcher->StartAgain(kWarmup)) {
+                        aSoak.Fail("a searcher could not start again");
+                      }
+                    });
       }
     }
-    aWorld.After(seconds(13), [&aWorld, counter, back]() {
+    aSoak.After(seconds(13), [&aSoak, counter, back]() {
       for (const auto& [id, most] : counter->Most()) {
-        aWorld.Record("most in one second at " + id + ": " +
-                      std::to_string(most));
+        aSoak.Record("most in one second at " + id + ": " +
+                     std::to_string(most));
         std::printf("most in one second at %s: %zu\n", id.c_str(), most);
       }
-      ReportLost(aWorld, *back);
-      aWorld.End();
+      ReportLost(aSoak, *back);
+      aSoak.End();
     });
   });
 }
@@ -412,46 +408,47 @@
 };
 
 void
-OnPoisonArrival(World& aWorld, PoisonState* aState, const std::string& aId)
+OnPoisonArrival(Soak& aSoak, PoisonState* aState, const std::string& aId)
 {
-  const Instant now = aWorld.Loop().Now();
+  const Instant now = aSoak.Loop().Now();
   // Each arrival that is run crashes its searcher.
   if (++aState->mCrashes == kCrashesToKnow) {
     aState->mThirdCrash = now;
-    aWorld.Record("the third crash");
+    aSoak.Record("the third crash");
   }
   const bool isLate =
     aState->mCrashes > kCrashesToKnow && now - aState->mThirdCrash > kContact;
   if (isLate && aState->mLate.insert(aId).second) {
-    aWorld.Record("reaches a searcher after all: " + aId);
+    aSoak.Record("reaches a searcher after all: " + aId);
     if (aState->mLate.size() == kAllowedRetries + 1) {
-      aWorld.Broken("a request that crashes searchers reached them in more "
-                    "than three retries later than ContactMs after the third "
-                    "crash");
+      aSoak.Broken("a request that crashes searchers reached them in more "
+                   "than three retries later than ContactMs after the third "
+                   "crash");
     }
   }
 }
 
 void
-SendPoison(World& aWorld, std::size_t aNode, Try aTry)
+SendPoison(Soak& aSoak, std::size_t aNode, Try aTry)
 {
-  static_cast<void>(aWorld.Send(
-    aNode,
-    "GET",
-    kPoisonPath,
-    seconds(2),
-    "",
-    [&aWorld, aNode, aTry](const std::string&, const Request& aSent) {
-      // A consumer repeats a safe request once after a failure, elsewhere.
-      if (aSent.mStatus != kOk && aTry == Try::First) {
-        SendPoison(aWorld, (aNode + 1) % aWorld.Nodes(), Try::Again);
-      }
-    }));
+  static_cast<void>(
+    aSoak.Send(aNode,
+               "GET",
+               kPoisonPath,
+               seconds(2),
+               "",
+               [&aSoak, aNode, aTry](const std::string&, const Request& aSent) {
+                 // A consumer repeats a safe request once after a failure,
+                 // elsewhere.
+                 if (aSent.mStatus != kOk && aTry == Try::First) {
+                   SendPoison(aSoak, (aNode + 1) % aSoak.Nodes(), Try::Again);
+                 }
+               }));
 }
 
 /// The searchers that such a request crashes, and the configuration.
 std::shared_ptr<PoisonState>
-PreparePoison(World& aWorld, Duration aCrashAfter)
+PreparePoison(Soak& aSoak, Duration aCrashAfter)
 {
   Json::Value plan = EmptyPlan(1);
   Json::Value find = RouteJson("find", "safe", seconds(2));
@@ -462,60 +459,60 @@
   plan["Routes"].append(book);
   plan["Backends"].append(BackendJson("booking"));
   for (std::size_t i = 0; i < kFindSearchers; ++i) {
-    Searcher& searcher =
-      aWorld.AddSearcher("i-booking-" + std::to_string(i + 1),
-                         "booking",
-                         i % 2 == 0 ? "zone-a" : "zone-b");
+    EntrySearcher& searcher =
+      aSoak.AddSearcher("i-booking-" + std::to_string(i + 1),
+                        "booking",
+                        i % 2 == 0 ? "zone-a" : "zone-b");
     searcher.SetWork(kFindWork);
-    if (aWorld.HasTrouble()) {
+    if (aSoak.HasTrouble()) {
       searcher.SetCrashes(kCrashMarker, aCrashAfter, seconds(3));
     }
   }
   std::shared_ptr<PoisonState> state = std::make_shared<PoisonState>();
-  if (aWorld.HasTrouble()) {
-    aWorld.SetRun(
-      [&aWorld, state](const std::string& aId, const Request& aRequest) {
+  if (aSoak.HasTrouble()) {
+    aSoak.SetRun(
+      [&aSoak, state](const std::string& aId, const Request& aRequest) {
         if (aRequest.mPath == kPoisonPath) {
-          OnPoisonArrival(aWorld, state.get(), aId);
+          OnPoisonArrival(aSoak, state.get(), aId);
         }
       });
   }
-  aWorld.Put("op/config", CompactJson(plan));
+  aSoak.Put("op/config", CompactJson(plan));
   return state;
 }
 
 void
-Poison(World& aWorld)
+Poison(Soak& aSoak)
 {
-  const std::shared_ptr<PoisonState> state = PreparePoison(aWorld, Duration(0));
-  aWorld.WhenReady([&aWorld, state]() {
-    state->mCalmFrom = aWorld.Loop().Now() + seconds(20);
-    aWorld.After(seconds(5), [&aWorld]() {
-      Repeat(aWorld,
+  const std::shared_ptr<PoisonState> state = PreparePoison(aSoak, Duration(0));
+  aSoak.WhenReady([&aSoak, state]() {
+    state->mCalmFrom = aSoak.Loop().Now() + seconds(20);
+    aSoak.After(seconds(5), [&aSoak]() {
+      Repeat(aSoak,
              kPoisonInterval,
              static_cast<std::size_t>(kPoisonTime / kPoisonInterval),
-             [&aWorld](std::size_t aNumber) {
-               SendPoison(aWorld, aNumber % aWorld.Nodes(), Try::First);
+             [&aSoak](std::size_t aNumber) {
+               SendPoison(aSoak, aNumber % aSoak.Nodes(), Try::First);
              });
-      Repeat(aWorld,
+      Repeat(aSoak,
              kBookingInterval,
              static_cast<std::size_t>(kPoisonTime / kBookingInterval),
-             [&aWorld](std::size_t aNumber) {
+             [&aSoak](std::size_t aNumber) {
                const std::string number = std::to_string(aNumber);
-               static_cast<void>(aWorld.Send(aNumber % aWorld.Nodes(),
-                                             "POST",
-                                             "/book/" + number,
-                                             seconds(2),
-                                             "booking " + number,
-                                             {}));
+               static_cast<void>(aSoak.Send(aNumber % aSoak.Nodes(),
+                                            "POST",
+                                            "/book/" + number,
+                                            seconds(2),
+                                            "booking " + number,
+                                            {}));
              });
     });
-    aWorld.After(seconds(5) + kPoisonTime + seconds(4), [&aWorld, state]() {
+    aSoak.After(seconds(5) + kPoisonTime + seconds(4), [&aSoak, state]() {
       std::printf("crashes: %zu, requests that came through late: %zu\n",
                   state->mCrashes,
                   state->mLate.size());
-      ReportLost(aWorld, state->mCalmFrom);
-      aWorld.End();
+      ReportLost(aSoak, state->mCalmFrom);
+      aSoak.End();
     });
   });
 }
@@ -531,24 +528,24 @@
 struct ForeignConsumer
 {
   std::size_t mNode = 0;
-  std::unique_ptr<RawConsumer> mConnection;
+  std::unique_ptr<Callers> mConnection;
   std::string mLast = "none";
 };
 
 void
-SendForeign(World& aWorld,
+SendForeign(Soak& aSoak,
             const std::shared_ptr<ForeignConsumer>& aConsumer,
             std::size_t aNumber)
 {
   ForeignConsumer& consumer = *aConsumer;
   if (!consumer.mConnection || consumer.mConnection->HasEnded()) {
-    consumer.mConnection = std::make_unique<RawConsumer>(
-      aWorld.Loop(),
-      aWorld.NodeAddress(consumer.mNode),
-      [&aWorld, aConsumer](const std::string& aBytes) {
-        aWorld.Broken("bytes that answer no request, on a connection to node " +
-                      std::to_string(aConsumer->mNode + 1) + " after " +
-                      aConsumer->mLast + ": " + aBytes);
+    consumer.mConnection = std::make_unique<Callers>(
+      aSoak.Loop(),
+      aSoak.NodeAddress(consumer.mNode),
+      [&aSoak, aConsumer](const std::string& aBytes) {
+        aSoak.Broken("bytes that answer no request, on a connection to node " +
+                     std::to_string(aConsumer->mNode + 1) + " after " +
+                     aConsumer->mLast + ": " + aBytes);
       });
   }
   if (!consumer.mConnection->IsReady()) {
@@ -556,24 +553,23 @@
   }
   const std::string id = "q" + std::to_string(aNumber);
   consumer.mLast = id;
-  aWorld.Record("sent " + id + " to node " +
-                std::to_string(consumer.mNode + 1));
+  aSoak.Record("sent " + id + " to node " + std::to_string(consumer.mNode + 1));
   const std::string body = "booking " + std::to_string(aNumber);
   consumer.mConnection->Send(
     "POST /book/" + std::to_string(aNumber) +
-      " HTTP/1.1\r\nHost: " + World::kHost + "\r\nRequest-Id: " + id +
+      " HTTP/1.1\r\nHost: " + Soak::kHost + "\r\nRequest-Id: " + id +
       "\r\nDeadline-Ms: 2000\r\nContent-Length: " +
       std::to_string(body.size()) + "\r\n\r\n" + body,
-    [&aWorld, id](const RawConsumer::Answer& aAnswer) {
-      aWorld.Record("answered " + id + ": " + std::to_string(aAnswer.mStatus));
+    [&aSoak, id](const Callers::Answer& aAnswer) {
+      aSoak.Record("answered " + id + ": " + std::to_string(aAnswer.mStatus));
       if (aAnswer.mHead.find(id + "\r\n") == std::string::npos) {
-        aWorld.Broken(id + " got the answer to another request");
+        aSoak.Broken(id + " got the answer to another request");
       }
     });
 }
 
 void
-Foreign(World& aWorld)
+Foreign(Soak& aSoak)
 {
   Json::Value plan = EmptyPlan(1);
   Json::Value route = RouteJson("book", "unsafe", seconds(2));
@@ -581,9 +577,9 @@
   plan["Routes"].append(route);
   plan["Backends"].append(BackendJson("booking"));
   for (std::size_t i = 0; i < kGarbledSearchers; ++i) {
-    Searcher& searcher = aWorld.AddSearcher(
+    EntrySearcher& searcher = aSoak.AddSearcher(
       "i-booking-" + std::to_string(i + 1), "booking", "zone-a");
-    const bool garbles = aWorld.HasTrouble() && i < kGarbledEach;
+    const bool garbles = aSoak.HasTrouble() && i < kGarbledEach;
     searcher.SetAnswers(
       [garbles, number = std::make_shared<std::size_t>(0)](const std::string&) {
         const auto garbled = [](std::size_t aCount) {
@@ -596,22 +592,21 @@
                  : Answer::NoContent;
       });
   }
-  aWorld.Put("op/config", CompactJson(plan));
-  aWorld.WhenReady([&aWorld]() {
+  aSoak.Put("op/config", CompactJson(plan));
+  aSoak.WhenReady([&aSoak]() {
     std::vector<std::shared_ptr<ForeignConsumer>> consumers;
-    for (std::size_t node = 0; node < aWorld.Nodes(); ++node) {
+    for (std::size_t node = 0; node < aSoak.Nodes(); ++node) {
       consumers.push_back(std::make_shared<ForeignConsumer>());
       consumers.back()->mNode = node;
     }
-    Repeat(aWorld,
+    Repeat(aSoak,
            kBookingInterval,
            kForeignRequests,
-           [&aWorld, consumers](std::size_t aNumber) {
-             SendForeign(
-               aWorld, consumers[aNumber % consumers.size()], aNumber);
+           [&aSoak, consumers](std::size_t aNumber) {
+             SendForeign(aSoak, consumers[aNumber % consumers.size()], aNumber);
            });
-    aWorld.After(kBookingInterval * kForeignRequests + seconds(3),
-                 [&aWorld]() { aWorld.End(); });
+    aSoak.After(kBookingInterval * kForeignRequests + seconds(3),
+                [&aSoak]() { aSoak.End(); });
   });
 }
 
@@ -623,47 +618,45 @@
 constexpr std::size_t kLeavingRequests = 27;
 
 void
-EndPoison(World& aWorld, const PoisonState& aState)
+EndPoison(Soak& aSoak, const PoisonState& aState)
 {
   std::printf("runs: %zu, requests that came through late: %zu\n",
               aState.mCrashes,
               aState.mLate.size());
-  ReportLost(aWorld, aState.mCalmFrom);
-  aWorld.End();
+  ReportLost(aSoak, aState.mCalmFrom);
+  aSoak.End();
 }
 
 void
-Leaving(World& aWorld)
+Leaving(Soak& aSoak)
 {
-  const std::shared_ptr<PoisonState> state = PreparePoison(aWorld, kCrashAfter);
-  aWorld.WhenReady([&aWorld, state]() {
-    aWorld.After(seconds(5), [&aWorld, state]() {
-      state->mCalmFrom = aWorld.Loop().Now();
-      Repeat(aWorld,
+  const std::shared_ptr<PoisonState> state = PreparePoison(aSoak, kCrashAfter);
+  aSoak.WhenReady([&aSoak, state]() {
+    aSoak.After(seconds(5), [&aSoak, state]() {
+      state->mCalmFrom = aSoak.Loop().Now();
+      Repeat(aSoak,
              kLeavingInterval,
              kLeavingRequests,
-             [&aWorld](std::size_t aNumber) {
-               aWorld.SendAndLeave(aNumber % aWorld.Nodes(),
-                                   kPoisonPath,
-                                   seconds(2),
-                                   kLeaveAfter);
+             [&aSoak](std::size_t aNumber) {
+               aSoak.SendAndLeave(
+                 aNumber % aSoak.Nodes(), kPoisonPath, seconds(2), kLeaveAfter);
              });
-      Repeat(aWorld,
+      Repeat(aSoak,
              kBookingInterval,
              static_cast<std::size_t>(kLeavingInterval / kBookingInterval) *
                kLeavingRequests,
-             [&aWorld](std::size_t aNumber) {
+             [&aSoak](std::size_t aNumber) {
                const std::string number = std::to_string(aNumber);
-               static_cast<void>(aWorld.Send(aNumber % aWorld.Nodes(),
-                                             "POST",
-                                             "/book/" + number,
-                                             seconds(2),
-                                             "booking " + number,
-                                             {}));
+               static_cast<void>(aSoak.Send(aNumber % aSoak.Nodes(),
+                                            "POST",
+                                            "/book/" + number,
+                                            seconds(2),
+                                            "booking " + number,
+                                            {}));
              });
     });
-    aWorld.After(seconds(5) + kLeavingInterval * kLeavingRequests + seconds(4),
-                 [&aWorld, state]() { EndPoison(aWorld, *state); });
+    aSoak.After(seconds(5) + kLeavingInterval * kLeavingRequests + seconds(4),
+                [&aSoak, state]() { EndPoison(aSoak, *state); });
   });
 }
 
@@ -672,43 +665,42 @@
 constexpr Duration kPoisonBurst = seconds(2);
 
 void
-SendPoisonBurst(World& aWorld)
+SendPoisonBurst(Soak& aSoak)
 {
-  Repeat(aWorld,
+  Repeat(aSoak,
          kPoisonInterval,
          static_cast<std::size_t>(kPoisonBurst / kPoisonInterval),
-         [&aWorld](std::size_t aNumber) {
-           SendPoison(aWorld, aNumber % aWorld.Nodes(), Try::First);
+         [&aSoak](std::size_t aNumber) {
+           SendPoison(aSoak, aNumber % aSoak.Nodes(), Try::First);
          });
 }
 
 void
-Forgotten(World& aWorld)
+Forgotten(Soak& aSoak)
 {
-  const std::shared_ptr<PoisonState> state = PreparePoison(aWorld, Duration(0));
-  aWorld.WhenReady([&aWorld, state]() {
-    aWorld.After(seconds(5), [&aWorld]() { SendPoisonBurst(aWorld); });
-    aWorld.After(seconds(9), [&aWorld]() {
-      for (std::size_t node = 1; node <= aWorld.Nodes(); ++node) {
+  const std::shared_ptr<PoisonState> state = PreparePoison(aSoak, Duration(0));
+  aSoak.WhenReady([&aSoak, state]() {
+    aSoak.After(seconds(5), [&aSoak]() { SendPoisonBurst(aSoak); });
+    aSoak.After(seconds(9), [&aSoak]() {
+      for (std::size_t node = 1; node <= aSoak.Nodes(); ++node) {
         std::printf("signal %zu KILL\n", node);
       }
     });
-    aWorld.After(seconds(10), [&aWorld]() {
-      for (std::size_t node = 1; node <= aWorld.Nodes(); ++node) {
+    aSoak.After(seconds(10), [&aSoak]() {
+      for (std::size_t node = 1; node <= aSoak.Nodes(); ++node) {
         std::printf("start %zu\n", node);
       }
     });
     // All machines are in touch again ContactMs after their start.
-    aWorld.After(seconds(16), [&aWorld]() { SendPoisonBurst(aWorld); });
-    aWorld.After(seconds(22),
-                 [&aWorld, state]() { EndPoison(aWorld, *state); });
+    aSoak.After(seconds(16), [&aSoak]() { SendPoisonBurst(aSoak); });
+    aSoak.After(seconds(22), [&aSoak, state]() { EndPoison(aSoak, *state); });
   });
 }
 
 // Case lost: searchers run requests and their answers are lost.
 
 void
-Lost(World& aWorld)
+Lost(Soak& aSoak)
 {
   Json::Value plan = EmptyPlan(1);
   Json::Value route = RouteJson("book", "unsafe", seconds(2));
@@ -716,9 +708,9 @@
   plan["Routes"].append(route);
   plan["Backends"].append(BackendJson("booking"));
   for (std::size_t i = 0; i < kBookingSearchers; ++i) {
-    Searcher& searcher = aWorld.AddSearcher(
+    EntrySearcher& searcher = aSoak.AddSearcher(
       "i-booking-" + std::to_string(i + 1), "booking", "zone-a");
-    if (aWorld.HasTrouble() && i % 2 == 0) {
+    if (aSoak.HasTrouble() && i % 2 == 0) {
       searcher.SetAnswers(
         [number = std::make_shared<std::size_t>(0)](const std::string&) {
           constexpr std::size_t kLostOf = 8;
@@ -726,25 +718,23 @@
         });
     }
   }
-  aWorld.Put("op/config", CompactJson(plan));
-  aWorld.WhenReady([&aWorld]() {
+  aSoak.Put("op/config", CompactJson(plan));
+  aSoak.WhenReady([&aSoak]() {
     const std::shared_ptr<BookingRuns> runs = std::make_shared<BookingRuns>();
-    Repeat(aWorld,
-           kBookingInterval,
-           kBookings,
-           [&aWorld, runs](std::size_t aNumber) {
-             SendBooking(aWorld, aNumber, Try::First, runs);
-           });
-    aWorld.After(kBookingInterval * kBookings + seconds(4), [&aWorld]() {
+    Repeat(
+      aSoak, kBookingInterval, kBookings, [&aSoak, runs](std::size_t aNumber) {
+        SendBooking(aSoak, aNumber, Try::First, runs);
+      });
+    aSoak.After(kBookingInterval * kBookings + seconds(4), [&aSoak]() {
       std::size_t unanswered = 0;
-      for (const auto& [id, request] : aWorld.Requests()) {
+      for (const auto& [id, request] : aSoak.Requests()) {
         unanswered += request.mStatus != kOk ? 1 : 0;
         if (request.mRuns.size() > 1) {
-          aWorld.Broken(id + " ran more than once");
+          aSoak.Broken(id + " ran more than once");
         }
       }
       std::printf("bookings without a success: %zu\n", unanswered);
-      aWorld.End();
+      aSoak.End();
     });
   });
 }
@@ -756,7 +746,7 @@
 constexpr std::size_t kGatheredRequests = 60;
 
 void
-Gathered(World& aWorld)
+Gathered(Soak& aSoak)
 {
   Json::Value plan = EmptyPlan(1);
   Json::Value find = RouteJson("find", "safe", seconds(2));
@@ -768,32 +758,32 @@
     find["Gather"].append(service);
     plan["Backends"].append(BackendJson(service));
     for (const char* zone : { "zone-a", "zone-b" }) {
-      Searcher& searcher =
-        aWorld.AddSearcher("i-" + service + "-" + zone, service, zone);
-      if (aWorld.HasTrouble()) {
+      EntrySearcher& searcher =
+        aSoak.AddSearcher("i-" + service + "-" + zone, service, zone);
+      if (aSoak.HasTrouble()) {
         searcher.SetCrashes(kCrashMarker, Duration(0), seconds(3));
       }
     }
   }
   plan["Routes"].append(find);
-  aWorld.SetRun(
-    [&aWorld, state](const std::string& aId, const Request& aRequest) {
-      if (aRequest.mPath == kPoisonPath && aWorld.HasTrouble()) {
-        OnPoisonArrival(aWorld, state.get(), aId);
+  aSoak.SetRun(
+    [&aSoak, state](const std::string& aId, const Request& aRequest) {
+      if (aRequest.mPath == kPoisonPath && aSoak.HasTrouble()) {
+        OnPoisonArrival(aSoak, state.get(), aId);
       }
     });
-  aWorld.Put("op/config", CompactJson(plan));
-  aWorld.WhenReady([&aWorld, state]() {
-    aWorld.After(seconds(5), [&aWorld]() {
-      Repeat(aWorld,
+  aSoak.Put("op/config", CompactJson(plan));
+  aSoak.WhenReady([&aSoak, state]() {
+    aSoak.After(seconds(5), [&aSoak]() {
+      Repeat(aSoak,
              kGatheredInterval,
              kGatheredRequests,
-             [&aWorld](std::size_t aNumber) {
-               SendPoison(aWorld, aNumber % aWorld.Nodes(), Try::First);
+             [&aSoak](std::size_t aNumber) {
+               SendPoison(aSoak, aNumber % aSoak.Nodes(), Try::First);
              });
     });
-    aWorld.After(seconds(8) + kGatheredInterval * kGatheredRequests,
-                 [&aWorld, state]() { EndPoison(aWorld, *state); });
+    aSoak.After(seconds(8) + kGatheredInterval * kGatheredRequests,
+                [&aSoak, state]() { EndPoison(aSoak, *state); });
   });
 }
 
@@ -807,102 +797,102 @@
 constexpr Duration kDrain = milliseconds(3000);
 
 void
-StopNodes(World& aWorld, const std::shared_ptr<std::set<std::size_t>>& aAvoided)
+StopNodes(Soak& aSoak, const std::shared_ptr<std::set<std::size_t>>& aAvoided)
 {
   for (std::size_t i = 0; i < 2; ++i) {
     const Duration at = seconds(2) + static_cast<Duration::rep>(i) * seconds(9);
-    aWorld.After(at, [i]() { std::printf("signal %zu TERM\n", i + 1); });
+    aSoak.After(at, [i]() { std::printf("signal %zu TERM\n", i + 1); });
     // Consumers keep an address for as long as the directory says, or longer.
-    aWorld.After(at + kKeepsAddress, [aAvoided, i]() { aAvoided->insert(i); });
-    aWorld.After(at + seconds(7), [i]() { std::printf("start %zu\n", i + 1); });
-    aWorld.After(at + seconds(8), [aAvoided, i]() { aAvoided->erase(i); });
+    aSoak.After(at + kKeepsAddress, [aAvoided, i]() { aAvoided->insert(i); });
+    aSoak.After(at + seconds(7), [i]() { std::printf("start %zu\n", i + 1); });
+    aSoak.After(at + seconds(8), [aAvoided, i]() { aAvoided->erase(i); });
   }
   // The third one is killed while a searcher drains.
-  aWorld.After(milliseconds(21500), [aAvoided]() {
+  aSoak.After(milliseconds(21500), [aAvoided]() {
     aAvoided->insert(2);
     std::printf("signal 3 KILL\n");
   });
-  aWorld.After(milliseconds(22500), []() { std::printf("start 3\n"); });
-  aWorld.After(milliseconds(23500), [aAvoided]() { aAvoided->erase(2); });
+  aSoak.After(milliseconds(22500), []() { std::printf("start 3\n"); });
+  aSoak.After(milliseconds(23500), [aAvoided]() { aAvoided->erase(2); });
 }
 
 void
-Stopped(World& aWorld)
+Stopped(Soak& aSoak)
 {
   Json::Value plan = EmptyPlan(1);
   Json::Value route = RouteJson("book", "unsafe", seconds(2));
   route["Backend"] = "booking";
   plan["Routes"].append(route);
   plan["Backends"].append(BackendJson("booking"));
-  Searcher* leaving = nullptr;
+  EntrySearcher* leaving = nullptr;
   for (std::size_t i = 0; i < kBookingSearchers; ++i) {
-    Searcher& searcher = aWorld.AddSearcher(
+    EntrySearcher& searcher = aSoak.AddSearcher(
       "i-booking-" + std::to_string(i + 1), "booking", "zone-a");
     searcher.SetWork(kStoppedWork);
     leaving = &searcher;
   }
   const std::shared_ptr<Instant> drained = std::make_shared<Instant>();
-  aWorld.SetArrived([&aWorld, drained, leaving](const Request&,
-                                                Searcher* aSearcher) {
+  aSoak.SetArrived([&aSoak, drained, leaving](const Request&,
+                                              EntrySearcher* aSearcher) {
     const bool isLate =
-      *drained != Instant() && aWorld.Loop().Now() - *drained > kDrain;
+      *drained != Instant() && aSoak.Loop().Now() - *drained > kDrain;
     if (aSearcher == leaving && isLate) {
-      aWorld.Broken("a request reached a draining searcher later than DrainMs");
+      aSoak.Broken("a request reached a draining searcher later than DrainMs");
     }
   });
-  aWorld.Put("op/config", CompactJson(plan));
-  aWorld.WhenReady([&aWorld, drained, leaving]() {
+  aSoak.Put("op/config", CompactJson(plan));
+  aSoak.WhenReady([&aSoak, drained, leaving]() {
     const auto avoided = std::make_shared<std::set<std::size_t>>();
-    if (aWorld.HasTrouble()) {
-      StopNodes(aWorld, avoided);
+    if (aSoak.HasTrouble()) {
+      StopNodes(aSoak, avoided);
     }
-    aWorld.After(seconds(21), [&aWorld, drained, leaving]() {
+    aSoak.After(seconds(21), [&aSoak, drained, leaving]() {
       leaving->Tell("draining");
-      *drained = aWorld.Loop().Now();
+      *drained = aSoak.Loop().Now();
     });
-    Repeat(aWorld,
+    Repeat(aSoak,
            kStoppedInterval,
            kStoppedRequests,
-           [&aWorld, avoided](std::size_t aNumber) {
-             std::size_t node = aNumber % aWorld.Nodes();
+           [&aSoak, avoided](std::size_t aNumber) {
+             std::size_t node = aNumber % aSoak.Nodes();
              while (avoided->contains(node)) {
-               node = (node + 1) % aWorld.Nodes();
+               node = (node + 1) % aSoak.Nodes();
              }
              const std::string number = std::to_string(aNumber);
-             static_cast<void>(aWorld.Send(
+             static_cast<void>(aSoak.Send(
                node,
                "POST",
                "/book/" + number,
                seconds(2),
                "booking " + number,
-               [&aWorld](const std::string& aId, const Request& aSent) {
+               [&aSoak](const std::string& aId, const Request& aSent) {
                  const bool wasKilled =
-                   aSent.mNode == 2 && aWorld.HasTrouble() &&
-                   aWorld.Loop().Now() - aSent.mSent < milliseconds(400);
+                   aSent.mNode == 2 && aSoak.HasTrouble() &&
+                   aSoak.Loop().Now() - aSent.mSent < milliseconds(400);
                  if (aSent.mStatus == 0 && !aSent.mRuns.empty() && !wasKilled) {
-                   aWorld.Broken(aId + " was passed on and cut");
+                   aSoak.Broken(aId + " was passed on and cut");
                  }
                }));
            });
-    aWorld.After(seconds(34), [&aWorld]() {
+    aSoak.After(seconds(34), [&aSoak]() {
       std::map<int, std::size_t> answers;
-      for (const auto& [id, request] : aWorld.Requests()) {
+      for (const auto& [id, request] : aSoak.Requests()) {
         ++answers[request.mStatus];
       }
       for (const auto& [status, count] : answers) {
         std::printf("answers %d: %zu\n", status, count);
       }
-      aWorld.End();
+      aSoak.End();
     });
   });
 }
 
 } // namespace
 
-const std::map<std::string, std::function<void(World&)>>&
+const std::map<std::string, std::function<void(Soak&)>>&
 Cases()
 {
-  static const std::map<std::string, std::function<void(World&)>> kCases = {
+  static const std::map<std::string, std::function<void(Soak&)>> kCases = {
     { "storm", Storm },         { "refused", Refused },
     { "cold", Cold },           { "poison", Poison },
     { "foreign", Foreign },     { "leaving", Leaving },
--- a/review/StandIns/Deployment/World.cpp
+++ b/review/Soak.cpp
@@ -1,4 +1,4 @@
-#include "World.h"
+#include "Soak.h"
 
 #include <LibHttp/HttpText.h>
 
@@ -39,7 +39,7 @@
 {
   Json::Value route(Json::objectValue);
   route["Name"] = aName;
-  route["Host"] = World::kHost;
+  route["Host"] = Soak::kHost;
   route["PathPrefix"] = "/" + aName + "/";
   route["RouteKind"] = aKind;
   route["MaxAttempts"] = 2;
@@ -64,7 +64,7 @@
   return plan;
 }
 
-World::World(EventLoop& aLoop, const Settings& aSettings)
+Soak::Soak(EventLoop& aLoop, const Settings& aSettings)
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mStart(aLoop.Now())
@@ -73,10 +73,10 @@
 {
 }
 
-Searcher&
-World::AddSearcher(const std::string& aId,
-                   const std::string& aService,
-                   const std::string& aZone)
+EntrySearcher&
+Soak::AddSearcher(const std::string& aId,
+                  const std::string& aService,
+                  const std::string& aZone)
 {
   SearcherShape shape;
   shape.mId = aId;
@@ -85,7 +85,7 @@
   shape.mAddress = mSettings.mFirstSearcher;
   shape.mAddress.mPort =
     static_cast<std::uint16_t>(shape.mAddress.mPort + mSearchers.size());
-  mSearchers.push_back(std::make_unique<Searcher>(mLoop, *this, shape));
+  mSearchers.push_back(std::make_unique<EntrySearcher>(mLoop, *this, shape));
   if (!mSearchers.back()->Start()) {
     Fail("the address of a searcher can not be bound");
   }
@@ -93,9 +93,9 @@
 }
 
 void
-World::Put(const std::string& aKey,
-           const std::string& aValue,
-           std::function<void()> aAcknowledged)
+Soak::Put(const std::string& aKey,
+          const std::string& aValue,
+          std::function<void()> aAcknowledged)
 {
   mWrites.push_back(Write{
     "/put?Key=" + PercentEncode(aKey), aValue, std::move(aAcknowledged) });
@@ -105,13 +105,13 @@
 }
 
 void
-World::Remove(const std::string& aKey)
+Soak::Remove(const std::string& aKey)
 {
   Control("/remove?Key=" + PercentEncode(aKey));
 }
 
 void
-World::Control(const std::string& aTarget)
+Soak::Control(const std::string& aTarget)
 {
   mWrites.push_back(Write{ aTarget, "", {} });
   if (mWrites.size() == 1) {
@@ -120,7 +120,7 @@
 }
 
 void
-World::SendNextWrite()
+Soak::SendNextWrite()
 {
   if (mControl == nullptr || !mControl->IsReady()) {
     mControl = std::make_unique<HttpClientStream>(
@@ -152,7 +152,7 @@
 }
 
 void
-World::WhenReady(const std::function<void()>& aTask)
+Soak::WhenReady(const std::function<void()>& aTask)
 {
   for (std::size_t node = 0; node < mSettings.mReady.size(); ++node) {
     AskReady(node, aTask);
@@ -160,7 +160,7 @@
 }
 
 void
-World::AskReady(std::size_t aNode, std::function<void()> aTask)
+Soak::AskReady(std::size_t aNode, std::function<void()> aTask)
 {
   mProbes[aNode] = std::make_unique<HttpClientStream>(
     mLoop, mSettings.mReady[aNode], PeerTimeouts());
@@ -185,14 +185,14 @@
 }
 
 void
-World::After(Duration aDelay, std::function<void()> aTask)
+Soak::After(Duration aDelay, std::function<void()> aTask)
 {
   mTimers.push_back(std::make_unique<Timer>(mLoop, std::move(aTask)));
   mTimers.back()->Start(aDelay);
 }
 
 std::shared_ptr<HttpClientStream>
-World::StreamTo(std::size_t aNode)
+Soak::StreamTo(std::size_t aNode)
 {
   std::vector<std::shared_ptr<HttpClientStream>>& streams = mStreams[aNode];
   std::erase_if(streams, [](const std::shared_ptr<HttpClientStream>& aOne) {
@@ -209,12 +209,12 @@
 }
 
 std::string
-World::Send(std::size_t aNode,
-            const std::string& aMethod,
-            const std::string& aPath,
-            Duration aDeadline,
-            const std::string& aBody,
-            Done aDone)
+Soak::Send(std::size_t aNode,
+           const std::string& aMethod,
+           const std::string& aPath,
+           Duration aDeadline,
+           const std::string& aBody,
+           Done aDone)
 {
   return SendFor(aNode,
                  aMethod,
@@ -226,22 +226,22 @@
 }
 
 void
-World::SendAndLeave(std::size_t aNode,
-                    const std::string& aPath,
-                    Duration aDeadline,
-                    Duration aLeaveAfter)
+Soak::SendAndLeave(std::size_t aNode,
+                   const std::string& aPath,
+                   Duration aDeadline,
+                   Duration aLeaveAfter)
 {
   SendFor(aNode, "GET", aPath, aDeadline, aLeaveAfter, "", {});
 }
 
 std::string
-World::SendFor(std::size_t aNode,
-               const std::string& aMethod,
-               const std::string& aPath,
-               Duration aDeadline,
-               Duration aPatience,
-               const std::string& aBody,
-               Done aDone)
+Soak::SendFor(std::size_t aNode,
+              const std::string& aMethod,
+              const std::string& aPath,
+              Duration aDeadline,
+              Duration aPatience,
+              const std::string& aBody,
+              Done aDone)
 {
   std::string id = "q" + std::to_string(++mLastRequest);
   Request& request = mRequests[id];
@@ -287,9 +287,9 @@
 }
 
 void
-World::OnRun(const std::string& aRequest,
-             const SearcherShape& aShape,
-             const HttpCall&)
+Soak::OnRun(const std::string& aRequest,
+            const SearcherShape& aShape,
+            const HttpCall&)
 {
   Record("run " + aRequest + " by " + aShape.mId + " of " + aShape.mService);
   const auto found = mRequests.find(aRequest);
@@ -302,7 +302,7 @@
 }
 
 void
-World::OnArrival(const std::string& aRequest, Searcher* aSearcher)
+Soak::OnArrival(const std::string& aRequest, EntrySearcher* aSearcher)
 {
   const auto found = mRequests.find(aRequest);
   if (mArrived && found != mRequests.end()) {
@@ -311,7 +311,7 @@
 }
 
 void
-World::Record(const std::string& aText)
+Soak::Record(const std::string& aText)
 {
   if (mRecord != nullptr) {
     const std::chrono::duration<double> time = mLoop.Now() - mStart;
@@ -320,7 +320,7 @@
 }
 
 void
-World::Broken(const std::string& aText)
+Soak::Broken(const std::string& aText)
 {
   ++mBreaches;
   Record("BROKEN " + aText);
@@ -330,7 +330,7 @@
 }
 
 void
-World::Fail(const std::string& aText)
+Soak::Fail(const std::string& aText)
 {
   mFailed = true;
   Record("could not run: " + aText);
@@ -339,7 +339,7 @@
 }
 
 void
-World::End()
+Soak::End()
 {
   Record("end, breaches: " + std::to_string(mBreaches));
   std::printf("breaches: %zu\n", mBreaches);
@@ -350,7 +350,7 @@
 }
 
 int
-World::ExitStatus() const
+Soak::ExitStatus() const
 {
   if (mFailed) {
     return kExitNotRun;
--- a/review/StandIns/Deployment/World.h
+++ b/review/Soak.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "CaseSearcher.h"
+#include "EntrySearcher.h"
 
 #include <LibHttp/HttpClientStream.h>
 
@@ -29,7 +29,7 @@
 
 /// What surrounds the nodes in a case: searchers, consumers and the operator.
 /// All that they see is written to the record.
-class World
+class Soak
 {
 public:
   struct Settings
@@ -46,7 +46,7 @@
   };
   using Done = std::function<void(const std::string& aId, const Request&)>;
 
-  World(EventLoop& aLoop, const Settings& aSettings);
+  Soak(EventLoop& aLoop, const Settings& aSettings);
 
   [[nodiscard]] bool HasTrouble() const { return mSettings.mTrouble; }
   [[nodiscard]] EventLoop& Loop() { return mLoop; }
@@ -55,9 +55,9 @@
     return mSettings.mNodes[aNode];
   }
   [[nodiscard]] std::size_t Nodes() const { return mSettings.mNodes.size(); }
-  [[nodiscard]] Searcher& AddSearcher(const std::string& aId,
-                                      const std::string& aService,
-                                      const std::string& aZone);
+  [[nodiscard]] EntrySearcher& AddSearcher(const std::string& aId,
+                                           const std::string& aService,
+                                           const std::string& aZone);
   /// Writes to the store; aAcknowledged is called with its answer.
   void Put(const std::string& aKey,
            const std::string& aValue,
@@ -82,8 +82,8 @@
   void OnRun(const std::string& aRequest,
              const SearcherShape& aShape,
              const HttpCall& aCall);
-  void OnArrival(const std::string& aRequest, Searcher* aSearcher);
-  using Arrived = std::function<void(const Request&, Searcher*)>;
+  void OnArrival(const std::string& aRequest, EntrySearcher* aSearcher);
+  using Arrived = std::function<void(const Request&, EntrySearcher*)>;
   /// Calls aArrived for each request that reaches a searcher.
   void SetArrived(Arrived aArrived) { mArrived = std::move(aArrived); }
   using Ran = std::function<void(const std::string& aId, const Request&)>;
@@ -129,7 +129,7 @@
   Settings mSettings;
   Instant mStart;
   std::FILE* mRecord = nullptr;
-  std::vector<std::unique_ptr<Searcher>> mSearchers;
+  std::vector<std::unique_ptr<EntrySearcher>> mSearchers;
   std::list<std::unique_ptr<Timer>> mTimers;
   std::map<std::string, Request> mRequests;
   std::map<std::size_t, std::vector<std::shared_ptr<HttpClientStream>>>
--- a/review/StandIns/Deployment/Store.cpp
+++ b/review/Store.cpp
@@ -1,4 +1,4 @@
-#include "../../../StandIns/Deployment/StoreServer.h"
+#include "../StandIns/Deployment/StoreServer.h"
 
 #include <LibCore/SocketAddressText.h>
 #include <LibHttp/HttpText.h>
--- a/review/common.sh
+++ b/review/common.sh
@@ -1,13 +1,13 @@
-# Sourced by the cases' run.sh, which sets `case` and `nodes` before. Starts the
+# Sourced by the cases' run.sh, which sets `case`, `nodes` and `trouble` before and
+# whose folder gets record.txt. Starts the
 # store, the nodes with the command of deploy/system.toml and the settings of
 # deploy/settings.template, and the world of the case; ends all of them.
-# TROUBLE=0 leaves the disruption out. Status: 1 the rule was broken, 0 it held,
+# trouble=0 leaves the disruption out. Status: 1 the rule was broken, 0 it held,
 # 2 the case could not run.
 
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
-cd "$here/../.."
-trouble=${TROUBLE:-1}
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
 command=$(sed -n 's/^run = "\(.*\) --settings_file=.*"$/\1/p' deploy/system.toml)
 store=build-review/review-store
 world=build-review/review-world
