LibForward, platform: Do not relay a promise of "not run" for a request that ran

Cause: EvaluateSingle hands on a target's signed failure with any status. Callers read 408, 421, 429 and 503 as "not run", whoever sends them.

Ruled out: the decoding (a 503 without Not-Executed counts as may have run) and a second attempt of ours (one run for each id).

Change: PartReply says whether callers would read the status so. A request that must not run twice is then failed instead. One that may be repeated still gets the answer as it is.

--- a/Libraries/LibForward/ForwardEngineOutcomes.cpp
+++ b/Libraries/LibForward/ForwardEngineOutcomes.cpp
@@ -50,7 +50,13 @@
     return;
   }
   if (part.mState == PartState::Failed) {
-    if (part.mReply.has_value()) {
+    // A failure of the target's own is an answer, but not with a status from
+    // which the caller would conclude that it may send the request again.
+    const bool mayRelay =
+      part.mReply.has_value() &&
+      (!part.mReply->mReadsAsNotRun ||
+       aRequest->mRoute->mRepeatPolicy == RepeatPolicy::Idempotent);
+    if (mayRelay) {
       Finish(aNumber, RelayedOutcome{ std::move(*part.mReply) }, aNow);
       return;
     }
--- a/Libraries/LibForward/PartReply.h
+++ b/Libraries/LibForward/PartReply.h
@@ -35,6 +35,9 @@
 {
   ReplyKind mKind = ReplyKind::Failed;
   int mStatus = 0;
+  /// Whether callers read the status as a promise that the request has not run
+  /// and never will, whatever the target meant by it.
+  bool mReadsAsNotRun = false;
   /// End-to-end fields, for a response that is forwarded unchanged.
   HttpFields mFields;
   std::string mBody;
--- a/Tests/LibForward/ForwardRig.cpp
+++ b/Tests/LibForward/ForwardRig.cpp
@@ -172,6 +172,18 @@
   Take(mEngine.OnReply(aAttempt, reply, mNow));
 }
 
+void
+ForwardRig::FailSignedAsNotRun(AttemptId aAttempt)
+{
+  PartReply reply;
+  reply.mKind = ReplyKind::Failed;
+  reply.mStatus = 503;
+  reply.mReadsAsNotRun = true;
+  reply.mSignature = "signed";
+  mOpen.erase(aAttempt);
+  Take(mEngine.OnReply(aAttempt, reply, mNow));
+}
+
 void
 ForwardRig::Break(AttemptId aAttempt, AttemptFailure aFailure)
 {
--- a/Tests/LibForward/ForwardRig.h
+++ b/Tests/LibForward/ForwardRig.h
@@ -40,7 +40,10 @@
   void Pass(Duration aTime);
   void Answer(AttemptId aAttempt, const std::string& aBody = "");
   void Decline(AttemptId aAttempt);
+  /// The target ran the request and answers with a failure of its own.
   void FailSigned(AttemptId aAttempt);
+  /// The same with a status that callers read as a promise of "not run".
+  void FailSignedAsNotRun(AttemptId aAttempt);
   void Break(AttemptId aAttempt, AttemptFailure aFailure);
 
   /// Sends without a result, in the order of their attempt numbers.
--- a/Tests/LibForward/TestForwardEngine.cpp
+++ b/Tests/LibForward/TestForwardEngine.cpp
@@ -219,6 +219,25 @@
   CHECK(rig.OutcomeOf<RelayedOutcome>(request)->mReply.mStatus == 500);
 }
 
+// Guards against a caller that sends a booking again, and has it run twice,
+// because a target that had run it failed with 503.
+TEST_CASE("A failure after the work is not told as a request that has not run")
+{
+  ForwardRig rig;
+  rig.ListAll();
+  const RequestNumber once = rig.Submit("/once/1");
+  rig.FailSignedAsNotRun(rig.mSent[0].mAttempt);
+  CHECK(rig.mSent.size() == 1);
+  CHECK(rig.OutcomeOf<FailedOutcome>(once) != nullptr);
+  // What may run twice gets another target, and then the answer as it is.
+  const RequestNumber single = rig.Submit("/single/1");
+  rig.FailSignedAsNotRun(rig.mSent[1].mAttempt);
+  REQUIRE(rig.mSent.size() == 3);
+  rig.FailSignedAsNotRun(rig.mSent[2].mAttempt);
+  REQUIRE(rig.OutcomeOf<RelayedOutcome>(single) != nullptr);
+  CHECK(rig.OutcomeOf<RelayedOutcome>(single)->mReply.mStatus == 503);
+}
+
 TEST_CASE("A request that did not run goes to another target, then is "
           "refused truthfully")
 {
--- a/Tests/Platform/TestRequestWire.cpp
+++ b/Tests/Platform/TestRequestWire.cpp
@@ -72,6 +72,18 @@
     CHECK(ReadTargetResponse(Response(entry.mStatus, entry.mFields)).mKind ==
           entry.mKind);
   }
+  for (const auto& [status, readsAsNotRun] : { std::pair(200, false),
+                                               std::pair(408, true),
+                                               std::pair(421, true),
+                                               std::pair(429, true),
+                                               std::pair(500, false),
+                                               std::pair(502, false),
+                                               std::pair(503, true),
+                                               std::pair(504, false) }) {
+    CAPTURE(status);
+    CHECK(ReadTargetResponse(Response(status, { stamp })).mReadsAsNotRun ==
+          readsAsNotRun);
+  }
   const PartReply withLoad =
     ReadTargetResponse(Response(200, { stamp, { "server-load", "3,1,8" } }));
   REQUIRE(withLoad.mLoad.has_value());
