LibStore, LibHttp, verbenachuted: Read the state if a watch response is unusable

Cause: 8 or 9 versions of 1 MB come in one response of 11.5 MB to a watch, above the 8 MB that a response may have. The follower took that for an outage and asked for the same changes again, of which there were more each time. The log named the same cause as for an unreachable store.

Change: responses that are too large or invalid are failures of their own, also in the log. After one to a watch the follower reads all keys, which have only their latest values, at most twice a second. A watch accepts 4 MB. A stated length beyond the limit is refused before the body.

Tests: "All keys are read again if the response to a watch is unusable" fails without the branch in OnFailure (run). The test of endless responses checks which failure each one gives; all were Malformed before.

--- a/Libraries/LibHttp/HttpClientStream.cpp
+++ b/Libraries/LibHttp/HttpClientStream.cpp
@@ -69,6 +69,7 @@
     mTimer.Start(Duration(0));
     return;
   }
+  mReader.SetLimits(mExchange.mLimits);
   mTimer.Start(mExchange.mTimeout);
   if (mExchange.mIsHead) {
     mReader.ExpectNoBody();
@@ -159,8 +160,12 @@
       FinishMessage();
       return;
     }
-    if (state != MessageReader::State::InMessage &&
-        state != MessageReader::State::BetweenMessages) {
+    if (state == MessageReader::State::HeadersTooLarge ||
+        state == MessageReader::State::BodyTooLarge) {
+      Fail(StreamFailure::TooLarge);
+      return;
+    }
+    if (state == MessageReader::State::Malformed) {
       Fail(StreamFailure::Malformed);
       return;
     }
--- a/Libraries/LibHttp/HttpClientStream.h
+++ b/Libraries/LibHttp/HttpClientStream.h
@@ -30,9 +30,12 @@
   ClosedBeforeResponse,
   /// The connection was lost in the middle of the response.
   ClosedDuringResponse,
-  /// The received bytes are not a valid response, or exceed MessageLimits.
+  /// The received bytes are not a valid response.
   Malformed,
   TimedOut,
+  /// The response exceeds MessageLimits, or was given up as the largest one
+  /// when the ReceiveBudget was exceeded.
+  TooLarge,
 };
 
 using StreamOutcome = std::variant<HttpResponse, StreamFailure>;
@@ -75,6 +78,8 @@
 
   /// Sends a request and calls aDone once, never from within this call. No
   /// exchange may be running; on a broken stream the exchange fails. aDone may
+    /// Bounds of the response, which fails as TooLarge beyond them.
+    MessageLimits mLimits;
   /// destroy the stream.
   void Send(Exchange aExchange, Done aDone);
 
--- a/Libraries/LibHttp/MessageReader.cpp
+++ b/Libraries/LibHttp/MessageReader.cpp
@@ -2,10 +2,19 @@
 
 #include <LibCore/Verify.h>
 
+#include <climits>
+
 namespace verbenachute {
 
 namespace {
 
+// Memory of a body that an idle connection keeps for the next message, in
+// bytes.
+constexpr std::size_t kKeptCapacity = 16UL * 1024;
+// Results of OnHeadComplete, as the parser defines them.
+constexpr int kSkipBody = 1;
+constexpr int kAbort = -1;
+
 MessageReader*
 Self(http_parser* aParser)
 {
@@ -154,7 +163,15 @@
   MessageReader* self = Self(aParser);
   self->mHeadComplete = true;
   self->mStatus = aParser->status_code;
-  return self->mNoBody ? 1 : 0;
+  if (self->mNoBody) {
+    return kSkipBody;
+  }
+  const bool hasLength = aParser->content_length != ULLONG_MAX;
+  if (hasLength && aParser->content_length > self->mLimits.mBodyBytes) {
+    self->mState = State::BodyTooLarge;
+    return kAbort;
+  }
+  return 0;
 }
 
 int
--- a/Libraries/LibHttp/MessageReader.h
+++ b/Libraries/LibHttp/MessageReader.h
@@ -17,7 +17,8 @@
 };
 
 /// Largest size of one message. A larger one puts the reader into state
-/// HeadersTooLarge or BodyTooLarge.
+/// HeadersTooLarge or BodyTooLarge; a body that states its length does so
+/// before any of it is read.
 struct MessageLimits
 {
   std::size_t mHeaderBytes = 16UL * 1024;
--- a/Libraries/LibStore/StoreFollower.cpp
+++ b/Libraries/LibStore/StoreFollower.cpp
@@ -88,6 +88,18 @@
     mFailingSince = aNow;
   }
   mNextCall = aNow + mBackoff.OnFailure();
+  const bool isUnusable = aFailure == StoreFailure::ResponseTooLarge ||
+                          aFailure == StoreFailure::ResponseInvalid;
+  if (isUnusable && mPhase == Phase::Watching) {
+    // The changes since the mirror's revision only become more, whereas the
+    // keys are read in pages, each with its latest value alone.
+    BeginLoading();
+    const Instant earliest =
+      mLastReload.has_value() ? *mLastReload + mSettings.mBatchDelay : aNow;
+    mNextCall = std::max(aNow, earliest);
+    mLastReload = mNextCall;
+    return;
+  }
   mReadTimeout = std::min(2 * mReadTimeout, mSettings.mReadTimeout);
 }
 
--- a/Libraries/LibStore/StoreFollower.h
+++ b/Libraries/LibStore/StoreFollower.h
@@ -14,9 +14,13 @@
 /// Reason why a call to the store gave no result.
 enum class StoreFailure
 {
-  /// The store did not respond, or its response could not be decoded.
+  /// The store did not respond.
   Unreachable,
   /// The store refused the call, for this node alone or for all nodes.
+  /// The response is larger than this node accepts.
+  ResponseTooLarge,
+  /// The response could not be decoded.
+  ResponseInvalid,
   Refused,
   /// The store no longer keeps the requested changes.
   HistoryCompacted,
@@ -65,9 +69,10 @@
 };
 
 /// Keeps a mirror of the store up to date: reads all keys once, then watches
-/// for changes. While the store does not respond, it fetches newer changes from
-/// other nodes. It does no I/O; the owner executes its calls and reports the
-/// results.
+/// for changes. If the response to a watch cannot be used, the same watch would
+/// not get a better one, so it reads all keys again. While the store does not
+/// respond, it fetches newer changes from other nodes. It does no I/O; the
+/// owner executes its calls and reports the results.
 class StoreFollower
 {
 public:
--- a/Services/verbenachuted/StoreKeys.cpp
+++ b/Services/verbenachuted/StoreKeys.cpp
@@ -86,6 +86,8 @@
       // The store changed nothing, as if it had not been reached.
       return MakeError(ErrorCode::Unreachable);
     case StoreFailure::Unreachable:
+    case StoreFailure::ResponseTooLarge:
+    case StoreFailure::ResponseInvalid:
       break;
   }
   return MakeError(ErrorCode::OutcomeUnknown);
--- a/Services/verbenachuted/StoreLink.cpp
+++ b/Services/verbenachuted/StoreLink.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Overloaded.h>
 #include <LibCore/SocketAddressText.h>
+#include <LibCore/Verify.h>
 #include <LibHttp/HttpText.h>
 #include <LibStore/StoreUpdateCodec.h>
 
@@ -28,6 +29,28 @@
 // pending.
 constexpr PeerTimeouts kStoreTimeouts{ milliseconds(2000), seconds(1) };
 
+// A response to a watch that is larger costs more than a read of all keys, in
+// which each has only its latest value.
+constexpr std::size_t kMaximumWatchBytes = 4UL * 1024 * 1024;
+
+const char*
+CauseName(StoreFailure aFailure)
+{
+  switch (aFailure) {
+    case StoreFailure::Unreachable:
+      return "unreachable";
+    case StoreFailure::ResponseTooLarge:
+      return "response too large";
+    case StoreFailure::ResponseInvalid:
+      return "response invalid";
+    case StoreFailure::Refused:
+      return "refused";
+    case StoreFailure::HistoryCompacted:
+      return "history gone";
+  }
+  VERIFY(!"unknown failure");
+}
+
 StoreFollower::Settings
 FollowerSettings(const NodeName& aSelf)
 {
@@ -100,7 +123,8 @@
                 const SocketAddress& aAddress,
                 std::string aRequest,
                 Duration aTimeout,
-                Done aDone)
+                Done aDone,
+                const MessageLimits& aLimits)
 {
   if (*aStream == nullptr || !(*aStream)->IsReady()) {
     *aStream = std::make_unique<HttpClientStream>(
@@ -127,15 +151,12 @@
 {
   const Instant now = mDependencies.mLoop.Now();
   mDependencies.mMetrics.Add(Counter::StoreFailures);
+  exchange.mLimits = aLimits;
   if (!mFollower.FailingSince().has_value()) {
-    mDependencies.mLogger.Log(
-      LogEvent(EventNumber::StoreUnavailable)
-        .At(Step::Store)
-        .With("call", aCall)
-        .With("cause",
-              aFailure == StoreFailure::Refused            ? "refused"
-              : aFailure == StoreFailure::HistoryCompacted ? "history gone"
-                                                           : "unreachable"));
+    mDependencies.mLogger.Log(LogEvent(EventNumber::StoreUnavailable)
+                                .At(Step::Store)
+                                .With("call", aCall)
+                                .With("cause", CauseName(aFailure)));
   }
   mFollower.OnFailure(aFailure, now);
   Advance();
@@ -168,33 +189,36 @@
 void
 StoreLink::Execute(const WatchAction& aAction)
 {
-  Call(&mReadStream,
-       mStore,
-       platform::WatchCall(mHost, aAction),
-       aAction.mWait + kWatchGrace,
-       [this](const StreamOutcome& aOutcome) {
-         const platform::StoreResult<StoreChanges> result =
-           platform::WatchResult(aOutcome);
-         if (const StoreFailure* failure = std::get_if<StoreFailure>(&result)) {
-           OnCallFailure(*failure, "watch");
-           return;
-         }
-         if (mFollower.FailingSince().has_value()) {
-           mDependencies.mLogger.Log(LogEvent(EventNumber::StoreRestored));
-         }
-         const StoreMirror::Changes changes = mFollower.OnChanges(
-           std::get<StoreChanges>(result), mDependencies.mLoop.Now());
-         const bool ownKeyRemoved = std::any_of(
-           changes.begin(), changes.end(), [&](const StoreChange& aChange) {
-             return aChange.mKey == mOwnKey && !aChange.mValue.has_value();
-           });
-         if (ownKeyRemoved &&
-             mRegistrationStep == RegistrationStep::Registered) {
-           ScheduleRegistration();
-         }
-         mDependencies.mOnChanged(changes);
-         Advance();
-       });
+  MessageLimits limits;
+  limits.mBodyBytes = kMaximumWatchBytes;
+  Call(
+    &mReadStream,
+    mStore,
+    platform::WatchCall(mHost, aAction),
+    aAction.mWait + kWatchGrace,
+    [this](const StreamOutcome& aOutcome) {
+      const platform::StoreResult<StoreChanges> result =
+        platform::WatchResult(aOutcome);
+      if (const StoreFailure* failure = std::get_if<StoreFailure>(&result)) {
+        OnCallFailure(*failure, "watch");
+        return;
+      }
+      if (mFollower.FailingSince().has_value()) {
+        mDependencies.mLogger.Log(LogEvent(EventNumber::StoreRestored));
+      }
+      const StoreMirror::Changes changes = mFollower.OnChanges(
+        std::get<StoreChanges>(result), mDependencies.mLoop.Now());
+      const bool ownKeyRemoved = std::any_of(
+        changes.begin(), changes.end(), [&](const StoreChange& aChange) {
+          return aChange.mKey == mOwnKey && !aChange.mValue.has_value();
+        });
+      if (ownKeyRemoved && mRegistrationStep == RegistrationStep::Registered) {
+        ScheduleRegistration();
+      }
+      mDependencies.mOnChanged(changes);
+      Advance();
+    },
+    limits);
 }
 
 void
--- a/Services/verbenachuted/StoreLink.h
+++ b/Services/verbenachuted/StoreLink.h
@@ -66,7 +66,8 @@
             const SocketAddress& aAddress,
             std::string aRequest,
             Duration aTimeout,
-            Done aDone);
+            Done aDone,
+            const MessageLimits& aLimits = MessageLimits());
   void OnCallFailure(StoreFailure aFailure, const char* aCall);
   void Register();
   void Renew();
--- a/Tests/LibHttp/TestHttpStreams.cpp
+++ b/Tests/LibHttp/TestHttpStreams.cpp
@@ -299,14 +299,21 @@
     /// Largest number of bytes that may be sent before the exchange fails,
     /// including what the socket buffers of both sides hold.
     std::size_t mMaximumAcceptedBytes;
+    StreamFailure mFailure;
   } floods[] = {
-    { "", 16UL * 1024 * 1024 },
-    { "HTTP/1.1 200 OK\r\nEndless: ", 16UL * 1024 * 1024 },
-    { "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\n", 24UL * 1024 * 1024 },
+    { "", 16UL * 1024 * 1024, StreamFailure::Malformed },
+    { "HTTP/1.1 200 OK\r\nEndless: ",
+      16UL * 1024 * 1024,
+      StreamFailure::TooLarge },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\n",
+      24UL * 1024 * 1024,
+      StreamFailure::TooLarge },
     { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
-      24UL * 1024 * 1024 },
+      24UL * 1024 * 1024,
+      StreamFailure::TooLarge },
     { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
-      24UL * 1024 * 1024 },
+      24UL * 1024 * 1024,
+      StreamFailure::TooLarge },
   };
   for (const auto& flood : floods) {
     CAPTURE(flood.mPrefix);
@@ -315,7 +322,7 @@
     bool reusable = true;
     const StreamOutcome outcome = OutcomeOf(server.Address(), &reusable);
     REQUIRE(std::holds_alternative<StreamFailure>(outcome));
-    CHECK(std::get<StreamFailure>(outcome) == StreamFailure::Malformed);
+    CHECK(std::get<StreamFailure>(outcome) == flood.mFailure);
     CHECK(!reusable);
     CHECK(server.AcceptedBytes() < flood.mMaximumAcceptedBytes);
   }
--- a/Tests/LibHttp/TestMessageReader.cpp
+++ b/Tests/LibHttp/TestMessageReader.cpp
@@ -70,6 +70,10 @@
   oversizedBody.Feed("POST / HTTP/1.1\r\nContent-Length: 17\r\n\r\n" +
                      std::string(17, 'b'));
   CHECK(oversizedBody.Current() == State::BodyTooLarge);
+  // A stated length is refused before any of the body is there.
+  MessageReader statedLength(MessageKind::Responses, kSmallLimits);
+  statedLength.Feed("HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n");
+  CHECK(statedLength.Current() == State::BodyTooLarge);
   MessageReader garbage(MessageKind::Responses, MessageLimits());
   garbage.Feed("\x01\x02garbage\r\n");
   CHECK(garbage.Current() == State::Malformed);
--- a/Tests/LibStore/TestStoreFollower.cpp
+++ b/Tests/LibStore/TestStoreFollower.cpp
@@ -132,6 +132,35 @@
   CHECK(changes.size() == 2);
 }
 
+// Guards against a node that asks for the same changes again and again while
+// their number grows, and so never applies any configuration of a storm.
+TEST_CASE("All keys are read again if the response to a watch is unusable")
+{
+  for (const StoreFailure failure :
+       { StoreFailure::ResponseTooLarge, StoreFailure::ResponseInvalid }) {
+    StoreFollower follower = WatchingFollower();
+    follower.OnFailure(failure, kStart);
+    CHECK(!follower.FailingSince().has_value());
+    CHECK(FindAction<ReadPageAction>(follower.TakeDueCalls(kStart)) != nullptr);
+    CHECK(follower.OnPage(Page({ Item("a", 30) }, 31), kStart).size() == 1);
+    CHECK(FindAction<WatchAction>(follower.TakeDueCalls(kStart)) != nullptr);
+    // A watch that fails so each time does not make it read without a pause.
+    follower.OnFailure(failure, kStart + milliseconds(10));
+    CHECK(follower.TakeDueCalls(kStart + milliseconds(10)).empty());
+    CHECK(FindAction<ReadPageAction>(
+            follower.TakeDueCalls(kStart + milliseconds(500))) != nullptr);
+  }
+}
+
+TEST_CASE("A read that gets an unusable response counts as a failure")
+{
+  StoreFollower follower{ StoreFollower::Settings() };
+  static_cast<void>(follower.TakeDueCalls(kStart));
+  follower.OnFailure(StoreFailure::ResponseTooLarge, kStart);
+  CHECK(follower.FailingSince() == kStart);
+  CHECK(FindAction<ReadPageAction>(follower.TakeDueCalls(kStart)) == nullptr);
+}
+
 TEST_CASE("Calls to a failing store back off, and peers are called")
 {
   StoreFollower follower = WatchingFollower();
--- a/Tests/Platform/TestRequestWire.cpp
+++ b/Tests/Platform/TestRequestWire.cpp
@@ -157,6 +157,8 @@
         AttemptFailure::ConnectionLost);
   CHECK(AttemptFailureOf(StreamFailure::ClosedDuringResponse) ==
         AttemptFailure::ResponseTruncated);
+  CHECK(AttemptFailureOf(StreamFailure::TooLarge) ==
+        AttemptFailure::MalformedResponse);
   CHECK(AttemptFailureOf(StreamFailure::Malformed) ==
         AttemptFailure::MalformedResponse);
 }
--- a/Tests/Platform/TestStoreWire.cpp
+++ b/Tests/Platform/TestStoreWire.cpp
@@ -66,8 +66,13 @@
   }
   CHECK(std::get<StoreFailure>(WatchResult(StreamFailure::TimedOut)) ==
         StoreFailure::Unreachable);
-  CHECK(std::get<StoreFailure>(WatchResult(Response(200, "[]"))) ==
-        StoreFailure::Unreachable);
+  CHECK(std::get<StoreFailure>(WatchResult(StreamFailure::TooLarge)) ==
+        StoreFailure::ResponseTooLarge);
+  for (const char* body : { "[]", "{}", R"({"AtRev":3})", "no JSON" }) {
+    CAPTURE(body);
+    CHECK(std::get<StoreFailure>(WatchResult(Response(200, body))) ==
+          StoreFailure::ResponseInvalid);
+  }
 }
 
 TEST_CASE("One key is read, and a missing key is not a failure")
@@ -83,7 +88,7 @@
   CHECK(std::get<StoreFailure>(ReadKeyResult(Response(503, "{}"))) ==
         StoreFailure::Refused);
   CHECK(std::get<StoreFailure>(ReadKeyResult(Response(200, "{}"))) ==
-        StoreFailure::Unreachable);
+        StoreFailure::ResponseInvalid);
 }
 
 TEST_CASE("A probe is a stale read that returns the revision of the store")
