LibForward, LibStore: Hold a target that may have restarted to its cold rate

Cause: a target that answered was taken for the process that the list names. Until its new entry was known, for up to 500 ms or an outage of the store, its record said warm, and the first probe lifted the back-off.

Ruled out as the cause: the pause between two watches. It sets the length of the window, which a slow store makes longer.

Change: RestartDoubt. After contact was lost, one request at a time tests the target, and the cold rate applies until the list is known as of a later time, or for the warm-up time after the first answer. The follower learns the former by a read of the store's latest revision. What was sent of the cold rate counts beyond a restart.

--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -204,11 +204,64 @@
   std::erase_if(mAbandonedAttempts,
                 [&](const auto& aEntry) { return aEntry.second == aAttempt; });
   if (aTarget != nullptr) {
+    UpdateDoubt(*aTarget);
     StartWaitingParts(aTarget->Listed().mService, aNow);
   }
   return TakeActions();
 }
 
+void
+ForwardEngine::UpdateDoubt(const TargetRecord& aTarget)
+{
+  if (!aTarget.Doubt().Exists() && mDoubtedTargets.empty()) {
+    return;
+  }
+  const ListedTarget& listed = aTarget.Listed();
+  const bool matters =
+    mPlan && LimitsColdTargets(mPlan->FindService(listed.mService));
+  if (matters && aTarget.Doubt().Exists()) {
+    if (mDoubtedTargets.insert(listed.mName).second) {
+      const double rate = mPlan->FindService(listed.mService)->mColdRate;
+      mGateNotices.push_back(
+        GateNotice{ listed.mName, HoldReason::ColdRate, rate });
+    }
+  } else if (mDoubtedTargets.erase(listed.mName) > 0) {
+    mGateNotices.push_back(
+      GateNotice{ listed.mName, HoldReason::ColdRate, std::nullopt });
+  }
+}
+
+std::optional<Instant>
+ForwardEngine::ListNeededAsOf() const
+{
+  std::optional<Instant> needed;
+  for (const TargetName& name : mDoubtedTargets) {
+    const TargetRecord* target = mTargets.Find(name);
+    const std::optional<Instant> own =
+      target == nullptr ? std::nullopt : target->Doubt().ListNeededAsOf();
+    if (own.has_value()) {
+      needed = std::min(needed.value_or(*own), *own);
+    }
+  }
+  return needed;
+}
+
+ForwardActions
+ForwardEngine::OnListKnown(Instant aAsOf, Instant aNow)
+{
+  for (const TargetName& name : std::set<TargetName>(mDoubtedTargets)) {
+    TargetRecord* target = mTargets.Find(name);
+    if (target == nullptr) {
+      mDoubtedTargets.erase(name);
+      continue;
+    }
+    target->OnListKnown(aAsOf);
+    UpdateDoubt(*target);
+    StartWaitingParts(target->Listed().mService, aNow);
+  }
+  return TakeActions();
+}
+
 ForwardActions
 ForwardEngine::OnCallerDisconnected(RequestNumber aNumber, Instant aNow)
 {
@@ -232,6 +285,7 @@
       if (target != nullptr) {
         target->OnAbandoned(
           attempt, StatisticsOf(*found->second.mRoute).MedianLatency(), aNow);
+        UpdateDoubt(*target);
       }
       mAttempts.erase(running);
       mActions.push_back(CancelAction{ attempt });
@@ -264,6 +318,7 @@
     TargetRecord* target = mTargets.Find(attempt.mTarget);
     if (target != nullptr && statistics != mStatistics.end()) {
       target->OnAbandoned(id, statistics->second.MedianLatency(), aNow);
+      UpdateDoubt(*target);
       StartWaitingParts(target->Listed().mService, aNow);
     }
     mActions.push_back(CancelAction{ id });
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -93,6 +93,13 @@
                                                    AttemptFailure aFailure,
                                                    Instant aNow);
 
+  /// The time as of which the list of targets has to be known to end the
+  /// earliest doubt about a restart; empty if there is none. Doubts matter only
+  /// for services that limit the rate of cold targets.
+  [[nodiscard]] std::optional<Instant> ListNeededAsOf() const;
+  /// All changes of the list up to aAsOf have been applied to Targets().
+  [[nodiscard]] ForwardActions OnListKnown(Instant aAsOf, Instant aNow);
+
   /// Handles the timers that are due; to be called at NextWake.
   [[nodiscard]] ForwardActions OnTime(Instant aNow);
   /// Time of the next timer; empty if none is set.
@@ -356,6 +363,23 @@
   /// the caller.
   [[nodiscard]] bool MayServe(const TargetRecord& aTarget,
                               const CallerId& aCaller) const;
+  /// Number of nodes before this one in the order of a target: where there are
+  /// fewer requests than nodes, the first ones by rendezvous weight send.
+  [[nodiscard]] std::size_t NodesBefore(const TargetRecord& aTarget) const;
+  /// Whether the targets of the service take fewer requests while they are
+  /// cold.
+  [[nodiscard]] static bool LimitsColdTargets(
+    const ServiceSettings* aServiceSettings);
+  /// This node's share of the rate of a target that is cold or, after a
+  /// restart that is not listed yet, may be; empty for all others.
+  [[nodiscard]] std::optional<RateShare> ColdShareOf(
+    const TargetRecord& aTarget,
+    const ServiceSettings* aServiceSettings,
+    Instant aNow) const;
+  /// Whether the target may get another request beside those that run.
+  [[nodiscard]] bool HasFreeConnection(const TargetRecord& aTarget,
+                                       const ServiceSettings* aServiceSettings,
+                                       bool aIsSuspect) const;
   /// This node's shares of the rates that limit a target now.
   [[nodiscard]] TargetRateShares RateSharesOf(
     const TargetRecord& aTarget,
@@ -537,6 +561,8 @@
   /// starts the parts that wait for them.
   void CancelAll(const Request& aRequest, Instant aNow);
   void EraseRequest(Requests::iterator aRequest);
+  /// Keeps mDoubtedTargets up to date after an event of the target.
+  void UpdateDoubt(const TargetRecord& aTarget);
   /// Common steps at the end of an attempt, whatever its result. aTarget is
   /// null if the target is not listed any more.
   [[nodiscard]] ForwardActions AfterAttempt(AttemptId aAttempt,
@@ -567,6 +593,9 @@
   bool mServesCallers = true;
   NodeName mSelf;
   TargetRecords mTargets;
+  /// Targets that may have restarted, of services that limit the rate of cold
+  /// ones. Some of the doubts may have ended.
+  std::set<TargetName> mDoubtedTargets;
   DomainReachability mDomains;
   PeerRecords mPeers;
   std::unordered_map<DelegationNumber, OpenDelegation> mDelegations;
--- a/Libraries/LibForward/ForwardEngineAdmission.cpp
+++ b/Libraries/LibForward/ForwardEngineAdmission.cpp
@@ -168,7 +168,6 @@
 {
   const std::vector<TargetRecord*>& targets = mTargets.Of(aService);
   const ServiceSettings* serviceSettings = mPlan->FindService(aService);
-  const std::uint32_t share = ConnectionShare(serviceSettings);
   // Counted only for targets with a rate limit.
   std::optional<double> ahead;
   std::optional<Instant> earliest;
@@ -177,7 +176,7 @@
     // While all its probes are under way, a request could only wait for them.
     const bool mayProbe =
       mDomains.IsProbeDue(domain, aNow) &&
-      target->InFlight() < (target->IsSuspect(aNow) ? 1 : share);
+      HasFreeConnection(*target, serviceSettings, target->IsSuspect(aNow));
     const bool unreachable = mDomains.IsUnreachable(domain, aNow) && !mayProbe;
     if (!MayServe(*target, aCaller) || target->IsDown(aNow) || unreachable) {
       continue;
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -70,39 +70,83 @@
   return (aIndex + aTargets - start) % aTargets < used;
 }
 
+std::size_t
+ForwardEngine::NodesBefore(const TargetRecord& aTarget) const
+{
+  const std::string& name = aTarget.Listed().mName.value();
+  const std::uint64_t own = RendezvousWeight(name, mSelf.value());
+  return static_cast<std::size_t>(
+    std::count_if(mNodes.begin(), mNodes.end(), [&](const NodeName& aNode) {
+      return RendezvousWeight(name, aNode.value()) > own;
+    }));
+}
+
+bool
+ForwardEngine::LimitsColdTargets(const ServiceSettings* aServiceSettings)
+{
+  return aServiceSettings != nullptr && aServiceSettings->mColdRate > 0;
+}
+
+std::optional<RateShare>
+ForwardEngine::ColdShareOf(const TargetRecord& aTarget,
+                           const ServiceSettings* aServiceSettings,
+                           Instant aNow) const
+{
+  if (!LimitsColdTargets(aServiceSettings)) {
+    return std::nullopt;
+  }
+  const double rate = aServiceSettings->mColdRate;
+  const auto share = [&]() {
+    return TargetGate::ColdShare(
+      rate, [&]() { return NodesBefore(aTarget); }, mNodes.size());
+  };
+  if (aTarget.IsCold(aNow)) {
+    return share();
+  }
+  const RestartDoubt& doubt = aTarget.Doubt();
+  if (!doubt.MayBeCold(aServiceSettings->mWarmup, aNow)) {
+    return std::nullopt;
+  }
+  const RateShare own = share();
+  if (own.mPerSecond > 0 || !doubt.IsUntested()) {
+    return own;
+  }
+  // If the list stays unknown, the nodes without a share test the target one
+  // after the other.
+  const std::chrono::duration<double> turn(
+    static_cast<double>(NodesBefore(aTarget)) / rate);
+  const Instant testAt = doubt.Since() + aServiceSettings->mWarmup +
+                         std::chrono::duration_cast<Duration>(turn);
+  return aNow < testAt ? std::optional(own) : std::nullopt;
+}
+
 TargetRateShares
 ForwardEngine::RateSharesOf(const TargetRecord& aTarget,
                             const ServiceSettings* aServiceSettings,
                             Instant aNow) const
 {
   TargetRateShares shares;
-  const bool isCold = aServiceSettings != nullptr &&
-                      aServiceSettings->mColdRate > 0 && aTarget.IsCold(aNow);
+  shares.mCold = ColdShareOf(aTarget, aServiceSettings, aNow);
   const std::optional<double>& namedRate = aTarget.Gate().NamedRate();
-  if (!isCold && !namedRate.has_value()) {
-    return shares;
-  }
-  // The nodes that send where there are fewer requests than nodes are the first
-  // ones by the rendezvous weight of the target.
-  const auto nodesBefore = [&]() {
-    const std::string& name = aTarget.Listed().mName.value();
-    const std::uint64_t own = RendezvousWeight(name, mSelf.value());
-    return static_cast<std::size_t>(
-      std::count_if(mNodes.begin(), mNodes.end(), [&](const NodeName& aNode) {
-        return RendezvousWeight(name, aNode.value()) > own;
-      }));
-  };
-  if (isCold) {
-    shares.mCold = TargetGate::ColdShare(
-      aServiceSettings->mColdRate, nodesBefore, mNodes.size());
-  }
   if (namedRate.has_value()) {
-    shares.mNamed =
-      TargetGate::NamedShare(*namedRate, nodesBefore, mNodes.size());
+    shares.mNamed = TargetGate::NamedShare(
+      *namedRate, [&]() { return NodesBefore(aTarget); }, mNodes.size());
   }
   return shares;
 }
 
+bool
+ForwardEngine::HasFreeConnection(const TargetRecord& aTarget,
+                                 const ServiceSettings* aServiceSettings,
+                                 bool aIsSuspect) const
+{
+  const bool isUntested =
+    aTarget.Doubt().IsUntested() && LimitsColdTargets(aServiceSettings);
+  const std::size_t limit =
+    aIsSuspect || isUntested ? 1 : ConnectionShare(aServiceSettings);
+  return aTarget.InFlight() < limit;
+}
+
 Instant
 ForwardEngine::HoldLimit(const Request& aRequest, Instant aNow)
 {
@@ -135,7 +179,6 @@
 {
   const ServiceSettings* serviceSettings =
     aRequest.mPlan->FindService(aPart.mService);
-  const std::uint32_t share = ConnectionShare(serviceSettings);
   const Duration medianLatency = StatisticsOf(*aRequest.mRoute).MedianLatency();
   std::uniform_real_distribution<double> noise(1, 1 + kChoiceNoise);
   Choice choice;
@@ -162,7 +205,7 @@
     const bool domainSuspected =
       mDomains.IsSuspected(domain, aNow) && !mDomains.IsProbeDue(domain, aNow);
     const bool suspect = domainSuspected || target->IsSuspect(aNow);
-    if (target->InFlight() >= (suspect ? 1 : share)) {
+    if (!HasFreeConnection(*target, serviceSettings, suspect)) {
       choice.mHasBusyTarget = true;
       continue;
     }
@@ -360,7 +403,12 @@
   BeginProbes(aTarget, aNow);
   const ServiceSettings* serviceSettings =
     aRequest->mPlan->FindService(part.mService);
-  aTarget->Gate().OnSent(RateSharesOf(*aTarget, serviceSettings, aNow), aNow);
+  TargetRateShares shares = RateSharesOf(*aTarget, serviceSettings, aNow);
+  if (aTarget->Doubt().IsUntested() && LimitsColdTargets(serviceSettings)) {
+    // It counts, as the target may turn out to be cold.
+    shares.mCold = shares.mCold.value_or(RateShare());
+  }
+  aTarget->Gate().OnSent(shares, aNow);
   aTarget->OnSent(id, tailLatency, aNow);
   ++aRequest->mSummary.mAttempts;
   mActions.push_back(SendAction{ id,
--- a/Libraries/LibForward/TargetGate.cpp
+++ b/Libraries/LibForward/TargetGate.cpp
@@ -84,6 +84,14 @@
   mPausedUntil = std::max(mPausedUntil, aUntil);
 }
 
+void
+TargetGate::OnRestarted(Instant aNow)
+{
+  const Bucket coldBucket = mColdBucket;
+  *this = TargetGate(aNow);
+  mColdBucket = coldBucket;
+}
+
 void
 TargetGate::OnSent(const TargetRateShares& aShares, Instant aNow)
 {
--- a/Libraries/LibForward/TargetGate.h
+++ b/Libraries/LibForward/TargetGate.h
@@ -86,6 +86,9 @@
   /// that of another response does not shorten the pause.
   void OnPaused(Instant aUntil);
   [[nodiscard]] Instant PausedUntil() const { return mPausedUntil; }
+  /// Another process has taken the target's place, which has not stated
+  /// anything. What has been sent of the rate for cold targets still counts.
+  void OnRestarted(Instant aNow);
   /// A request is sent.
   void OnSent(const TargetRateShares& aShares, Instant aNow);
   /// aAhead is the number of requests that wait to be sent first.
--- a/Libraries/LibForward/TargetRecord.cpp
+++ b/Libraries/LibForward/TargetRecord.cpp
@@ -56,7 +56,8 @@
   mSuspectUntil = aNow;
   mDeclinedUntil = aNow;
   mColdUntil = aNow + mListed.mColdTimeLeft;
-  mGate = TargetGate(aNow);
+  mGate.OnRestarted(aNow);
+  mDoubt = RestartDoubt();
   ++mIncarnationCount;
 }
 
@@ -99,7 +100,8 @@
   if (sent == mInFlight.end()) {
     return;
   }
-  const Duration latency = aNow - sent->second.mSent;
+  const Instant sentAt = sent->second.mSent;
+  const Duration latency = aNow - sentAt;
   const bool isSameIncarnation =
     sent->second.mIncarnationCount == mIncarnationCount;
   mInFlight.erase(sent);
@@ -113,6 +115,7 @@
   }
   if (isSameIncarnation) {
     ApplyWishes(aReply, aNow);
+    mDoubt.OnAnswered(sentAt, aNow);
   }
   mDownUntil = aNow;
   mSuspectUntil = aNow;
@@ -181,10 +184,22 @@
   RecordFailure(kSampleWeight, aNow);
   if (aFailure == AttemptFailure::NotSent) {
     mDownUntil = aNow + BackOff();
+    mDoubt.OnLoss(ContactLoss::NotReached, aNow);
+  } else if (aFailure == AttemptFailure::ConnectionLost ||
+             aFailure == AttemptFailure::ResponseTruncated) {
+    mDoubt.OnLoss(ContactLoss::ConnectionLost, aNow);
   }
-  if (mConsecutiveFailures >= kFailuresToSuspect) {
-    mSuspectUntil = aNow + BackOff();
+  SuspectIfUnresponsive(aNow);
+}
+
+void
+TargetRecord::SuspectIfUnresponsive(Instant aNow)
+{
+  if (mConsecutiveFailures < kFailuresToSuspect) {
+    return;
   }
+  mSuspectUntil = aNow + BackOff();
+  mDoubt.OnLoss(ContactLoss::Unresponsive, aNow);
 }
 
 void
@@ -214,9 +229,7 @@
     latencyRatio +
     kSampleWeight * (std::max(sampleRatio, latencyRatio) - latencyRatio);
   mLastSample = aNow;
-  if (mConsecutiveFailures >= kFailuresToSuspect) {
-    mSuspectUntil = aNow + BackOff();
-  }
+  SuspectIfUnresponsive(aNow);
 }
 
 void
--- a/Libraries/LibForward/TargetRecord.h
+++ b/Libraries/LibForward/TargetRecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibForward/PartReply.h>
+#include <LibForward/RestartDoubt.h>
 #include <LibForward/TargetGate.h>
 #include <LibRouting/ListedTarget.h>
 
@@ -47,6 +48,10 @@
   /// An attempt is taking longer than usual and has not been answered.
   [[nodiscard]] bool IsStalled(Instant aNow) const;
   [[nodiscard]] bool IsCold(Instant aNow) const { return aNow < mColdUntil; }
+  /// Whether the target may have restarted without this node's knowledge.
+  [[nodiscard]] const RestartDoubt& Doubt() const { return mDoubt; }
+  /// All changes of the list up to aAsOf have been applied.
+  void OnListKnown(Instant aAsOf) { mDoubt.OnListKnown(aAsOf); }
   [[nodiscard]] const TargetGate& Gate() const { return mGate; }
   [[nodiscard]] TargetGate& Gate() { return mGate; }
   /// The next attempt probes whether the target answers again; further attempts
@@ -73,6 +78,8 @@
   /// Applies what the target says of the requests that it wants.
   void ApplyWishes(const PartReply& aReply, Instant aNow);
   void RecordFailure(double aWeight, Instant aNow);
+  /// Suspects the target if it has left too many attempts without an answer.
+  void SuspectIfUnresponsive(Instant aNow);
   [[nodiscard]] Duration BackOff() const;
   [[nodiscard]] double Decayed(double aValue,
                                double aNeutral,
@@ -93,6 +100,7 @@
   Instant mDeclinedUntil;
   Instant mColdUntil;
   TargetGate mGate;
+  RestartDoubt mDoubt;
   /// Restarts, and changes of the address or the service, of which this node
   /// has learned.
   std::uint64_t mIncarnationCount = 0;
--- a/Libraries/LibForward/TargetRecords.cpp
+++ b/Libraries/LibForward/TargetRecords.cpp
@@ -62,6 +62,13 @@
   return found == mTargets.end() ? nullptr : found->second.get();
 }
 
+const TargetRecord*
+TargetRecords::Find(const TargetName& aTarget) const
+{
+  const auto found = mTargets.find(aTarget);
+  return found == mTargets.end() ? nullptr : found->second.get();
+}
+
 const std::vector<TargetRecord*>&
 TargetRecords::Of(const ServiceName& aService) const
 {
--- a/Libraries/LibForward/TargetRecords.h
+++ b/Libraries/LibForward/TargetRecords.h
@@ -23,6 +23,7 @@
   /// Null if the target is not listed. The pointer is valid until the target is
   /// unlisted.
   [[nodiscard]] TargetRecord* Find(const TargetName& aTarget);
+  [[nodiscard]] const TargetRecord* Find(const TargetName& aTarget) const;
   /// The targets of a service, sorted by name; empty if there are none.
   [[nodiscard]] const std::vector<TargetRecord*>& Of(
     const ServiceName& aService) const;
--- a/Libraries/LibStore/StoreFollower.cpp
+++ b/Libraries/LibStore/StoreFollower.cpp
@@ -63,6 +63,7 @@
   BeginLoading();
   mPhase = Phase::Watching;
   mBehindSince.reset();
+  UpdateKnownAsOf();
   return changes;
 }
 
@@ -71,7 +72,10 @@
 {
   OnStoreResponse(aNow);
   mNextCall = aChanges.mChanges.empty() ? aNow : aNow + mSettings.mBatchDelay;
-  return mMirror.Apply(aChanges);
+  StoreMirror::Changes changes = mMirror.Apply(aChanges);
+  mKnownAsOf = std::max(mKnownAsOf, mWatchStart);
+  UpdateKnownAsOf();
+  return changes;
 }
 
 void
@@ -84,10 +88,6 @@
     mNextCall = aNow;
     return;
   }
-  if (!mFailingSince.has_value()) {
-    mFailingSince = aNow;
-  }
-  mNextCall = aNow + mBackoff.OnFailure();
   const bool isUnusable = aFailure == StoreFailure::ResponseTooLarge ||
                           aFailure == StoreFailure::ResponseInvalid;
   if (isUnusable && mPhase == Phase::Watching) {
@@ -100,6 +100,10 @@
     mLastReload = mNextCall;
     return;
   }
+  if (!mFailingSince.has_value()) {
+    mFailingSince = aNow;
+  }
+  mNextCall = aNow + mBackoff.OnFailure();
   mReadTimeout = std::min(2 * mReadTimeout, mSettings.mReadTimeout);
 }
 
@@ -109,6 +113,12 @@
   mProbePending = false;
   mLastAnswer = aNow;
   mProbedRevision = std::max(mProbedRevision, aRevision);
+  // A store that lacks the probed key reports no revision.
+  if (mProbeConsistency == ReadConsistency::Latest &&
+      aRevision != StoreRevision()) {
+    mLatestProbed = { aRevision, mProbeStart };
+    UpdateKnownAsOf();
+  }
   if (mFailingSince.has_value()) {
     mWatchPredatesOutage = *mFailingSince >= mWatchStart;
     mFailingSince.reset();
@@ -116,6 +126,16 @@
   }
 }
 
+void
+StoreFollower::UpdateKnownAsOf()
+{
+  if (mLatestProbed.has_value() &&
+      mLatestProbed->first <= mMirror.CurrentRevision()) {
+    mKnownAsOf = std::max(mKnownAsOf, mLatestProbed->second);
+    mLatestProbed.reset();
+  }
+}
+
 void
 StoreFollower::OnProbeFailure(Instant aNow)
 {
@@ -150,6 +170,18 @@
            : std::nullopt;
 }
 
+std::optional<Instant>
+StoreFollower::NextLatestProbe() const
+{
+  const bool mayProbe = mPhase == Phase::Watching &&
+                        mSource == UpdateSource::Store && !mProbePending &&
+                        !mLatestProbed.has_value();
+  if (!mayProbe || !mWantedAsOf.has_value() || mKnownAsOf >= *mWantedAsOf) {
+    return std::nullopt;
+  }
+  return std::max(*mWantedAsOf, mProbeStart + mSettings.mLatestProbeInterval);
+}
+
 std::optional<Instant>
 StoreFollower::WatchDeadline() const
 {
@@ -258,11 +290,16 @@
         WatchAction{ mMirror.CurrentRevision(), mSettings.mWatchTimeout });
     }
   }
+  const std::optional<Instant> latestProbe = NextLatestProbe();
   const std::optional<Instant> probe = NextProbe();
-  if (probe.has_value() && *probe <= aNow) {
+  const bool isLatestDue = latestProbe.has_value() && *latestProbe <= aNow;
+  if (isLatestDue || (probe.has_value() && *probe <= aNow)) {
     mProbePending = true;
     mLastProbe = aNow;
-    calls.emplace_back(ProbeAction());
+    mProbeStart = aNow;
+    mProbeConsistency =
+      isLatestDue ? ReadConsistency::Latest : ReadConsistency::MayBeStale;
+    calls.emplace_back(ProbeAction{ mProbeConsistency });
   }
   if (MayFetchFromPeer() && aNow >= mNextPeerCall) {
     mPeerCallPending = true;
@@ -288,7 +325,8 @@
   if (!mCallPending && MayCallStore(aNow)) {
     next = mNextCall;
   }
-  for (const std::optional<Instant>& due : { NextProbe(), WatchDeadline() }) {
+  for (const std::optional<Instant>& due :
+       { NextProbe(), NextLatestProbe(), WatchDeadline() }) {
     if (due.has_value()) {
       next = std::min(next.value_or(*due), *due);
     }
--- a/Libraries/LibStore/StoreFollower.h
+++ b/Libraries/LibStore/StoreFollower.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -16,11 +17,11 @@
 {
   /// The store did not respond.
   Unreachable,
-  /// The store refused the call, for this node alone or for all nodes.
   /// The response is larger than this node accepts.
   ResponseTooLarge,
   /// The response could not be decoded.
   ResponseInvalid,
+  /// The store refused the call, for this node alone or for all nodes.
   Refused,
   /// The store no longer keeps the requested changes.
   HistoryCompacted,
@@ -41,9 +42,18 @@
   Duration mWait{ 0 };
 };
 
-/// Request the store's revision while a watch is pending.
+enum class ReadConsistency
+{
+  /// The result may be seconds old, which costs less.
+  MayBeStale,
+  Latest,
+};
+
+/// Request the store's revision.
 struct ProbeAction
-{};
+{
+  ReadConsistency mConsistency = ReadConsistency::MayBeStale;
+};
 
 /// Request newer changes, or a complete copy, of the store from another node.
 struct FetchFromPeerAction
@@ -105,6 +115,8 @@
     /// Time in which a watch has to report a revision that a probe or a peer
     /// has reported; a slow store needs about half of it.
     Duration mWatchReportTimeout = milliseconds(800);
+    /// Minimum time between two probes of the latest revision.
+    Duration mLatestProbeInterval = milliseconds(250);
     /// Minimum time between two reloads of all keys for that reason.
     Duration mReloadInterval = seconds(3);
   };
@@ -139,6 +151,13 @@
   /// The latest revision that a peer reports to know.
   void OnPeerRevision(StoreRevision aRevision);
 
+  /// Requests that the mirror be known to contain all changes up to a time,
+  /// which is not promised while the store does not respond or peers are the
+  /// source. Empty: no such time is requested any more.
+  void RequestKnownAsOf(std::optional<Instant> aTime) { mWantedAsOf = aTime; }
+  /// The mirror contains all changes that the store had made by this time.
+  [[nodiscard]] Instant KnownAsOf() const { return mKnownAsOf; }
+
   /// Returns the calls that are due and marks them as pending. For each of them
   /// one of the functions above has to be called. A watch or a read that
   /// becomes due while a watch is pending replaces that watch, which the store
@@ -182,6 +201,11 @@
   [[nodiscard]] bool MayFetchFromPeer() const;
   /// When the next probe is due; empty while none is needed.
   [[nodiscard]] std::optional<Instant> NextProbe() const;
+  /// The same for a probe of the latest revision.
+  [[nodiscard]] std::optional<Instant> NextLatestProbe() const;
+  /// Whether the mirror has caught up with the revision of the last probe of
+  /// the latest one.
+  void UpdateKnownAsOf();
   /// When the pending watch counts as lost, since others know newer changes;
   /// empty if they do not.
   [[nodiscard]] std::optional<Instant> WatchDeadline() const;
@@ -202,7 +226,15 @@
   bool mCallPending = false;
   Instant mWatchStart;
   bool mProbePending = false;
+  /// Start of the last probe, or of a later call that made it needless.
   Instant mLastProbe;
+  Instant mProbeStart;
+  ReadConsistency mProbeConsistency = ReadConsistency::MayBeStale;
+  std::optional<Instant> mWantedAsOf;
+  Instant mKnownAsOf;
+  /// The latest revision at the time of a probe that found newer changes than
+  /// the mirror contains; empty if there is none.
+  std::optional<std::pair<StoreRevision, Instant>> mLatestProbed;
   /// The pending watch began before an outage that probes have noticed.
   bool mWatchPredatesOutage = false;
   StoreRevision mProbedRevision;
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -73,6 +73,9 @@
                OnStoreChanges(aChanges);
              },
              mMetrics })
+             [this](Instant aAsOf) {
+               Perform(mEngine.OnListKnown(aAsOf, mLoop->Now()));
+             },
   , mStoreKeys(*mLoop, aSettings.PlatformAddress())
   , mOperatorState(mSelf, { mEntryState, mGossip, mStore.Follower() })
   , mShutdown(GracefulShutdownSettings(aSettings))
@@ -365,6 +368,7 @@
     LogGateNotice(notice, &mLogger);
   }
   ScheduleEngine();
+  mStore.RequestKnownAsOf(mEngine.ListNeededAsOf());
 }
 
 void
--- a/Services/verbenachuted/StoreLink.cpp
+++ b/Services/verbenachuted/StoreLink.cpp
@@ -103,10 +103,25 @@
   }
 }
 
+void
+StoreLink::RequestKnownAsOf(std::optional<Instant> aTime)
+{
+  if (aTime == mRequestedAsOf) {
+    return;
+  }
+  mRequestedAsOf = aTime;
+  mFollower.RequestKnownAsOf(aTime);
+  Advance();
+}
+
 void
 StoreLink::Advance()
 {
   const Instant now = mDependencies.mLoop.Now();
+  if (mFollower.KnownAsOf() > mReportedAsOf) {
+    mReportedAsOf = mFollower.KnownAsOf();
+    mDependencies.mOnKnownAsOf(mReportedAsOf);
+  }
   for (const FollowerCall& call : mFollower.TakeDueCalls(now)) {
     std::visit([this](const auto& aAction) { Execute(aAction); }, call);
   }
@@ -136,6 +151,7 @@
   HttpClientStream::Exchange exchange;
   exchange.mRequest = std::move(aRequest);
   exchange.mTimeout = aTimeout;
+  exchange.mLimits = aLimits;
   (*aStream)->Send(
     std::move(exchange),
     [this, done = std::move(aDone)](StreamOutcome aOutcome) {
@@ -151,7 +167,6 @@
 {
   const Instant now = mDependencies.mLoop.Now();
   mDependencies.mMetrics.Add(Counter::StoreFailures);
-  exchange.mLimits = aLimits;
   if (!mFollower.FailingSince().has_value()) {
     mDependencies.mLogger.Log(LogEvent(EventNumber::StoreUnavailable)
                                 .At(Step::Store)
@@ -222,11 +237,11 @@
 }
 
 void
-StoreLink::Execute(const ProbeAction&)
+StoreLink::Execute(const ProbeAction& aAction)
 {
   Call(&mProbeStream,
        mStore,
-       platform::ProbeCall(mHost, mOwnKey),
+       platform::ProbeCall(mHost, mOwnKey, aAction),
        kCallTimeout,
        [this](const StreamOutcome& aOutcome) {
          const Instant now = mDependencies.mLoop.Now();
--- a/Services/verbenachuted/StoreLink.h
+++ b/Services/verbenachuted/StoreLink.h
@@ -32,6 +32,9 @@
     std::function<const NodeStatus*(StoreRevision)> mFindPeer;
     /// Called with the changes to the mirror, which may be none.
     std::function<void(const StoreMirror::Changes&)> mOnChanged;
+    /// Called after the mirror has become known to contain all changes up to a
+    /// later time than before.
+    std::function<void(Instant)> mOnKnownAsOf;
     MetricsRegistry& mMetrics;
   };
 
@@ -44,6 +47,8 @@
   void SetSource(UpdateSource aSource, Duration aWatchTimeout);
   /// Another node reports the latest revision that it knows.
   void OnPeerRevision(StoreRevision aRevision);
+  /// See StoreFollower::RequestKnownAsOf.
+  void RequestKnownAsOf(std::optional<Instant> aTime);
   [[nodiscard]] const StoreFollower& Follower() const { return mFollower; }
 
 private:
@@ -78,6 +83,9 @@
   std::string mHost;
   Dependencies mDependencies;
   StoreFollower mFollower;
+  std::optional<Instant> mRequestedAsOf;
+  /// The time that mOnKnownAsOf was last called with.
+  Instant mReportedAsOf;
   std::unique_ptr<HttpClientStream> mReadStream;
   std::unique_ptr<HttpClientStream> mProbeStream;
   std::unique_ptr<HttpClientStream> mWriteStream;
--- a/Tests/LibStore/TestStoreFollower.cpp
+++ b/Tests/LibStore/TestStoreFollower.cpp
@@ -374,4 +374,51 @@
   CHECK(follower.TakeDueCalls(now + seconds(1)).empty());
 }
 
+// Guards against a list that counts as current although changes are under way.
+TEST_CASE(
+  "The mirror is known as of a time only once it has what a read of the "
+  "latest revision names")
+{
+  StoreFollower follower = WatchingFollower();
+  follower.SetSource(UpdateSource::Store, kStart);
+  const Instant wanted = kStart + milliseconds(300);
+  CHECK(follower.KnownAsOf() < wanted);
+  follower.RequestKnownAsOf(wanted);
+  CHECK(follower.TakeDueCalls(kStart + milliseconds(299)).empty());
+  const std::vector<FollowerCall> calls = follower.TakeDueCalls(wanted);
+  REQUIRE(FindAction<ProbeAction>(calls) != nullptr);
+  CHECK(FindAction<ProbeAction>(calls)->mConsistency ==
+        ReadConsistency::Latest);
+  const Instant answered = wanted + milliseconds(5);
+  SUBCASE("nothing has changed")
+  {
+    follower.OnProbe(StoreRevision(10), answered);
+    CHECK(follower.KnownAsOf() == wanted);
+    const std::optional<Instant> next = follower.NextDueTime(answered);
+    CHECK(next.value_or(Instant::max()) > wanted + seconds(1));
+  }
+  SUBCASE("a change is under way")
+  {
+    follower.OnProbe(StoreRevision(11), answered);
+    CHECK(follower.KnownAsOf() < wanted);
+    static_cast<void>(follower.OnChanges(
+      { { StoreChange{ "a", "w", StoreRevision(11) } }, StoreRevision(11) },
+      answered + milliseconds(5)));
+    CHECK(follower.KnownAsOf() == wanted);
+  }
+  SUBCASE("the store does not respond")
+  {
+    follower.OnProbeFailure(answered);
+    CHECK(follower.KnownAsOf() < wanted);
+    CHECK(follower.TakeDueCalls(answered).empty());
+    CHECK(FindAction<ProbeAction>(
+            follower.TakeDueCalls(wanted + milliseconds(250))) != nullptr);
+  }
+  SUBCASE("the store has no key to probe")
+  {
+    follower.OnProbe(StoreRevision(), answered);
+    CHECK(follower.KnownAsOf() < wanted);
+  }
+}
+
 } // namespace verbenachute
--- a/Tests/Platform/TestStoreWire.cpp
+++ b/Tests/Platform/TestStoreWire.cpp
@@ -91,10 +91,12 @@
         StoreFailure::ResponseInvalid);
 }
 
-TEST_CASE("A probe is a stale read that returns the revision of the store")
+TEST_CASE("A probe is a read, stale or not, that returns the store's revision")
 {
-  CHECK(ProbeCall("h:1", "k")
+  CHECK(ProbeCall("h:1", "k", { ReadConsistency::MayBeStale })
           .starts_with("GET /kv-key?Key=k&Serializable=1 HTTP/1.1"));
+  CHECK(ProbeCall("h:1", "k", { ReadConsistency::Latest })
+          .starts_with("GET /kv-key?Key=k HTTP/1.1"));
   const StoreResult<StoreRevision> read = ProbeResult(
     Response(200, R"({"Key":"k","Value":"","Revision":4,"AtRev":413})"));
   CHECK(std::get<StoreRevision>(read) == StoreRevision(413));
