LibHttp, verbenachuted: Bound the memory of all responses together

Operators of similar systems saw: a faulty target sent bytes without end, the machine that had called it kept them and ran out of memory, and the requests of other callers ended with it.

Cause: a response is bounded to 8 MB, but nothing bounded the sum. 20 connections fill the 160 MB of the smallest machine.

Change: ReceiveBudget. Event target_response_too_large and a counter.

--- a/Libraries/LibHttp/HttpClientStream.cpp
+++ b/Libraries/LibHttp/HttpClientStream.cpp
@@ -21,16 +21,14 @@
 
 HttpClientStream::HttpClientStream(EventLoop& aLoop,
                                    const SocketAddress& aAddress,
-                                   const PeerTimeouts& aTimeouts)
+                                   const PeerTimeouts& aTimeouts,
+                                   ReceiveBudget* aBudget)
   : mLoop(aLoop)
   , mTimeouts(aTimeouts)
   , mStream(bufferevent_socket_new(aLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE))
   , mReader(MessageKind::Responses, MessageLimits())
-  , mTimer(aLoop,
-           [this]() {
-             ResetConnection();
-             Fail(StreamFailure::TimedOut);
-           })
+  , mBudget(aBudget)
+  , mTimer(aLoop, [this]() { OnTimer(); })
   , mIdleSince(aLoop.Now())
   , mKeepAliveTimeout(kDefaultKeepAliveTimeout)
 {
@@ -52,6 +50,7 @@
 
 HttpClientStream::~HttpClientStream()
 {
+  LeaveBudget();
   if (mDone) {
     ResetConnection();
   }
@@ -69,8 +68,8 @@
     mTimer.Start(Duration(0));
     return;
   }
-  mReader.SetLimits(mExchange.mLimits);
   mTimer.Start(mExchange.mTimeout);
+  mReader.SetLimits(mExchange.mLimits);
   if (mExchange.mIsHead) {
     mReader.ExpectNoBody();
   }
@@ -79,6 +78,45 @@
   }
 }
 
+void
+HttpClientStream::OnTimer()
+{
+  ResetConnection();
+  Fail(mIsEvicted ? StreamFailure::TooLarge : StreamFailure::TimedOut);
+}
+
+void
+HttpClientStream::UpdateBudget()
+{
+  const bool isIncomplete =
+    mReader.Current() == MessageReader::State::InMessage && !mIsEvicted;
+  if (mBudget == nullptr || !isIncomplete) {
+    LeaveBudget();
+    return;
+  }
+  mIsInBudget = true;
+  mBudget->Update(this, mReader.BodyMemory());
+}
+
+void
+HttpClientStream::LeaveBudget()
+{
+  if (std::exchange(mIsInBudget, false)) {
+    mBudget->Update(this, 0);
+  }
+}
+
+void
+HttpClientStream::OnEvicted()
+{
+  mIsInBudget = false;
+  mIsEvicted = true;
+  bufferevent_disable(mStream, EV_READ | EV_WRITE);
+  mReader.DropBody();
+  // From the loop, since this runs while another stream reads.
+  mTimer.Start(Duration(0));
+}
+
 void
 HttpClientStream::WriteRequest()
 {
@@ -110,6 +148,9 @@
     }
     return;
   }
+  if (self->mIsEvicted) {
+    return;
+  }
   if ((aWhat & BEV_EVENT_EOF) != 0 && self->mDone) {
     self->mReader.EndOfStream();
     if (self->mReader.Current() == MessageReader::State::Complete &&
@@ -135,7 +176,7 @@
 HttpClientStream::ReadInput()
 {
   evbuffer* input = bufferevent_get_input(mStream);
-  while (evbuffer_get_length(input) > 0) {
+  while (!mIsEvicted && evbuffer_get_length(input) > 0) {
     if (!mDone || mBroken) {
       // Bytes that belong to no request. If the connection were used again,
       // they could be taken for the response to the next request.
@@ -150,6 +191,7 @@
       std::string_view(reinterpret_cast<const char*>(bytes), size));
     evbuffer_drain(input, used);
     mTransferredBytes += used;
+    UpdateBudget();
     const MessageReader::State state = mReader.Current();
     if (state == MessageReader::State::Complete) {
       if (ShouldSkipResponse()) {
@@ -242,6 +284,8 @@
     ResetConnection();
   }
   mTimer.Stop();
+  LeaveBudget();
+  mReader.DropBody();
   mDone = nullptr;
   mBroken = true;
   bufferevent_disable(mStream, EV_READ | EV_WRITE);
@@ -253,6 +297,8 @@
   const StreamFailure failure =
     mBroken && !mConnected ? StreamFailure::NotConnected : aFailure;
   mBroken = true;
+  LeaveBudget();
+  mReader.DropBody();
   bufferevent_disable(mStream, EV_READ | EV_WRITE);
   if (mDone) {
     Finish(failure);
@@ -263,6 +309,7 @@
 HttpClientStream::Finish(StreamOutcome aOutcome)
 {
   mTimer.Stop();
+  LeaveBudget();
   Done done = std::exchange(mDone, nullptr);
   done(std::move(aOutcome));
 }
--- a/Libraries/LibHttp/HttpClientStream.h
+++ b/Libraries/LibHttp/HttpClientStream.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibHttp/MessageReader.h>
+#include <LibHttp/ReceiveBudget.h>
 #include <LibTransport/EventLoop.h>
 #include <LibTransport/SocketOptions.h>
 #include <LibTransport/Timer.h>
@@ -32,10 +33,10 @@
   ClosedDuringResponse,
   /// The received bytes are not a valid response.
   Malformed,
-  TimedOut,
   /// The response exceeds MessageLimits, or was given up as the largest one
   /// when the ReceiveBudget was exceeded.
   TooLarge,
+  TimedOut,
 };
 
 using StreamOutcome = std::variant<HttpResponse, StreamFailure>;
@@ -51,14 +52,17 @@
 /// One connection to a server, which carries one exchange at a time and stays
 /// open between exchanges. Nothing is sent twice, and nothing is sent before
 /// the connection is established.
-class HttpClientStream
+class HttpClientStream final : private ReceiveBudget::Holder
 {
 public:
   using Done = std::function<void(StreamOutcome)>;
 
+  /// aBudget, if given, bounds the memory of responses and must outlive the
+  /// stream.
   HttpClientStream(EventLoop& aLoop,
                    const SocketAddress& aAddress,
-                   const PeerTimeouts& aTimeouts);
+                   const PeerTimeouts& aTimeouts,
+                   ReceiveBudget* aBudget = nullptr);
   /// Closes the connection. A running exchange is dropped without calling its
   /// Done, and its connection is reset.
   ~HttpClientStream();
@@ -74,12 +78,12 @@
     /// If the field name is empty, any response is accepted.
     ResponseIdentity mIdentity;
     Duration mTimeout = seconds(5);
+    /// Bounds of the response, which fails as TooLarge beyond them.
+    MessageLimits mLimits;
   };
 
   /// Sends a request and calls aDone once, never from within this call. No
   /// exchange may be running; on a broken stream the exchange fails. aDone may
-    /// Bounds of the response, which fails as TooLarge beyond them.
-    MessageLimits mLimits;
   /// destroy the stream.
   void Send(Exchange aExchange, Done aDone);
 
@@ -106,8 +110,13 @@
   static void OnReadable(bufferevent* aStream, void* aSelf);
   static void OnEvent(bufferevent* aStream, short aWhat, void* aSelf);
 
+  void OnEvicted() override;
+  void OnTimer();
   void WriteRequest();
   void ReadInput();
+  /// Reports the memory of an incomplete response; none if there is none.
+  void UpdateBudget();
+  void LeaveBudget();
   void FinishMessage();
   void ReadKeepAliveTimeout();
   void ResetConnection();
@@ -120,6 +129,10 @@
   PeerTimeouts mTimeouts;
   bufferevent* mStream;
   MessageReader mReader;
+  ReceiveBudget* mBudget;
+  bool mIsInBudget = false;
+  /// The response was given up; the timer is about to report it.
+  bool mIsEvicted = false;
   Timer mTimer;
   Exchange mExchange;
   Done mDone;
--- a/Libraries/LibHttp/MessageReader.cpp
+++ b/Libraries/LibHttp/MessageReader.cpp
@@ -95,6 +95,9 @@
   mHeaderBytes = 0;
   mTarget.clear();
   mFields = HttpFields();
+  if (mBody.capacity() > kKeptCapacity) {
+    DropBody();
+  }
   mBody.clear();
 }
 
--- a/Libraries/LibHttp/MessageReader.h
+++ b/Libraries/LibHttp/MessageReader.h
@@ -67,6 +67,10 @@
   [[nodiscard]] int Status() const { return mStatus; }
   [[nodiscard]] HttpFields& Fields() { return mFields; }
   [[nodiscard]] std::string& Body() { return mBody; }
+  /// Memory that the body takes, in bytes.
+  [[nodiscard]] std::size_t BodyMemory() const { return mBody.capacity(); }
+  /// Frees the memory of the message, which must not be read any more.
+  void DropBody() { mBody = std::string(); }
   /// Whether the connection may carry another message after the last complete
   /// one.
   [[nodiscard]] bool KeepsAlive() const { return mKeepsAlive; }
--- a/Libraries/LibObservation/EventCatalogue.cpp
+++ b/Libraries/LibObservation/EventCatalogue.cpp
@@ -206,6 +206,12 @@
                     "target_hold_changed",
                     Info,
                     "A target has begun or ceased to ask for fewer requests." },
+  EventDescription{ TargetResponseTooLarge,
+                    "target_response_too_large",
+                    Warning,
+                    "A target's response was given up because of its size, or "
+                    "as the largest one when all together took too much "
+                    "memory." },
   EventDescription{ RequestReplayed,
                     "request_replayed",
                     Info,
--- a/Libraries/LibObservation/EventNumber.h
+++ b/Libraries/LibObservation/EventNumber.h
@@ -60,6 +60,7 @@
   TargetLostUnderRequest = 607,
   TargetFieldUnreadable = 608,
   TargetHoldChanged = 609,
+  TargetResponseTooLarge = 610,
 
   RequestReplayed = 700,
   RequestConflict = 701,
--- a/Libraries/LibObservation/MetricCatalogue.cpp
+++ b/Libraries/LibObservation/MetricCatalogue.cpp
@@ -42,6 +42,8 @@
       "Requests that this node refuses because they crashed targets." },
     { "verbenachute_target_hold_changes_total",
       "Times that a target has begun or ceased to ask for fewer requests." },
+    { "verbenachute_target_responses_too_large_total",
+      "Responses of targets that were given up because of their size." },
   } };
 
 constexpr std::array<MetricDescription,
--- a/Libraries/LibObservation/MetricCatalogue.h
+++ b/Libraries/LibObservation/MetricCatalogue.h
@@ -27,7 +27,8 @@
   PoisonObservations,
   PoisonConvictions,
   TargetHoldChanges,
-  Last = TargetHoldChanges,
+  TargetResponsesTooLarge,
+  Last = TargetResponsesTooLarge,
 };
 
 /// Gauges without labels; their values increase and decrease.
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -49,6 +49,7 @@
   , mGossipPort(std::move(aGossipPort))
   , mPool(
       *mLoop,
+      mLogger,
       mMetrics,
       [this](AttemptId aAttempt, PartReply aReply) {
         if (!aReply.mUnreadableFields.empty()) {
@@ -72,10 +73,10 @@
              [this](const StoreMirror::Changes& aChanges) {
                OnStoreChanges(aChanges);
              },
-             mMetrics })
              [this](Instant aAsOf) {
                Perform(mEngine.OnListKnown(aAsOf, mLoop->Now()));
              },
+             mMetrics })
   , mStoreKeys(*mLoop, aSettings.PlatformAddress())
   , mOperatorState(mSelf, { mEntryState, mGossip, mStore.Follower() })
   , mShutdown(GracefulShutdownSettings(aSettings))
@@ -367,8 +368,8 @@
     mMetrics.Add(Counter::TargetHoldChanges);
     LogGateNotice(notice, &mLogger);
   }
-  ScheduleEngine();
   mStore.RequestKnownAsOf(mEngine.ListNeededAsOf());
+  ScheduleEngine();
 }
 
 void
--- a/Services/verbenachuted/TargetConnectionPool.cpp
+++ b/Services/verbenachuted/TargetConnectionPool.cpp
@@ -2,6 +2,7 @@
 
 #include <platform/RequestWire.h>
 
+#include <LibCore/SocketAddressText.h>
 #include <LibCore/Verify.h>
 #include <LibForward/IdleConnections.h>
 
@@ -12,6 +13,9 @@
 
 namespace {
 
+// Memory of all responses that are being received, in bytes. Responses are
+// small; only targets that send without end come near it.
+constexpr std::size_t kMaximumReceivedBytes = 24UL * 1024 * 1024;
 // A non-idempotent request can not be retried if the target has closed the
 // connection in the meantime, so it gets a new one instead of one that has been
 // idle for longer.
@@ -41,11 +45,14 @@
 } // namespace
 
 TargetConnectionPool::TargetConnectionPool(EventLoop& aLoop,
+                                           Logger& aLogger,
                                            MetricsRegistry& aMetrics,
                                            ReplyArrived aReplyArrived,
                                            AttemptFailed aAttemptFailed)
   : mLoop(aLoop)
+  , mLogger(aLogger)
   , mMetrics(aMetrics)
+  , mReceiveBudget(kMaximumReceivedBytes)
   , mReplyArrived(std::move(aReplyArrived))
   , mAttemptFailed(std::move(aAttemptFailed))
 {
@@ -93,8 +100,8 @@
     Drop(aAction.mAddress, *idle);
   }
   std::shared_ptr<Connection> created = std::make_shared<Connection>();
-  created->mStream =
-    std::make_unique<HttpClientStream>(mLoop, aAction.mAddress, PeerTimeouts());
+  created->mStream = std::make_unique<HttpClientStream>(
+    mLoop, aAction.mAddress, PeerTimeouts(), &mReceiveBudget);
   mConnections[aAction.mAddress].push_back(created);
   return created;
 }
@@ -139,6 +146,12 @@
     Drop(aAddress, aConnection);
   }
   if (const StreamFailure* failure = std::get_if<StreamFailure>(&aOutcome)) {
+    if (*failure == StreamFailure::TooLarge) {
+      mMetrics.Add(Counter::TargetResponsesTooLarge);
+      mLogger.Log(LogEvent(EventNumber::TargetResponseTooLarge)
+                    .At(Step::Target)
+                    .Peer(SocketAddressText(aAddress)));
+    }
     mAttemptFailed(aAttempt, platform::AttemptFailureOf(*failure));
     return;
   }
--- a/Services/verbenachuted/TargetConnectionPool.h
+++ b/Services/verbenachuted/TargetConnectionPool.h
@@ -2,6 +2,7 @@
 
 #include <LibForward/ForwardAction.h>
 #include <LibHttp/HttpClientStream.h>
+#include <LibObservation/Logger.h>
 #include <LibObservation/MetricsRegistry.h>
 #include <LibTransport/EventLoop.h>
 
@@ -23,6 +24,7 @@
 
   /// Bytes of attempts that cross failure domains are added to aMetrics.
   TargetConnectionPool(EventLoop& aLoop,
+                       Logger& aLogger,
                        MetricsRegistry& aMetrics,
                        ReplyArrived aReplyArrived,
                        AttemptFailed aAttemptFailed);
@@ -66,7 +68,9 @@
             const std::shared_ptr<Connection>& aConnection);
 
   EventLoop& mLoop;
+  Logger& mLogger;
   MetricsRegistry& mMetrics;
+  ReceiveBudget mReceiveBudget;
   ReplyArrived mReplyArrived;
   AttemptFailed mAttemptFailed;
   std::map<SocketAddress, Connections> mConnections;
--- a/Tests/LibHttp/TestHttpStreams.cpp
+++ b/Tests/LibHttp/TestHttpStreams.cpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <cerrno>
 #include <doctest/doctest.h>
+#include <list>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -50,7 +51,8 @@
       char buffer[4096];
       const ssize_t got = recv(connection, buffer, sizeof(buffer), 0);
       mHasReceived = got > 0;
-      const ssize_t sent = send(connection, bytes.data(), bytes.size(), 0);
+      const ssize_t sent =
+        send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
       if (aEnding == Ending::Reset) {
         const linger now{ 1, 0 };
         setsockopt(connection, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
@@ -328,4 +330,58 @@
   }
 }
 
+// Guards against targets that send without end, each less than a response may
+// have, and together take all memory of the process.
+TEST_CASE("Endless responses share bounded memory, and small ones complete")
+{
+  constexpr std::size_t kLimit = 8UL * 1024 * 1024;
+  constexpr std::size_t kEndlessBytes = 3UL * 1024 * 1024;
+  constexpr std::size_t kEndless = 12;
+  constexpr std::size_t kMinimumGivenUp = kEndless - kLimit / kEndlessBytes;
+  // Sockets of streams are closed by the loop, for which the servers wait.
+  std::list<CannedResponseServer> servers;
+  const std::unique_ptr<EventLoop> loop = ReleaseValue(EventLoop::Create());
+  ReceiveBudget budget(kLimit);
+  std::list<HttpClientStream> streams;
+  std::size_t givenUp = 0;
+  std::size_t ended = 0;
+  bool isSmallComplete = false;
+  const auto send = [&](const std::string& aResponse, auto aDone) {
+    servers.emplace_back(aResponse, CannedResponseServer::Ending::Wait);
+    streams.emplace_back(
+      *loop, servers.back().Address(), PeerTimeouts(), &budget);
+    streams.back().Send(ExampleExchange(), aDone);
+  };
+  const auto stopWhenDone = [&]() {
+    CHECK(budget.Held() <= kLimit);
+    if (ended == kEndless || (givenUp >= kMinimumGivenUp && isSmallComplete)) {
+      loop->Stop();
+    }
+  };
+  for (std::size_t i = 0; i < kEndless; ++i) {
+    send("HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\n" +
+           std::string(kEndlessBytes, 'x'),
+         [&](const StreamOutcome& aOutcome) {
+           ++ended;
+           const StreamFailure* failure = std::get_if<StreamFailure>(&aOutcome);
+           REQUIRE(failure != nullptr);
+           givenUp += *failure == StreamFailure::TooLarge ? 1 : 0;
+           stopWhenDone();
+         });
+  }
+  const std::string body(64UL * 1024, 'y');
+  send(Response("mine", body), [&](const StreamOutcome& aOutcome) {
+    const HttpResponse* response = std::get_if<HttpResponse>(&aOutcome);
+    REQUIRE(response != nullptr);
+    CHECK(response->mBody == body);
+    isSmallComplete = true;
+    stopWhenDone();
+  });
+  loop->Run();
+  CHECK(givenUp >= kMinimumGivenUp);
+  CHECK(isSmallComplete);
+  streams.clear();
+  CHECK(budget.Held() == 0);
+}
+
 } // namespace verbenachute
