--- a/Meta/fault-soak.sh
+++ b/Meta/fault-soak.sh
@@ -4,10 +4,12 @@
 # store and the targets and acts of operators, in series and at once. The
 # promises are checked while it runs, from what callers and targets see.
 #   Meta/fault-soak.sh --seeds N [--first-seed S] [--seconds T] [--nodes N]
-#     [--crash-share P] [--keep-logs]
-# Builds the two programs if they are missing. Last line: seeds N, failed M,
-# queries Q, violations V, not run K. A seed that did not run to its end is not
-# a violation. Status: 0 all passed, 1 a seed failed, 2 usage, 3 not run.
+#     [--crash-share P] [--memory MB] [--no-timing] [--keep-logs]
+# Builds the two programs if they are missing. --memory: what a node may take at
+# its peak. --no-timing: leaves out bounds in real time, which a busy machine
+# may break. Last line: seeds N, failed M, queries Q, violations V, not run K. A
+# seed that did not run to its end is not a violation. Status: 0 all passed, 1 a
+# seed failed, 2 usage, 3 not run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -16,6 +18,8 @@
 length=30
 nodes=3
 crash_share=0
+memory=160
+timing=true
 keep=no
 build=${BUILD_FOLDER:-build}
 usage() {
@@ -25,6 +29,7 @@
 while [ $# -gt 0 ]; do
   case "$1" in
     --keep-logs) keep=yes; shift; continue ;;
+    --no-timing) timing=false; shift; continue ;;
   esac
   [ $# -ge 2 ] || usage
   case "$1" in
@@ -33,12 +38,14 @@
     --seconds) length=$2 ;;
     --nodes) nodes=$2 ;;
     --crash-share) crash_share=$2 ;;
+    --memory) memory=$2 ;;
     *) usage ;;
   esac
   shift 2
 done
 [[ $seeds =~ ^[1-9][0-9]*$ && $first_seed =~ ^[0-9]+$ ]] || usage
 [[ $length =~ ^[1-9][0-9]*$ && $nodes =~ ^[1-9]$ ]] || usage
+[[ $memory =~ ^[1-9][0-9]*$ ]] || usage
 
 service=$build/Services/verbenachuted/verbenachuted
 standin=$build/StandIns/Deployment/deployment-standin
@@ -88,11 +95,22 @@
   return 1
 }
 
+# Notes the peak memory of a node, in MB, before it ends.
+note_memory() {
+  local peak
+  peak=$(awk '/^VmHWM:/ { print int($2 / 1024) }' \
+    "/proc/${pid_of[$1]}/status" 2>/dev/null || true)
+  if [ "${peak:-0}" -gt "$peak_memory" ]; then
+    peak_memory=$peak
+  fi
+}
+
 # start_node NAME: again after it has ended, as a platform does.
 start_node() {
   local number=${1#node-} base
   base=$((first_port + 10 + 5 * (number - 1)))
   if [ -n "${pid_of[$1]:-}" ]; then
+    note_memory "$1"
     kill -KILL "${pid_of[$1]}" 2>/dev/null || true
     wait "${pid_of[$1]}" 2>/dev/null || true
   fi
@@ -113,7 +131,10 @@
 carry_out() {
   case "$1" in
     start) start_node "$2" ;;
-    signal) kill "-$3" "${pid_of[$2]}" 2>/dev/null || true ;;
+    signal)
+      note_memory "$2"
+      kill "-$3" "${pid_of[$2]}" 2>/dev/null || true
+      ;;
     reload)
       echo "retry_ratio = 0.2" >"$folder/$2.settings"
       kill -HUP "${pid_of[$2]}" 2>/dev/null || true
@@ -128,8 +149,10 @@
     true; } | wc -l
 }
 
-run_seed() {
-  local number name line crashes
+# play SEED: one run; leaves the result, the folder with logs and the peak memory.
+play() {
+  local number name line
+  peak_memory=0
   folder=$(mktemp -d)
   first_port=$(pick_ports)
   result=
@@ -138,7 +161,7 @@
   done
   exec {commands}< <(exec "$standin" \
     "--seed=$1" "--seconds=$length" "--nodes=$nodes" \
-    "--crash_share=$crash_share" \
+    "--crash_share=$crash_share" "--timing=$timing" \
     "--domains=$(IFS=,; echo "${domains[*]}")" "--first_port=$first_port" \
     2>"$folder/deployment.log")
   deployment=$!
@@ -150,11 +173,23 @@
   exec {commands}<&-
   deployment=
   for name in "${!pid_of[@]}"; do
+    note_memory "$name"
     kill -CONT "${pid_of[$name]}" 2>/dev/null || true
     kill -KILL "${pid_of[$name]}" 2>/dev/null || true
     wait "${pid_of[$name]}" 2>/dev/null || true
     unset "pid_of[$name]"
   done
+}
+
+run_seed() {
+  local crashes tries=0
+  play "$1"
+  # Another process may have taken a port since the range was picked.
+  while [ -z "$result" ] && [ $((tries += 1)) -lt 3 ] &&
+    grep -q 'can not be bound' "$folder/deployment.log"; do
+    rm -rf "$folder"
+    play "$1"
+  done
   crashes=$(count_crashes)
   found=0 asked=0
   if [ -n "$result" ]; then
@@ -164,7 +199,11 @@
     not_run=$((not_run + 1))
   fi
   found=$((found + crashes))
-  echo "seed $1: ${result:-no result}, crashes $crashes"
+  echo "seed $1: ${result:-no result}, crashes $crashes, peak $peak_memory MB"
+  if [ "$peak_memory" -gt "$memory" ]; then
+    echo "  VIOLATION: a node took more than $memory MB"
+    found=$((found + 1))
+  fi
   if [ "$found" -gt 0 ] || [ -z "$result" ]; then
     grep VIOLATION "$folder/deployment.log" | head -n 5 || true
     echo "  logs are in $folder"
--- a/StandIns/Deployment/Callers.cpp
+++ b/StandIns/Deployment/Callers.cpp
@@ -70,6 +70,8 @@
 
 struct Callers::Caller
 {
+  /// Uses its connections until they end, whatever the directory names.
+  bool mKeepsConnections = false;
   std::vector<SocketAddress> mAddresses;
   Instant mValidUntil;
   bool mAsking = false;
@@ -89,6 +91,7 @@
 {
   for (std::size_t i = 0; i < aSettings.mCallers; ++i) {
     mCallers.push_back(std::make_shared<Caller>());
+    mCallers.back()->mKeepsConnections = i % 2 == 1;
   }
 }
 
@@ -174,16 +177,19 @@
     return;
   }
   aCaller->mAddresses = std::move(addresses);
+  aCaller->mValidUntil =
+    mLoop.Now() +
+    std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(ValueOf(body)["ttl_s"].asDouble()));
+  if (aCaller->mKeepsConnections) {
+    return;
+  }
   // Connections to addresses that are named no longer are not used again.
   std::erase_if(aCaller->mStreams, [&](const auto& aEntry) {
     return std::find(aCaller->mAddresses.begin(),
                      aCaller->mAddresses.end(),
                      aEntry.first) == aCaller->mAddresses.end();
   });
-  aCaller->mValidUntil =
-    mLoop.Now() +
-    std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(ValueOf(body)["ttl_s"].asDouble()));
 }
 
 NodeName
@@ -216,11 +222,29 @@
   return streams.back();
 }
 
+SocketAddress
+Callers::ChooseAddress(const Caller& aCaller)
+{
+  std::vector<SocketAddress> addresses = aCaller.mAddresses;
+  for (const auto& [address, streams] : aCaller.mStreams) {
+    const bool isOpen =
+      std::any_of(streams.begin(),
+                  streams.end(),
+                  [](const std::shared_ptr<HttpClientStream>& aStream) {
+                    return aStream->IsReady();
+                  });
+    if (isOpen && std::find(addresses.begin(), addresses.end(), address) ==
+                    addresses.end()) {
+      addresses.push_back(address);
+    }
+  }
+  return addresses[mRandom() % addresses.size()];
+}
+
 void
 Callers::Send(const std::shared_ptr<Caller>& aCaller)
 {
-  const SocketAddress address =
-    aCaller->mAddresses[mRandom() % aCaller->mAddresses.size()];
+  const SocketAddress address = ChooseAddress(*aCaller);
   const unsigned draw = mRandom() % 10;
   const RequestKind kind = draw < kGatheredOfTen ? RequestKind::Gathered
                            : draw < kSingleOfTen ? RequestKind::Single
--- a/StandIns/Deployment/Callers.h
+++ b/StandIns/Deployment/Callers.h
@@ -54,6 +54,9 @@
   void OnAddresses(const std::shared_ptr<Caller>& aCaller,
                    const StreamOutcome& aOutcome);
   void Send(const std::shared_ptr<Caller>& aCaller);
+  /// One of the addresses that the caller was told, or to which it keeps a
+  /// connection.
+  [[nodiscard]] SocketAddress ChooseAddress(const Caller& aCaller);
   [[nodiscard]] std::shared_ptr<HttpClientStream> StreamTo(
     const std::shared_ptr<Caller>& aCaller,
     const SocketAddress& aAddress);
--- a/StandIns/Deployment/EntrySearcher.cpp
+++ b/StandIns/Deployment/EntrySearcher.cpp
@@ -4,6 +4,7 @@
 #include <LibForward/RecordMerger.h>
 #include <LibJson/JsonText.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <utility>
@@ -14,7 +15,6 @@
 
 constexpr int kOk = 200;
 constexpr int kWrongTarget = 421;
-constexpr int kFailed = 500;
 constexpr int kFull = 503;
 constexpr std::size_t kRecords = 12;
 /// A request with this text in its path crashes each searcher that runs it.
@@ -46,6 +46,15 @@
 void
 EntrySearcher::Start()
 {
+  Listen();
+  mBorn = mLoop.SystemTime().WallTime();
+  TellState("ready");
+}
+
+void
+EntrySearcher::Listen()
+{
+  mEndless.reset();
   ServerLimits limits;
   limits.mIdleTimeout = seconds(30);
   Result<std::unique_ptr<HttpListener>> listener = HttpListener::Create(
@@ -59,7 +68,6 @@
     std::exit(EXIT_FAILURE);
   }
   mListener = ReleaseValue(std::move(listener));
-  TellState("ready");
 }
 
 void
@@ -72,9 +80,11 @@
   entry["Version"] = "v1";
   entry["Capacity"] = Json::UInt64(mShape.mSlots);
   entry["State"] = aState;
-  entry["WarmupLeftMs"] = 0;
+  const milliseconds cold = std::chrono::duration_cast<milliseconds>(
+    std::max(Duration(0), mWarmAt - mLoop.Now()));
+  entry["WarmupLeftMs"] = Json::Int64(cold.count());
   entry["SeqNo"] = Json::UInt64(++mNumber);
-  entry["born"] = Json::Int64(mLoop.SystemTime().WallTime().count());
+  entry["born"] = Json::Int64(mBorn.count());
   mStore.Put("servers/" + mShape.mFacts.mName.value(), CompactJson(entry));
 }
 
@@ -90,6 +100,12 @@
 {
   mStore.Remove("servers/" + mShape.mFacts.mName.value());
   mPromises.OnTargetGone(mShape.mFacts.mName);
+  CrashSilently();
+}
+
+void
+EntrySearcher::CrashSilently()
+{
   // Jobs hold timers, one of which may be running this.
   mLoop.Defer([jobs = std::make_shared<std::map<std::uint64_t, Job>>(
                  std::exchange(mJobs, {}))]() {});
@@ -104,6 +120,31 @@
   Start();
 }
 
+void
+EntrySearcher::RestartCold(Duration aCold)
+{
+  mPromises.OnTargetGone(mShape.mFacts.mName);
+  mWarmAt = mLoop.Now() + aCold;
+  Start();
+}
+
+void
+EntrySearcher::SetEndless(bool aEndless)
+{
+  if (!aEndless) {
+    if (mEndless) {
+      Listen();
+    }
+    return;
+  }
+  CrashSilently();
+  Result<std::unique_ptr<EndlessServer>> server =
+    EndlessServer::Create(mLoop, mShape.mAddress);
+  if (!IsError(server)) {
+    mEndless = ReleaseValue(std::move(server));
+  }
+}
+
 double
 EntrySearcher::Share()
 {
@@ -164,6 +205,9 @@
     return;
   }
   mPromises.OnArrived(request, mShape.mFacts, mLoop.Now());
+  if (IsCold()) {
+    mPromises.OnArrivedCold(request, mShape.mFacts, mLoop.Now());
+  }
   if (mJobs.size() >= mShape.mSlots + mShape.mQueue) {
     Reject(aCall, kFull, request);
     return;
@@ -257,7 +301,7 @@
   if (Share() < mLosing) {
     mUnanswered.push_back(job->mCall);
   } else if (Share() < mFailing) {
-    job->mCall->Respond(kFailed, fields, "failed");
+    job->mCall->Respond(mFailureStatus, fields, "failed");
   } else {
     const std::string body = Records();
     mPromises.OnSigned(job->mRequest, mShape.mFacts, signature, body);
--- a/StandIns/Deployment/EntrySearcher.h
+++ b/StandIns/Deployment/EntrySearcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "EndlessServer.h"
 #include "Promises.h"
 #include "StoreModel.h"
 
@@ -44,17 +45,29 @@
   void Crash();
   /// A new life after a crash, under a new name.
   void Restart();
+  /// Drops all connections and runs; the entry stays.
+  void CrashSilently();
+  /// A new life under the same name, which is cold for a time.
+  void RestartCold(Duration aCold);
   /// Requests are taken and not answered.
   void SetHung(bool aHung) { mHung = aHung; }
   void SetSlowness(double aFactor) { mSlowness = aFactor; }
-  /// Share of requests that fail while health checks are good.
-  void SetFailing(double aShare) { mFailing = aShare; }
+  /// Share of requests that run and then fail with a status, while health
+  /// checks are good.
+  void SetFailing(double aShare, int aStatus)
+  {
+    mFailing = aShare;
+    mFailureStatus = aStatus;
+  }
+  /// Whatever arrives is answered with bytes without end.
+  void SetEndless(bool aEndless);
   /// Share of requests that run and whose answer is lost.
   void SetLosing(double aShare) { mLosing = aShare; }
   void Drain();
 
   [[nodiscard]] const SearcherShape& Shape() const { return mShape; }
   [[nodiscard]] bool IsUp() const { return mListener != nullptr; }
+  [[nodiscard]] bool IsCold() const { return mLoop.Now() < mWarmAt; }
 
 private:
   using CallPointer = std::shared_ptr<HttpCall>;
@@ -67,6 +80,7 @@
     bool mRunning = false;
   };
 
+  void Listen();
   void Handle(const CallPointer& aCall);
   void Reject(const CallPointer& aCall, int aStatus, const RequestId& aRequest);
   void StartWaiting();
@@ -86,6 +100,9 @@
   std::string mFirstName;
   std::minstd_rand mRandom;
   std::unique_ptr<HttpListener> mListener;
+  std::unique_ptr<EndlessServer> mEndless;
+  UnixMilliseconds mBorn{ 0 };
+  Instant mWarmAt;
   std::map<std::uint64_t, Job> mJobs;
   /// Calls that get no answer; kept, so that their connections stay open.
   std::vector<CallPointer> mUnanswered;
@@ -94,6 +111,7 @@
   bool mHung = false;
   double mSlowness = 1;
   double mFailing = 0;
+  int mFailureStatus = 500;
   double mLosing = 0;
 };
 
--- a/StandIns/Deployment/FaultPlan.cpp
+++ b/StandIns/Deployment/FaultPlan.cpp
@@ -35,9 +35,12 @@
   { FaultKind::SearcherFailing, "searcher_failing", 1000, 4000, 2 },
   { FaultKind::SearcherLosing, "searcher_losing", 1000, 4000, 1 },
   { FaultKind::SearcherDrained, "searcher_drained", 4000, 6000, 2 },
+  { FaultKind::SearcherEndless, "searcher_endless", 500, 2000, 1 },
+  { FaultKind::SearchersColdAgain, "searchers_cold_again", 500, 1500, 2 },
   { FaultKind::ShardDown, "shard_down", 500, 3000, 1 },
   { FaultKind::PlanChanged, "plan_changed", 0, 0, 3 },
   { FaultKind::PlanStorm, "plan_storm", 0, 0, 1 },
+  { FaultKind::LargePlanStorm, "large_plan_storm", 0, 0, 1 },
   { FaultKind::DomainEvacuated, "domain_evacuated", 6000, 8000, 2 },
   { FaultKind::DomainOutByOperator, "domain_out", 6000, 8000, 2 },
 };
--- a/StandIns/Deployment/FaultPlan.h
+++ b/StandIns/Deployment/FaultPlan.h
@@ -26,9 +26,12 @@
   SearcherFailing,
   SearcherLosing,
   SearcherDrained,
+  SearcherEndless,
+  SearchersColdAgain,
   ShardDown,
   PlanChanged,
   PlanStorm,
+  LargePlanStorm,
   DomainEvacuated,
   DomainOutByOperator,
 };
--- a/StandIns/Deployment/Promises.cpp
+++ b/StandIns/Deployment/Promises.cpp
@@ -137,6 +137,25 @@
   }
 }
 
+void
+Promises::OnArrivedCold(const RequestId& aRequest,
+                        const TargetFacts& aTarget,
+                        Instant aNow)
+{
+  const auto found = mRequests.find(aRequest);
+  if (found == mRequests.end()) {
+    return;
+  }
+  std::deque<Instant>& sent = mSentToCold[aTarget.mName];
+  sent.push_back(found->second.mSent);
+  std::erase_if(sent, [&](Instant aSent) { return aNow - aSent > seconds(1); });
+  if (sent.size() > mBounds.mColdInSecond) {
+    Violated("too many requests in a second for the cold target " +
+               aTarget.mName.value(),
+             aRequest);
+  }
+}
+
 void
 Promises::OnRan(const RequestId& aRequest, const TargetFacts& aTarget)
 {
--- a/StandIns/Deployment/Promises.h
+++ b/StandIns/Deployment/Promises.h
@@ -4,6 +4,7 @@
 #include <LibCore/Time.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -59,6 +60,8 @@
     /// Time without disruption after which bounds hold again.
     Duration mSettling = milliseconds(4000);
     std::size_t mMaximumRecords = 10;
+    /// Requests that a cold target gets in one second, sent and arrived in it.
+    std::size_t mColdInSecond = 11;
   };
 
   explicit Promises(const Bounds& aBounds);
@@ -85,6 +88,10 @@
   void OnArrived(const RequestId& aRequest,
                  const TargetFacts& aTarget,
                  Instant aNow);
+  /// The same for a target that is cold.
+  void OnArrivedCold(const RequestId& aRequest,
+                     const TargetFacts& aTarget,
+                     Instant aNow);
   /// The target began to work on the request.
   void OnRan(const RequestId& aRequest, const TargetFacts& aTarget);
   /// The target answered with success.
@@ -150,6 +157,8 @@
   std::vector<Plan> mPlans;
   std::map<FailureDomain, Instant> mDomainsOut;
   std::map<TargetName, Instant> mDraining;
+  /// When the requests that recently arrived at a cold target were sent.
+  std::map<TargetName, std::deque<Instant>> mSentToCold;
   /// Disruptions that last, counted, and ends of the last ones; the empty name
   /// stands for the store.
   std::map<NodeName, int> mDisrupted;
--- a/StandIns/Deployment/Soak.cpp
+++ b/StandIns/Deployment/Soak.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <iterator>
 #include <utility>
 
 namespace verbenachute::standins {
@@ -17,6 +18,16 @@
 constexpr std::size_t kReplicas = 2;
 constexpr std::size_t kSingles = 4;
 constexpr std::size_t kConnections = 24;
+/// Searchers of the single service are cold for so long after a start and take
+/// so many requests a second meanwhile; see Promises::Bounds::mColdInSecond.
+constexpr Duration kCold = seconds(2);
+constexpr int kColdPerSecond = 4;
+/// Time between the starts of searchers that come back together.
+constexpr Duration kColdGap = milliseconds(50);
+/// Routes without requests that make a configuration large, about 900 bytes
+/// each.
+constexpr std::size_t kIdleRoutes = 700;
+constexpr std::size_t kIdleShards = 60;
 /// From SIGTERM to the end of a process at the latest, as the nodes are set.
 constexpr Duration kGrace = seconds(6);
 constexpr Duration kWarmUp = seconds(2);
@@ -25,6 +36,8 @@
 /// Share of requests that must be served then.
 constexpr double kServedAgain = 0.9;
 constexpr Duration kLastAnswers = seconds(2);
+/// What a searcher that fails after the work answers with.
+constexpr int kFailureStatuses[] = { 500, 503, 429 };
 
 std::string
 ShardName(std::size_t aSet, std::size_t aShard)
@@ -49,17 +62,37 @@
 }
 
 Json::Value
-BackendJson(const std::string& aName)
+BackendJson(const std::string& aName, int aColdPerSecond = 0)
 {
   Json::Value backend(Json::objectValue);
   backend["Name"] = aName;
   backend["MaxConns"] = Json::UInt64(kConnections);
   backend["HealthPath"] = "/healthz";
-  backend["WarmupS"] = 0;
-  backend["WarmupPerS"] = 0;
+  backend["WarmupS"] = std::chrono::duration<double>(kCold).count();
+  backend["WarmupPerS"] = aColdPerSecond;
   return backend;
 }
 
+const Json::Value&
+IdleRoutes()
+{
+  static const Json::Value sRoutes = []() {
+    Json::Value routes(Json::arrayValue);
+    for (std::size_t i = 0; i < kIdleRoutes; ++i) {
+      Json::Value route =
+        RouteJson(("idle-" + std::to_string(i)).c_str(), "safe");
+      route["TopK"] = 1;
+      route["MinCoverage"] = 1;
+      for (std::size_t shard = 0; shard < kIdleShards; ++shard) {
+        route["Gather"].append("idle-" + std::to_string(shard));
+      }
+      routes.append(route);
+    }
+    return routes;
+  }();
+  return sRoutes;
+}
+
 Callers::Settings
 CallerSettings(const Soak::Settings& aSettings)
 {
@@ -74,6 +107,20 @@
   return settings;
 }
 
+Promises::Bounds
+BoundsOf(const Soak::Settings& aSettings)
+{
+  Promises::Bounds bounds;
+  if (aSettings.mTiming == TimingChecks::Off) {
+    // Longer than any run.
+    constexpr Duration kNever = std::chrono::hours(24);
+    bounds.mInForce = kNever;
+    bounds.mDomainOut = kNever;
+    bounds.mDraining = kNever;
+  }
+  return bounds;
+}
+
 void
 Print(const std::string& aCommand)
 {
@@ -99,7 +146,7 @@
 Soak::Soak(EventLoop& aLoop, const Settings& aSettings)
   : mLoop(aLoop)
   , mSettings(aSettings)
-  , mPromises(Promises::Bounds())
+  , mPromises(BoundsOf(aSettings))
   , mCallers(aLoop, mPromises, CallerSettings(aSettings))
   , mBusy(aSettings.mNodes.size(), false)
 {
@@ -144,7 +191,7 @@
 }
 
 void
-Soak::AcceptPlan()
+Soak::AcceptPlan(PlanSize aSize)
 {
   ++mVersion;
   const std::size_t set = mVersion % std::size(kShardsOfSet);
@@ -170,7 +217,12 @@
     route["Backend"] = kSingleService;
     plan["Routes"].append(route);
   }
-  plan["Backends"].append(BackendJson(kSingleService));
+  plan["Backends"].append(BackendJson(kSingleService, kColdPerSecond));
+  if (aSize == PlanSize::Large) {
+    for (const Json::Value& route : IdleRoutes()) {
+      plan["Routes"].append(route);
+    }
+  }
   mModel.Put("op/config", CompactJson(plan));
   mPromises.OnPlan(shards, mLoop.Now());
 }
@@ -179,7 +231,7 @@
 Soak::Start()
 {
   AddSearchers();
-  AcceptPlan();
+  AcceptPlan(PlanSize::Small);
   for (const NodeFacts& node : mSettings.mNodes) {
     Print("start " + node.mName.value());
   }
@@ -327,6 +379,25 @@
   });
 }
 
+void
+Soak::ReturnCold(Duration aAbsence)
+{
+  Duration after = aAbsence;
+  for (const std::unique_ptr<EntrySearcher>& searcher : mSearchers) {
+    if (!searcher->IsUp() ||
+        searcher->Shape().mFacts.mService.value() != kSingleService) {
+      continue;
+    }
+    searcher->CrashSilently();
+    After(after, [one = searcher.get()]() {
+      if (!one->IsUp()) {
+        one->RestartCold(kCold);
+      }
+    });
+    after += kColdGap;
+  }
+}
+
 void
 Soak::BeginSearcherFault(const PlannedFault& aFault)
 {
@@ -345,9 +416,17 @@
       end = [searcher]() { searcher->SetSlowness(1); };
       break;
     case FaultKind::SearcherFailing:
-      searcher->SetFailing(0.5);
-      end = [searcher]() { searcher->SetFailing(0); };
+      searcher->SetFailing(
+        0.5, kFailureStatuses[aFault.mWhich % std::size(kFailureStatuses)]);
+      end = [searcher]() { searcher->SetFailing(0, kFailureStatuses[0]); };
       break;
+    case FaultKind::SearcherEndless:
+      searcher->SetEndless(true);
+      end = [searcher]() { searcher->SetEndless(false); };
+      break;
+    case FaultKind::SearchersColdAgain:
+      ReturnCold(aFault.mLength);
+      return;
     case FaultKind::SearcherLosing:
       searcher->SetLosing(0.2);
       end = [searcher]() { searcher->SetLosing(0); };
@@ -383,6 +462,7 @@
   const std::size_t sent = mPromises.Requests() - mSentBeforeCalm;
   const std::size_t served = mPromises.Served() - mServedBeforeCalm;
   const bool recovered =
+    mSettings.mTiming == TimingChecks::Off ||
     static_cast<double>(served) >= kServedAgain * static_cast<double>(sent);
   std::fprintf(stderr, "served at the end: %zu of %zu\n", served, sent);
   const std::size_t violations =
--- a/StandIns/Deployment/Soak.h
+++ b/StandIns/Deployment/Soak.h
@@ -11,6 +11,14 @@
 
 namespace verbenachute::standins {
 
+/// Whether bounds in real time are checked, which a machine that is busy with
+/// other work may break.
+enum class TimingChecks
+{
+  On,
+  Off,
+};
+
 /// One run of a whole deployment around nodes that run as processes of their
 /// own: the store, the targets, the callers and the operators, with the faults
 /// of a seed. What is done to processes is printed, one command a line, for a
@@ -34,6 +42,7 @@
     double mRate = 120;
     /// Share of requests that crash the targets that run them.
     double mCrashShare = 0;
+    TimingChecks mTiming = TimingChecks::On;
   };
 
   [[nodiscard]] static Result<std::unique_ptr<Soak>> Create(
@@ -48,7 +57,14 @@
   Soak(EventLoop& aLoop, const Settings& aSettings);
 
   void AddSearchers();
-  void AcceptPlan();
+  enum class PlanSize
+  {
+    Small,
+    /// Near the largest value that the store takes.
+    Large,
+  };
+
+  void AcceptPlan(PlanSize aSize);
   void Begin(const PlannedFault& aFault);
   void BeginNodeFault(const PlannedFault& aFault);
   void BeginStoreFault(const PlannedFault& aFault);
@@ -59,6 +75,9 @@
   void TakeDomainOut(const FailureDomain& aDomain, Duration aLength);
   void Evacuate(const FailureDomain& aDomain, Duration aLength);
   void Drain(EntrySearcher* aSearcher, Duration aLength);
+  /// All searchers of the single service crash and are back soon after each
+  /// other, cold and under their names.
+  void ReturnCold(Duration aAbsence);
   /// Asks a node of the product to make a change; nothing is expected unless
   /// it is accepted.
   void AskOperator(const std::string& aType,
--- a/StandIns/Deployment/SoakOperators.cpp
+++ b/StandIns/Deployment/SoakOperators.cpp
@@ -15,6 +15,8 @@
 
 constexpr int kStormPlans = 5;
 constexpr Duration kStormGap = milliseconds(200);
+constexpr int kLargeStormPlans = 20;
+constexpr Duration kLargeStormGap = milliseconds(60);
 constexpr Duration kOperatorTimeout = seconds(9);
 
 } // namespace
@@ -94,7 +96,12 @@
   switch (aFault.mKind) {
     case FaultKind::PlanStorm:
       for (int i = 0; i < kStormPlans; ++i) {
-        After(i * kStormGap, [this]() { AcceptPlan(); });
+        After(i * kStormGap, [this]() { AcceptPlan(PlanSize::Small); });
+      }
+      return;
+    case FaultKind::LargePlanStorm:
+      for (int i = 0; i < kLargeStormPlans; ++i) {
+        After(i * kLargeStormGap, [this]() { AcceptPlan(PlanSize::Large); });
       }
       return;
     case FaultKind::DomainEvacuated:
@@ -104,7 +111,7 @@
       TakeDomainOut(domain, aFault.mLength);
       return;
     default:
-      AcceptPlan();
+      AcceptPlan(PlanSize::Small);
       return;
   }
 }
--- a/StandIns/Deployment/main.cpp
+++ b/StandIns/Deployment/main.cpp
@@ -18,9 +18,10 @@
 ABSL_FLAG(std::uint32_t,
           first_port,
           0,
-          "Port of the store on 127.0.0.1; ports of nodes are four each from "
-          "the next ten on: callers, peers, operators, directory; targets "
-          "follow after a hundred.");
+          "Port of the store on 127.0.0.1; ports of nodes are five each from "
+          "the next ten on: callers, peers, operators, directory, gather; "
+          "targets follow after a hundred.");
+ABSL_FLAG(bool, timing, true, "Check bounds in real time.");
 ABSL_FLAG(std::uint32_t, nodes, 3, "Nodes, named node-1 and so on.");
 
 namespace verbenachute::standins {
@@ -29,7 +30,7 @@
 
 constexpr const char* kLoopback = "127.0.0.1";
 constexpr std::uint32_t kNodePorts = 10;
-constexpr std::uint32_t kPortsOfNode = 4;
+constexpr std::uint32_t kPortsOfNode = 5;
 constexpr std::uint32_t kTargetPorts = 100;
 
 SocketAddress
@@ -49,6 +50,8 @@
     std::chrono::duration<double>(absl::GetFlag(FLAGS_seconds)));
   settings.mRate = absl::GetFlag(FLAGS_rate);
   settings.mCrashShare = absl::GetFlag(FLAGS_crash_share);
+  settings.mTiming =
+    absl::GetFlag(FLAGS_timing) ? TimingChecks::On : TimingChecks::Off;
   settings.mRegion = absl::GetFlag(FLAGS_region);
   settings.mDomains = absl::GetFlag(FLAGS_domains);
   settings.mStore = PortAt(0);
--- a/Tests/StandIns/TestPromises.cpp
+++ b/Tests/StandIns/TestPromises.cpp
@@ -208,4 +208,23 @@
   CHECK(rig.Violations() == 4);
 }
 
+TEST_CASE("A cold target that gets too much in one second is noticed")
+{
+  for (const std::size_t count : { std::size_t{ 11 }, std::size_t{ 12 } }) {
+    Promises promises{ Promises::Bounds() };
+    const Instant now(seconds(100));
+    const TargetFacts target{ TargetName("i-1"), ServiceName("s0"), {} };
+    for (std::size_t i = 0; i < count; ++i) {
+      const RequestId id("c" + std::to_string(i));
+      promises.OnSent(id, RequestKind::Single, kNode, now);
+      promises.OnArrivedCold(id, target, now + milliseconds(900));
+    }
+    CHECK(promises.Violations().size() == count - 11);
+    // Two seconds later the earlier ones do not count any more.
+    promises.OnSent(kId, RequestKind::Single, kNode, now + seconds(2));
+    promises.OnArrivedCold(kId, target, now + seconds(2));
+    CHECK(promises.Violations().size() == count - 11);
+  }
+}
+
 } // namespace verbenachute::standins
