LibRouting, LibTenant, platform: Authenticate callers by the tenants' API keys

Cause: plans may hold tenants with API keys. Nodes forwarded the caller's key and whatever tenant the caller named to targets, and checked neither.

Change: plans carry tenants with digests of their keys, quotas and priorities. If a plan has tenants, a node takes key and tenant out of each request, answers 401 without a valid key, and sets the tenant's name on each attempt, also on those of peers. A tenant's priority goes before its route's. Plans without tenants are served as before, with the same bytes.

Result: unit tests of authentication, plan, codec and fields pass.

--- a/Libraries/LibEntry/OutcomeMetrics.cpp
+++ b/Libraries/LibEntry/OutcomeMetrics.cpp
@@ -15,9 +15,12 @@
   switch (aReason) {
     case RefusalReason::NoPlan:
     case RefusalReason::NoTarget:
+    case RefusalReason::QuotaUnknown:
+    case RefusalReason::KeyUndecided:
       return ErrorCode::Unavailable;
     case RefusalReason::Overloaded:
     case RefusalReason::TargetsHeld:
+    case RefusalReason::OverQuota:
       return ErrorCode::Overloaded;
     case RefusalReason::Declined:
       return ErrorCode::Refused;
@@ -70,6 +73,10 @@
       [&](const NoRouteOutcome&) {
         aMetrics->CountRefusal(ErrorAt(Step::Route, ErrorCode::NotFound),
                                Execution::NotRun);
+      },
+      [&](const NotAuthenticatedOutcome&) {
+        aMetrics->CountRefusal(ErrorAt(Step::Admission, ErrorCode::Forbidden),
+                               Execution::NotRun);
       } },
     aAction.mOutcome);
   aMetrics->Add(Counter::Hedges, summary.mHedges);
--- a/Libraries/LibForward/CallerRequest.h
+++ b/Libraries/LibForward/CallerRequest.h
@@ -3,6 +3,7 @@
 #include <LibCore/Identifiers.h>
 #include <LibCore/Time.h>
 #include <LibHttp/HttpFields.h>
+#include <LibRouting/Tenant.h>
 
 #include <memory>
 #include <optional>
@@ -30,6 +31,12 @@
   /// Time that the caller spent on establishing the connection before it sent
   /// the request.
   Duration mConnectTime{ 0 };
+  /// The authenticated tenant; empty on public routes and if the plan has no
+  /// tenants.
+  TenantName mTenant;
+  /// Rank of the tenant, which replaces that of the route; empty if it has
+  /// none.
+  std::optional<std::uint32_t> mTenantPriority;
 };
 
 using CallerRequestPointer = std::shared_ptr<const CallerRequest>;
--- a/Libraries/LibForward/ForwardAction.h
+++ b/Libraries/LibForward/ForwardAction.h
@@ -62,11 +62,16 @@
 struct NoRouteOutcome
 {};
 
+/// The request has no valid API key.
+struct NotAuthenticatedOutcome
+{};
+
 using ForwardOutcome = std::variant<RelayedOutcome,
                                     GatheredOutcome,
                                     RefusedOutcome,
                                     FailedOutcome,
-                                    NoRouteOutcome>;
+                                    NoRouteOutcome,
+                                    NotAuthenticatedOutcome>;
 
 /// Cost of a request and what determined its outcome, for logs and metrics.
 struct ForwardSummary
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -289,6 +289,8 @@
     Instant aNow) const;
   [[nodiscard]] static Fingerprint FingerprintOfRequest(
     const CallerRequest& aRequest);
+  /// Rank of the request; 0 is served first.
+  [[nodiscard]] static std::uint32_t PriorityOf(const Request& aRequest);
   void SetTimes(Request* aRequest, Instant aNow);
   void MakeParts(Request* aRequest, Instant aNow);
   /// Number of parts that wait for a target of the service.
--- a/Libraries/LibForward/ForwardEngineAdmission.cpp
+++ b/Libraries/LibForward/ForwardEngineAdmission.cpp
@@ -30,6 +30,13 @@
                        aRequest.mTarget + '\n' + aRequest.mBody);
 }
 
+std::uint32_t
+ForwardEngine::PriorityOf(const Request& aRequest)
+{
+  return aRequest.mRequest->mTenantPriority.value_or(
+    aRequest.mRoute->mPriority);
+}
+
 ForwardActions
 ForwardEngine::Submit(RequestNumber aNumber,
                       CallerRequestPointer aRequest,
@@ -217,7 +224,7 @@
   const std::size_t limit =
     mSettings.mMaximumRunning -
     mSettings.mMaximumRunning / kPrioritySteps *
-      std::min<std::size_t>(aRequest.mRoute->mPriority, kPrioritySteps / 2);
+      std::min<std::size_t>(PriorityOf(aRequest), kPrioritySteps / 2);
   if (mRequests.size() >= limit) {
     return RefusedOutcome{ RefusalReason::Overloaded, kRetryAfterOverload };
   }
--- a/Libraries/LibForward/Refusal.cpp
+++ b/Libraries/LibForward/Refusal.cpp
@@ -24,6 +24,12 @@
       return "targets_held";
     case RefusalReason::Leaving:
       return "leaving";
+    case RefusalReason::OverQuota:
+      return "over_quota";
+    case RefusalReason::QuotaUnknown:
+      return "quota_unknown";
+    case RefusalReason::KeyUndecided:
+      return "key_undecided";
   }
   VERIFY(!"unknown reason");
 }
--- a/Libraries/LibForward/Refusal.h
+++ b/Libraries/LibForward/Refusal.h
@@ -22,6 +22,12 @@
   TargetsHeld,
   /// This node is about to end, and the request might not have ended by then.
   Leaving,
+  /// The tenant has used up its quota.
+  OverQuota,
+  /// No node that can grant the tenant a request has responded.
+  QuotaUnknown,
+  /// The plan has no such API key, but a newer plan may have it.
+  KeyUndecided,
 };
 
 /// The name that is used in logs, such as "no_target".
--- a/Libraries/LibForward/RetryAfter.h
+++ b/Libraries/LibForward/RetryAfter.h
@@ -14,6 +14,8 @@
 inline constexpr Duration kRetryAfterOverload = milliseconds(40);
 /// The queues of the targets become shorter.
 inline constexpr Duration kRetryAfterDeclined = milliseconds(60);
+/// A plan is received that has the API key, or confirms that there is none.
+inline constexpr Duration kRetryAfterKeyUndecided = milliseconds(300);
 /// The recorded observations of a request that crashes targets expire.
 inline constexpr Duration kRetryAfterPoison = seconds(30);
 
--- a/Libraries/LibGather/GatherCodec.cpp
+++ b/Libraries/LibGather/GatherCodec.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t kMaxShards = 65536;
 constexpr std::size_t kMaxHttpFields = 1024;
 constexpr std::size_t kHttpFieldElements = 2;
+constexpr std::uint32_t kNoPriority = 0xffffffff;
 constexpr std::size_t kAnsweredElements = 3;
 constexpr std::size_t kUnansweredElements = 3;
 
@@ -55,6 +56,10 @@
     aWriter->Text(field.mValue);
   }
   aWriter->Text(request.mBody);
+  if (!request.mTenant.value().empty()) {
+    aWriter->Id(request.mTenant);
+    aWriter->Number(request.mTenantPriority.value_or(kNoPriority));
+  }
 }
 
 std::size_t
@@ -101,6 +106,13 @@
     request->mFields.Add(std::move(name), field.Text());
   }
   request->mBody = aReader->Text();
+  if (aReader->Remaining() > 0) {
+    request->mTenant = aReader->Id<TenantName>();
+    const std::uint32_t priority = aReader->Number<std::uint32_t>();
+    if (priority != kNoPriority) {
+      request->mTenantPriority = priority;
+    }
+  }
   message.mDelegationRequest.mRequest = std::move(request);
   return message;
 }
@@ -184,7 +196,7 @@
   }
   if (kind == MessageKind::Refusal) {
     const DelegationRefusal refusal{ aReader->Enumerator(
-      RefusalReason::TooLate) };
+      RefusalReason::KeyUndecided) };
     return GatherResponse{ number, refusal, true };
   }
   return GatherResponse{ number,
--- a/Libraries/LibRouting/Route.h
+++ b/Libraries/LibRouting/Route.h
@@ -57,6 +57,13 @@
   friend bool operator==(const ShardSet&, const ShardSet&) = default;
 };
 
+/// Whether callers have to authenticate; applies only if the plan has tenants.
+enum class RouteAccess
+{
+  KeyRequired,
+  Public,
+};
+
 /// How the requests of one host and path prefix are handled.
 struct Route
 {
@@ -74,6 +81,7 @@
   std::uint32_t mPriority = 0;
   /// Number of targets of each shard that one request may be sent to.
   std::uint32_t mMaximumAttempts = 1;
+  RouteAccess mAccess = RouteAccess::KeyRequired;
   std::variant<SingleDestination, ShardSet> mDestination;
 
   friend bool operator==(const Route&, const Route&) = default;
--- a/Libraries/LibRouting/ServingPlan.cpp
+++ b/Libraries/LibRouting/ServingPlan.cpp
@@ -1,7 +1,10 @@
 #include <LibRouting/ServingPlan.h>
 
+#include <LibRouting/KeyHash.h>
+
 #include <algorithm>
 #include <cctype>
+#include <cstring>
 #include <utility>
 
 namespace verbenachute {
@@ -19,6 +22,14 @@
   return host;
 }
 
+std::uint64_t
+LeadingBytes(const KeyHash& aKey)
+{
+  std::uint64_t bytes = 0;
+  std::memcpy(&bytes, aKey.value().data(), sizeof(bytes));
+  return bytes;
+}
+
 } // namespace
 
 ServingPlan::ServingPlan(Content aContent)
@@ -31,6 +42,12 @@
   for (std::size_t i = 0; i < mContent.mServices.size(); ++i) {
     mServices.emplace(mContent.mServices[i].mName, i);
   }
+  for (std::size_t i = 0; i < mContent.mTenants.size(); ++i) {
+    mTenants.emplace(mContent.mTenants[i].mName, i);
+    for (const KeyHash& key : mContent.mTenants[i].mKeys) {
+      mKeys.emplace(LeadingBytes(key), std::pair(key, i));
+    }
+  }
 }
 
 const Route*
@@ -65,4 +82,23 @@
                                   : &mContent.mServices[found->second];
 }
 
+const Tenant*
+ServingPlan::FindTenant(const TenantName& aTenant) const
+{
+  const auto found = mTenants.find(aTenant);
+  return found == mTenants.end() ? nullptr : &mContent.mTenants[found->second];
+}
+
+const Tenant*
+ServingPlan::FindTenantOfKey(const KeyHash& aKey) const
+{
+  const auto candidates = mKeys.equal_range(LeadingBytes(aKey));
+  for (auto entry = candidates.first; entry != candidates.second; ++entry) {
+    if (EqualInConstantTime(entry->second.first, aKey)) {
+      return &mContent.mTenants[entry->second.second];
+    }
+  }
+  return nullptr;
+}
+
 } // namespace verbenachute
--- a/Libraries/LibRouting/ServingPlan.h
+++ b/Libraries/LibRouting/ServingPlan.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <LibRouting/Route.h>
+#include <LibRouting/Tenant.h>
 
 #include <cstdint>
 #include <memory>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace verbenachute {
@@ -52,6 +54,8 @@
     std::vector<Route> mRoutes;
     std::vector<ServiceSettings> mServices;
     CallerLimits mLimits;
+    /// Empty if callers do not authenticate.
+    std::vector<Tenant> mTenants;
   };
 
   explicit ServingPlan(Content aContent);
@@ -62,6 +66,10 @@
   {
     return mContent.mRoutes;
   }
+  [[nodiscard]] const std::vector<Tenant>& Tenants() const
+  {
+    return mContent.mTenants;
+  }
 
   /// Returns the route of the host with the longest prefix of the path; null if
   /// there is none. Case and port of the host and the query of the path are
@@ -71,6 +79,10 @@
   /// Null if the plan does not name the service.
   [[nodiscard]] const ServiceSettings* FindService(
     const ServiceName& aService) const;
+  /// Null if the plan does not name the tenant.
+  [[nodiscard]] const Tenant* FindTenant(const TenantName& aTenant) const;
+  /// The tenant that has the key; null if there is none.
+  [[nodiscard]] const Tenant* FindTenantOfKey(const KeyHash& aKey) const;
 
 private:
   using RoutesByPrefix = std::unordered_map<std::string, std::size_t>;
@@ -78,6 +90,9 @@
   Content mContent;
   std::unordered_map<std::string, RoutesByPrefix> mRoutesByHost;
   std::unordered_map<ServiceName, std::size_t> mServices;
+  std::unordered_map<TenantName, std::size_t> mTenants;
+  /// Each key with the index of its tenant, by the leading bytes of the digest.
+  std::unordered_multimap<std::uint64_t, std::pair<KeyHash, std::size_t>> mKeys;
 };
 
 using ServingPlanPointer = std::shared_ptr<const ServingPlan>;
--- a/Meta/install-packages.sh
+++ b/Meta/install-packages.sh
@@ -7,7 +7,7 @@
   clang clang-format clang-tidy clang-tools libclang-rt-14-dev
   libsigc++-3.0-dev libevent-dev libhttp-parser-dev libjsonrpccpp-dev libjsoncpp-dev
   libabsl-dev libboost-log-dev libboost-dev
-  libxxhash-dev libmsgpack-cxx-dev libpcg-cpp-dev zlib1g-dev
+  libxxhash-dev libmsgpack-cxx-dev libpcg-cpp-dev zlib1g-dev nettle-dev
   doctest-dev libtrompeloeil-cpp-dev librapidcheck-dev
   curl jq gnuplot-nox
 )
--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -47,6 +47,10 @@
   };
 
   void OnCallerCall(const CallPointer& aCall);
+  /// Sets the tenant of a request. If the request has no valid API key, answers
+  /// it and returns false.
+  [[nodiscard]] bool AuthenticateCall(RequestNumber aNumber,
+                                      CallerRequest* aRequest);
   void OnDirectoryCall(const CallPointer& aCall);
   void OnReadyCall(const CallPointer& aCall);
   void OnPeerCall(const CallPointer& aCall);
--- a/Services/verbenachuted/EntryNodePorts.cpp
+++ b/Services/verbenachuted/EntryNodePorts.cpp
@@ -6,6 +6,8 @@
 #include <platform/RequestWire.h>
 
 #include <LibEntry/OutcomeMetrics.h>
+#include <LibForward/RetryAfter.h>
+#include <LibTenant/Authenticator.h>
 
 #include <algorithm>
 #include <cstdlib>
@@ -89,16 +91,51 @@
   const RequestNumber number(mNextRequestNumber++);
   // The caller needed one round trip to connect before it could send.
   const Duration connecting = 2 * ForwardSettings().mCallerOneWayDelay;
-  const CallerRequestPointer request =
+  const std::shared_ptr<CallerRequest> request =
     platform::ReadCallerRequest(aCall.get(), connecting);
   mPendingCalls.emplace(number, PendingCall{ aCall, request });
   aCall->CallerDisconnected().connect([this, number]() {
     mPendingCalls.erase(number);
     Perform(mEngine.OnCallerDisconnected(number, mLoop->Now()));
   });
+  if (mEngine.Plan() && !mEngine.Plan()->Tenants().empty() &&
+      !AuthenticateCall(number, request.get())) {
+    return;
+  }
   Perform(mEngine.Submit(number, request, mLoop->Now()));
 }
 
+bool
+EntryNode::Parts::AuthenticateCall(RequestNumber aNumber,
+                                   CallerRequest* aRequest)
+{
+  const ServingPlan& plan = *mEngine.Plan();
+  const std::optional<KeyHash> key = platform::TakeKey(aRequest);
+  const AuthenticationResult result =
+    Authenticate(plan,
+                 plan.FindRoute(aRequest->mHost, aRequest->mTarget),
+                 key,
+                 PlanFreshness::Current);
+  const Authenticated* authenticated = std::get_if<Authenticated>(&result);
+  if (authenticated == nullptr) {
+    AnswerAction answer;
+    answer.mNumber = aNumber;
+    answer.mOutcome = NotAuthenticatedOutcome();
+    if (std::holds_alternative<KeyUndecided>(result)) {
+      answer.mOutcome =
+        RefusedOutcome{ RefusalReason::KeyUndecided, kRetryAfterKeyUndecided };
+    }
+    answer.mSummary.mPlan = plan.Version();
+    Answer(answer);
+    return false;
+  }
+  if (authenticated->mTenant != nullptr) {
+    aRequest->mTenant = authenticated->mTenant->mName;
+    aRequest->mTenantPriority = authenticated->mTenant->mPriority;
+  }
+  return true;
+}
+
 void
 EntryNode::Parts::OnDirectoryCall(const CallPointer& aCall)
 {
--- a/Services/verbenachuted/GossipPort.cpp
+++ b/Services/verbenachuted/GossipPort.cpp
@@ -4,6 +4,7 @@
 #include <LibGossip/GossipCodec.h>
 #include <LibTransport/SocketOptions.h>
 
+#include <arpa/inet.h>
 #include <array>
 #include <event2/event.h>
 #include <sys/socket.h>
@@ -61,16 +62,33 @@
 GossipPort::Send(const GossipTable::Datagram& aDatagram) const
 {
   const std::string bytes = EncodeGossip(aDatagram.mMessage);
-  for (const SocketAddress& receiver : aDatagram.mReceivers) {
+  SendBytes(bytes, aDatagram.mReceivers);
+  return bytes.size();
+}
+
+std::size_t
+GossipPort::Send(PeerDatagramKind aKind,
+                 std::string_view aPayload,
+                 const std::vector<SocketAddress>& aReceivers) const
+{
+  const std::string bytes = EncodePeerDatagram(aKind, aPayload);
+  SendBytes(bytes, aReceivers);
+  return bytes.size();
+}
+
+void
+GossipPort::SendBytes(std::string_view aBytes,
+                      const std::vector<SocketAddress>& aReceivers) const
+{
+  for (const SocketAddress& receiver : aReceivers) {
     const sockaddr_in address = SocketAddressOf(receiver);
     static_cast<void>(sendto(mSocket,
-                             bytes.data(),
-                             bytes.size(),
+                             aBytes.data(),
+                             aBytes.size(),
                              0,
                              reinterpret_cast<const sockaddr*>(&address),
                              sizeof(address)));
   }
-  return bytes.size();
 }
 
 void
@@ -78,19 +96,42 @@
 {
   std::array<char, kMaximumDatagramBytes> bytes{};
   for (int i = 0; i < kMaximumBatchDatagrams; ++i) {
-    const ssize_t size = recv(mSocket, bytes.data(), bytes.size(), 0);
+    sockaddr_in sender{};
+    socklen_t senderSize = sizeof(sender);
+    const ssize_t size = recvfrom(mSocket,
+                                  bytes.data(),
+                                  bytes.size(),
+                                  0,
+                                  reinterpret_cast<sockaddr*>(&sender),
+                                  &senderSize);
     if (size < 0) {
       return;
     }
-    const Result<GossipMessage> message = DecodeGossip(
-      std::string_view(bytes.data(), static_cast<std::size_t>(size)));
-    if (IsError(message)) {
-      ++mMalformed;
-      continue;
-    }
-    if (mOnReceived) {
-      mOnReceived(ValueOf(message));
+    std::array<char, INET_ADDRSTRLEN> host{};
+    inet_ntop(AF_INET, &sender.sin_addr, host.data(), host.size());
+    OnDatagram(SocketAddress{ host.data(), ntohs(sender.sin_port) },
+               std::string_view(bytes.data(), static_cast<std::size_t>(size)));
+  }
+}
+
+void
+GossipPort::OnDatagram(const SocketAddress& aSender, std::string_view aBytes)
+{
+  const std::optional<PeerDatagram> datagram = DecodePeerDatagram(aBytes);
+  if (datagram.has_value()) {
+    const auto receiver = mDatagramReceivers.find(datagram->mKind);
+    if (receiver != mDatagramReceivers.end()) {
+      receiver->second(aSender, datagram->mPayload);
     }
+    return;
+  }
+  const Result<GossipMessage> message = DecodeGossip(aBytes);
+  if (IsError(message)) {
+    ++mMalformed;
+    return;
+  }
+  if (mOnReceived) {
+    mOnReceived(ValueOf(message));
   }
 }
 
--- a/Services/verbenachuted/OutcomeLog.cpp
+++ b/Services/verbenachuted/OutcomeLog.cpp
@@ -36,7 +36,11 @@
                            number = EventNumber::RequestFailed;
                            reason = FailureReasonName(aFailed.mReason);
                          },
-                         [](const NoRouteOutcome&) {} },
+                         [](const NoRouteOutcome&) {},
+                         [&](const NotAuthenticatedOutcome&) {
+                           number = EventNumber::QueryRefused;
+                           reason = "not_authenticated";
+                         } },
              aAction.mOutcome);
   if (!number.has_value()) {
     return;
--- a/Tests/LibGather/TestGatherCodec.cpp
+++ b/Tests/LibGather/TestGatherCodec.cpp
@@ -129,4 +129,24 @@
   CHECK(IsError(DecodeGather(EncodeGather(request))));
 }
 
+// Guards against a peer that sends a request to targets without its tenant.
+TEST_CASE("The tenant of a request survives encoding and decoding")
+{
+  for (const std::optional<std::uint32_t> priority :
+       { std::optional<std::uint32_t>(3), std::optional<std::uint32_t>() }) {
+    GatherRequest sent = Request();
+    const std::shared_ptr<CallerRequest> request =
+      std::make_shared<CallerRequest>(*sent.mDelegationRequest.mRequest);
+    request->mTenant = TenantName("t");
+    request->mTenantPriority = priority;
+    sent.mDelegationRequest.mRequest = request;
+    const Result<GatherMessage> result = DecodeGather(EncodeGather(sent));
+    REQUIRE(!IsError(result));
+    const CallerRequest& decoded =
+      *std::get<GatherRequest>(ValueOf(result)).mDelegationRequest.mRequest;
+    CHECK(decoded.mTenant == TenantName("t"));
+    CHECK(decoded.mTenantPriority == priority);
+  }
+}
+
 } // namespace verbenachute
--- a/Tests/Platform/TestKeyWire.cpp
+++ b/Tests/Platform/TestKeyWire.cpp
@@ -1,5 +1,7 @@
 #include <platform/KeyWire.h>
 
+#include <LibRouting/KeyHash.h>
+
 #include <doctest/doctest.h>
 
 namespace verbenachute::platform {
@@ -102,4 +104,25 @@
   CHECK(IsError(DecodePlan(R"({"Version":"9","Routes":[],"Backends":[]})")));
 }
 
+TEST_CASE("The tenants of a plan are decoded, and invalid ones are skipped")
+{
+  const Result<DecodedPlan> decoded = DecodePlan(
+    R"({"Version":1,"Routes":[{"Host":"h","PathPrefix":"/","Backend":"b",)"
+    R"("Public":true}],"Backends":[],"Tenants":[{"Name":"t","ApiKeys":)"
+    R"(["k1","k2"],"Priority":2,"RatePerS":17.5,"Burst":3},)"
+    R"({"Name":"u","ApiKeys":[7]},{"Name":"v","ApiKeys":[]}]})");
+  REQUIRE(!IsError(decoded));
+  const DecodedPlan& plan = ValueOf(decoded);
+  REQUIRE(plan.mContent.mTenants.size() == 2);
+  CHECK(
+    plan.mContent.mTenants.front() ==
+    Tenant{
+      TenantName("t"), { HashKey("k1"), HashKey("k2") }, 2, Quota{ 17.5, 3 } });
+  CHECK(!plan.mContent.mTenants.back().mQuota.IsLimited());
+  CHECK(plan.mContent.mRoutes.front().mAccess == RouteAccess::Public);
+  // Guards against keys in the log.
+  REQUIRE(plan.mSkipped.size() == 1);
+  CHECK(plan.mSkipped.front() == "tenant u");
+}
+
 } // namespace verbenachute::platform
--- a/Tests/Platform/TestRequestWire.cpp
+++ b/Tests/Platform/TestRequestWire.cpp
@@ -1,5 +1,7 @@
 #include <platform/RequestWire.h>
 
+#include <LibRouting/KeyHash.h>
+
 #include <doctest/doctest.h>
 
 namespace verbenachute::platform {
@@ -177,4 +179,39 @@
   CHECK(!ReadAddressLookup(call).has_value());
 }
 
+// Guards against a target that gets an API key or a tenant's name from a
+// caller.
+TEST_CASE("The key and the tenant that a caller sends are taken away")
+{
+  HttpCall call;
+  call.mFields.Add("authorization", "bearer  key-1");
+  call.mFields.Add("Tenant-Id", "forged");
+  const std::shared_ptr<CallerRequest> request =
+    ReadCallerRequest(&call, Duration(0));
+  CHECK(TakeKey(request.get()) == HashKey("key-1"));
+  CHECK(request->mFields.Find("Authorization") == nullptr);
+  CHECK(request->mFields.Find("Tenant-Id") == nullptr);
+  request->mTenant = TenantName("t");
+  SendAction action;
+  action.mRequest = request;
+  CHECK(TargetExchange(action).mRequest.find("Tenant-Id: t\r\n") !=
+        std::string::npos);
+}
+
+TEST_CASE("Other credentials, or several, are no key")
+{
+  for (const std::vector<std::string>& values :
+       std::vector<std::vector<std::string>>{
+         {}, { "Basic abc" }, { "Bearer" }, { "Bearer a", "Bearer b" } }) {
+    HttpCall call;
+    for (const std::string& value : values) {
+      call.mFields.Add("Authorization", value);
+    }
+    const std::shared_ptr<CallerRequest> request =
+      ReadCallerRequest(&call, Duration(0));
+    CHECK(!TakeKey(request.get()).has_value());
+    CHECK(request->mFields.Find("Authorization") == nullptr);
+  }
+}
+
 } // namespace verbenachute::platform
