LibHttp: Take no response without a valid status, and no body after 204 or 304

Cause: the parser accepts 000, 0, 099, 600, 999, 20, 0200 and a status after two spaces. Statuses below 200 were skipped as informational, so that the request waited for its deadline; 600 and 999 reached callers as answers. A 204 or 304 with a length or chunks kept the bytes after its head as a body, which was then written to the caller after a head without a length.

Change: a status that is not three digits from 100 to 599 makes the response malformed, for targets, the store and peers. 1xx, 204 and 304 end with their head, also when they are sent.

--- a/Libraries/LibHttp/HttpText.cpp
+++ b/Libraries/LibHttp/HttpText.cpp
@@ -26,12 +26,6 @@
   aText->append(kCrLf);
 }
 
-bool
-HasNoBody(int aStatus)
-{
-  return aStatus < 200 || aStatus == 204 || aStatus == 304;
-}
-
 int
 HexValue(char aCharacter)
 {
@@ -64,6 +58,12 @@
 
 } // namespace
 
+bool
+HasNoBody(int aStatus)
+{
+  return aStatus < 200 || aStatus == 204 || aStatus == 304;
+}
+
 std::string
 SerializeRequest(std::string_view aMethod,
                  std::string_view aTarget,
@@ -99,7 +99,10 @@
   if (aAfter == AfterResponse::Close) {
     text.append("Connection: close").append(kCrLf);
   }
-  text.append(kCrLf).append(aBody);
+  text.append(kCrLf);
+  if (!HasNoBody(aStatus)) {
+    text.append(aBody);
+  }
   return text;
 }
 
--- a/Libraries/LibHttp/HttpText.h
+++ b/Libraries/LibHttp/HttpText.h
@@ -22,8 +22,13 @@
   Close,
 };
 
+/// Whether a response with the status ends with its head, whatever its fields
+/// say (RFC 9110, sections 15.2, 15.3.5 and 15.4.5).
+[[nodiscard]] bool
+HasNoBody(int aStatus);
+
 /// Serializes a response. Content-Length and Connection are added here and must
-/// not be in aFields.
+/// not be in aFields. The body is left out if the status allows none.
 [[nodiscard]] std::string
 SerializeResponse(int aStatus,
                   const HttpFields& aFields,
--- a/Libraries/LibHttp/MessageReader.cpp
+++ b/Libraries/LibHttp/MessageReader.cpp
@@ -1,7 +1,9 @@
 #include <LibHttp/MessageReader.h>
 
 #include <LibCore/Verify.h>
+#include <LibHttp/HttpText.h>
 
+#include <algorithm>
 #include <climits>
 
 namespace verbenachute {
@@ -14,6 +16,10 @@
 // Results of OnHeadComplete, as the parser defines them.
 constexpr int kSkipBody = 1;
 constexpr int kAbort = -1;
+constexpr std::size_t kStatusOffset = std::string_view("HTTP/1.1 ").size();
+constexpr std::size_t kStatusDigits = 3;
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
 
 MessageReader*
 Self(http_parser* aParser)
@@ -41,6 +47,9 @@
 MessageReader::Feed(std::string_view aBytes)
 {
   VERIFY(mState == State::BetweenMessages || mState == State::InMessage);
+  if (mKind == MessageKind::Responses && !mHeadComplete) {
+    RecordStatusLine(aBytes);
+  }
   http_parser_settings settings{};
   settings.on_message_begin = &MessageReader::OnMessageBegin;
   settings.on_url = &MessageReader::OnTarget;
@@ -69,6 +78,34 @@
   return used;
 }
 
+void
+MessageReader::RecordStatusLine(std::string_view aBytes)
+{
+  if (mStatusLine.empty()) {
+    // The parser skips empty lines before a response.
+    aBytes.remove_prefix(
+      std::min(aBytes.find_first_not_of("\r\n"), aBytes.size()));
+  }
+  constexpr std::size_t kRecordedBytes = kStatusOffset + kStatusDigits + 1;
+  mStatusLine += aBytes.substr(0, kRecordedBytes - mStatusLine.size());
+}
+
+bool
+MessageReader::HasValidStatus() const
+{
+  // The parser accepts fewer digits, leading zeros and additional spaces.
+  const std::string_view line = mStatusLine;
+  const auto isDigit = [](char aCharacter) {
+    return aCharacter >= '0' && aCharacter <= '9';
+  };
+  const std::string_view digits =
+    line.substr(std::min(kStatusOffset, line.size()), kStatusDigits);
+  return mStatus >= kFirstStatus && mStatus <= kLastStatus &&
+         digits.size() == kStatusDigits &&
+         std::all_of(digits.begin(), digits.end(), isDigit) &&
+         !isDigit(line.back());
+}
+
 void
 MessageReader::EndOfStream()
 {
@@ -93,6 +130,7 @@
   mNoBody = false;
   mReadingValue = false;
   mHeaderBytes = 0;
+  mStatusLine.clear();
   mTarget.clear();
   mFields = HttpFields();
   if (mBody.capacity() > kKeptCapacity) {
@@ -166,7 +204,11 @@
   MessageReader* self = Self(aParser);
   self->mHeadComplete = true;
   self->mStatus = aParser->status_code;
-  if (self->mNoBody) {
+  const bool isResponse = self->mKind == MessageKind::Responses;
+  if (isResponse && !self->HasValidStatus()) {
+    return kAbort;
+  }
+  if (self->mNoBody || (isResponse && HasNoBody(self->mStatus))) {
     return kSkipBody;
   }
   const bool hasLength = aParser->content_length != ULLONG_MAX;
--- a/Libraries/LibHttp/MessageReader.h
+++ b/Libraries/LibHttp/MessageReader.h
@@ -88,6 +88,9 @@
   static int OnBody(http_parser* aParser, const char* aAt, std::size_t aSize);
   static int OnComplete(http_parser* aParser);
   [[nodiscard]] int CountHeaderBytes(std::size_t aSize);
+  /// Keeps the first bytes of a response, up to the status.
+  void RecordStatusLine(std::string_view aBytes);
+  [[nodiscard]] bool HasValidStatus() const;
 
   MessageKind mKind;
   MessageLimits mLimits;
@@ -98,6 +101,8 @@
   bool mKeepsAlive = true;
   bool mReadingValue = false;
   int mStatus = 0;
+  /// The response up to the character after the status.
+  std::string mStatusLine;
   std::size_t mHeaderBytes = 0;
   std::string mTarget;
   HttpFields mFields;
--- a/Tests/LibHttp/TestHttpText.cpp
+++ b/Tests/LibHttp/TestHttpText.cpp
@@ -40,4 +40,12 @@
   CHECK(PercentEncode("a b/&") == "a%20b/%26");
 }
 
+// Guards against bytes that the caller takes for the next response.
+TEST_CASE("A response whose status allows no body is sent without one")
+{
+  const std::string text =
+    SerializeResponse(204, HttpFields(), "body", AfterResponse::KeepOpen);
+  CHECK(text.ends_with("\r\n\r\n"));
+}
+
 } // namespace verbenachute
--- a/Tests/LibHttp/TestMessageReader.cpp
+++ b/Tests/LibHttp/TestMessageReader.cpp
@@ -87,4 +87,62 @@
   CHECK(reader.Current() == State::Complete);
 }
 
+// Guards against a response without a valid status that is forwarded to a
+// caller, or skipped as if it were informational.
+TEST_CASE("A response whose status is not three digits from 100 to 599 fails")
+{
+  for (const char* status : { "000",
+                              "0",
+                              "099",
+                              "600",
+                              "999",
+                              "20",
+                              "2000",
+                              "0200",
+                              "-20",
+                              "+20",
+                              "   ",
+                              " 200",
+                              "" }) {
+    CAPTURE(status);
+    MessageReader reader(MessageKind::Responses, MessageLimits());
+    reader.Feed(std::string("HTTP/1.1 ") + status +
+                " OK\r\nContent-Length: 0\r\n\r\n");
+    CHECK(reader.Current() == State::Malformed);
+  }
+}
+
+TEST_CASE("A status is read byte by byte, after an informational one too")
+{
+  MessageReader reader(MessageKind::Responses, MessageLimits());
+  const std::string text = "HTTP/1.1 100 Continue\r\n\r\n"
+                           "HTTP/1.1 599\r\nContent-Length: 0\r\n\r\n";
+  std::size_t at = 0;
+  for (const int expected : { 100, 599 }) {
+    while (reader.Current() != State::Complete && at < text.size()) {
+      at += reader.Feed(std::string_view(text).substr(at, 1));
+    }
+    REQUIRE(reader.Current() == State::Complete);
+    CHECK(reader.Status() == expected);
+    reader.Next();
+  }
+}
+
+// Guards against a second response that is taken for the body of the first.
+TEST_CASE("A status that allows no body ends with its head")
+{
+  for (const char* status : { "204", "304" }) {
+    for (const char* field :
+         { "Content-Length: 19", "Transfer-Encoding: chunked" }) {
+      CAPTURE(status);
+      MessageReader reader(MessageKind::Responses, MessageLimits());
+      const std::string head =
+        std::string("HTTP/1.1 ") + status + " x\r\n" + field + "\r\n\r\n";
+      CHECK(reader.Feed(head + "HTTP/1.1 200 OK\r\n\r\n") == head.size());
+      CHECK(reader.Current() == State::Complete);
+      CHECK(reader.Body().empty());
+    }
+  }
+}
+
 } // namespace verbenachute
