LibTenant, platform: Keep no API keys, and decide on unknown keys only with a current plan

Cause: nodes kept the plan with its keys in the copy of the store and passed them to peers, and a node that was cut off answered a key that a newer plan had added with the final status 401.

Change: keys are replaced by digests when a plan is read from the store. An unknown key gets 503 unless the store has answered within 4 s and no peer has a newer plan. The tenant is the caller that selectors and metrics name.

--- a/Libraries/LibTenant/Authenticator.h
+++ b/Libraries/LibTenant/Authenticator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Time.h>
 #include <LibRouting/ServingPlan.h>
 
 #include <optional>
@@ -14,6 +15,21 @@
   MayBeStale,
 };
 
+/// What a node knows of how recent its plan is.
+struct PlanKnowledge
+{
+  /// Time since the last response of the store to this node or to a peer that
+  /// would have told it of a newer plan; empty if there was none.
+  std::optional<Duration> mStoreAge;
+  /// Version of this node's plan.
+  PlanVersion mOwnVersion;
+  /// Latest version that any node has reported.
+  PlanVersion mNewestVersion;
+};
+
+[[nodiscard]] PlanFreshness
+FreshnessOf(const PlanKnowledge& aKnowledge);
+
 /// The request may be forwarded.
 struct Authenticated
 {
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -152,6 +152,7 @@
   for (const NodeStatus& status : aMessage.mStatuses) {
     mStore.OnPeerRevision(status.mStoreRevision);
     mEngine.Peers().OnPlanVersion(status.mIdentity.mName, status.mPlanVersion);
+    mNewestPlanVersion = std::max(mNewestPlanVersion, status.mPlanVersion);
   }
 }
 
--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -18,6 +18,7 @@
 #include <LibHttp/HttpListener.h>
 #include <LibObservation/BoostLogger.h>
 #include <LibStore/StoreUpdateCache.h>
+#include <LibTenant/Authenticator.h>
 
 #include <memory>
 #include <unordered_map>
@@ -47,6 +48,7 @@
   };
 
   void OnCallerCall(const CallPointer& aCall);
+  [[nodiscard]] PlanKnowledge KnowledgeOfPlan() const;
   /// Sets the tenant of a request. If the request has no valid API key, answers
   /// it and returns false.
   [[nodiscard]] bool AuthenticateCall(RequestNumber aNumber,
@@ -119,6 +121,8 @@
   std::unordered_map<RequestNumber, PendingCall> mPendingCalls;
   std::uint64_t mNextRequestNumber = 1;
   Instant mStartTime;
+  /// Latest plan version that a peer has reported.
+  PlanVersion mNewestPlanVersion;
 };
 
 } // namespace verbenachute
--- a/Services/verbenachuted/EntryNodePorts.cpp
+++ b/Services/verbenachuted/EntryNodePorts.cpp
@@ -105,6 +105,22 @@
   Perform(mEngine.Submit(number, request, mLoop->Now()));
 }
 
+PlanKnowledge
+EntryNode::Parts::KnowledgeOfPlan() const
+{
+  const Instant now = mLoop->Now();
+  PlanKnowledge knowledge;
+  knowledge.mStoreAge = mGossip.StoreAge(now);
+  const std::optional<Instant> ownResponse = mStore.Follower().LastResponse();
+  if (ownResponse.has_value()) {
+    knowledge.mStoreAge = std::min(
+      knowledge.mStoreAge.value_or(now - *ownResponse), now - *ownResponse);
+  }
+  knowledge.mOwnVersion = mEngine.Plan()->Version();
+  knowledge.mNewestVersion = mNewestPlanVersion;
+  return knowledge;
+}
+
 bool
 EntryNode::Parts::AuthenticateCall(RequestNumber aNumber,
                                    CallerRequest* aRequest)
@@ -115,7 +131,7 @@
     Authenticate(plan,
                  plan.FindRoute(aRequest->mHost, aRequest->mTarget),
                  key,
-                 PlanFreshness::Current);
+                 FreshnessOf(KnowledgeOfPlan()));
   const Authenticated* authenticated = std::get_if<Authenticated>(&result);
   if (authenticated == nullptr) {
     AnswerAction answer;
@@ -126,11 +142,14 @@
         RefusedOutcome{ RefusalReason::KeyUndecided, kRetryAfterKeyUndecided };
     }
     answer.mSummary.mPlan = plan.Version();
+    answer.mSummary.mElapsed = mLoop->Now() - aRequest->mArrivalTime;
     Answer(answer);
     return false;
   }
   if (authenticated->mTenant != nullptr) {
     aRequest->mTenant = authenticated->mTenant->mName;
+    // Selectors and metrics tell callers apart by tenant instead of by host.
+    aRequest->mCaller = CallerId(aRequest->mTenant.value());
     aRequest->mTenantPriority = authenticated->mTenant->mPriority;
   }
   return true;
--- a/Tests/LibTenant/TestAuthenticator.cpp
+++ b/Tests/LibTenant/TestAuthenticator.cpp
@@ -89,4 +89,20 @@
   CHECK(!EqualInConstantTime(HashKey("abc"), HashKey("abd")));
 }
 
+// Guards against 401 for a valid key on a node that has lost store and peers.
+TEST_CASE("A plan counts as current while the store or a peer confirms it")
+{
+  const auto freshness = [](std::optional<Duration> aAge,
+                            std::uint64_t aOwn,
+                            std::uint64_t aNewest) {
+    return FreshnessOf(
+      PlanKnowledge{ aAge, PlanVersion(aOwn), PlanVersion(aNewest) });
+  };
+  CHECK(freshness(seconds(1), 7, 7) == PlanFreshness::Current);
+  CHECK(freshness(seconds(1), 8, 7) == PlanFreshness::Current);
+  CHECK(freshness(seconds(1), 7, 8) == PlanFreshness::MayBeStale);
+  CHECK(freshness(seconds(5), 7, 7) == PlanFreshness::MayBeStale);
+  CHECK(freshness(std::nullopt, 7, 7) == PlanFreshness::MayBeStale);
+}
+
 } // namespace verbenachute
--- a/Tests/Platform/TestKeyWire.cpp
+++ b/Tests/Platform/TestKeyWire.cpp
@@ -125,4 +125,21 @@
   CHECK(plan.mSkipped.front() == "tenant u");
 }
 
+// Guards against keys in the memory of a node and in copies for its peers.
+TEST_CASE("A plan is kept with digests instead of API keys")
+{
+  const std::string plan =
+    R"({"Version":1,"Routes":[],"Backends":[],"Tenants":)"
+    R"([{"Name":"t","ApiKeys":["secret-1","secret-2"]}]})";
+  const std::string hashed = WithKeysHashed(PlanKey(), plan);
+  CHECK(hashed.find("secret") == std::string::npos);
+  const Result<DecodedPlan> decoded = DecodePlan(hashed);
+  REQUIRE(!IsError(decoded));
+  const std::vector<KeyHash> keys = { HashKey("secret-1"),
+                                      HashKey("secret-2") };
+  CHECK(ValueOf(decoded).mContent.mTenants.front().mKeys == keys);
+  CHECK(WithKeysHashed(TargetKey(), plan) == plan);
+  CHECK(WithKeysHashed(PlanKey(), "no JSON, Tenants") == "no JSON, Tenants");
+}
+
 } // namespace verbenachute::platform
