LibQuota, verbenachuted: Keep tenants within their quotas over all nodes

Cause: plans may name a rate and a burst for each tenant. No node enforced them, and a share by the number of nodes would be below one request for most tenants.

Change: each tenant has an owner among the first nodes of the directory, which keeps a token bucket. The node that takes a request asks it, or its deputy, by a datagram before anything is sent to a target, and refuses the request with 429 or 503 otherwise. What a window may exceed the quota by is divided between new owners, deputies and parts that do not see each other.

--- a/Libraries/LibObservation/MetricCatalogue.cpp
+++ b/Libraries/LibObservation/MetricCatalogue.cpp
@@ -44,6 +44,18 @@
       "Times that a target has begun or ceased to ask for fewer requests." },
     { "verbenachute_target_responses_too_large_total",
       "Responses of targets that were given up because of their size." },
+    { "verbenachute_quota_requests_sent_total",
+      "Requests for a token of a tenant's quota that were sent to other nodes, "
+      "repeats included." },
+    { "verbenachute_quota_granted_total",
+      "Requests of tenants that got a token of their quota." },
+    { "verbenachute_quota_denied_total",
+      "Requests of tenants that were refused because their quota was used "
+      "up." },
+    { "verbenachute_quota_unknown_total",
+      "Requests of tenants that were refused because no node that grants "
+      "tokens "
+      "answered, or it saw only a part of the nodes." },
   } };
 
 constexpr std::array<MetricDescription,
--- a/Libraries/LibObservation/MetricCatalogue.h
+++ b/Libraries/LibObservation/MetricCatalogue.h
@@ -28,7 +28,11 @@
   PoisonConvictions,
   TargetHoldChanges,
   TargetResponsesTooLarge,
-  Last = TargetResponsesTooLarge,
+  QuotaRequestsSent,
+  QuotaGranted,
+  QuotaDenied,
+  QuotaUnknown,
+  Last = QuotaUnknown,
 };
 
 /// Gauges without labels; their values increase and decrease.
--- a/Libraries/LibSettings/SettingTable.cpp
+++ b/Libraries/LibSettings/SettingTable.cpp
@@ -90,6 +90,20 @@
     "0 to 1000000",
     "extra attempts at a service in each window beyond the ratio, over all "
     "nodes" },
+  { "quota_window_s",
+    "5",
+    "1 to 3600",
+    "window in which the requests of a tenant are counted" },
+  { "quota_overshoot",
+    "0",
+    "0 to 1",
+    "share of its quota by which a tenant may exceed it in a window, over all "
+    "nodes" },
+  { "quota_slack",
+    "0",
+    "0 to 1000000",
+    "requests by which a tenant may exceed its quota in a window besides, over "
+    "all nodes" },
   { "grace_s",
     "6",
     "0.5 to 3600",
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -100,6 +100,12 @@
   /// Additional attempts that are allowed for a service in each window beyond
   /// the ratio, over all nodes.
   [[nodiscard]] double RetrySlack() const { return mRetrySlack; }
+  /// Window in which the requests of a tenant are counted.
+  [[nodiscard]] Duration QuotaWindow() const { return mQuotaWindow; }
+  /// Share of its quota by which a tenant may exceed it in a window.
+  [[nodiscard]] double QuotaOvershoot() const { return mQuotaOvershoot; }
+  /// Requests by which a tenant may exceed its quota in a window besides.
+  [[nodiscard]] double QuotaSlack() const { return mQuotaSlack; }
   /// Time from SIGTERM until the process is killed.
   [[nodiscard]] Duration GracePeriod() const { return mGrace; }
   /// Processing capacity of this VM in thousandths of a core of speed 1; at
@@ -140,6 +146,9 @@
   double mRetryRatio = 0;
   Duration mRetryWindow{ 0 };
   double mRetrySlack = 0;
+  Duration mQuotaWindow{ 0 };
+  double mQuotaOvershoot = 0;
+  double mQuotaSlack = 0;
   Duration mGrace{ 0 };
   std::uint32_t mProcessorPower = 1;
   std::string mGathering;
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -62,6 +62,7 @@
       [this](AttemptId aAttempt, AttemptFailure aFailure) {
         Perform(mEngine.OnFailure(aAttempt, aFailure, mLoop->Now()));
       })
+  , mQuota(mSelf, QuotaRuleOf(aSettings), QuotaHooks())
   , mStore(aSettings.Name(),
            aSettings.PlatformAddress(),
            { *mLoop,
@@ -188,6 +189,7 @@
     AdvertisementPolicy::Choose(mGossip.ServingNodes(aNow));
   mRecentlyAdvertised.OnAdvertised(advertised, aNow);
   UpdateGatherPeers(advertised);
+  UpdateQuotaNodes(advertised);
   const StoreWatchRole::Role watchRole =
     StoreWatchRole::Choose(StoreWatchRole::Inputs{ mSelf.mName,
                                                    mGossip.AliveCount(aNow),
@@ -225,6 +227,24 @@
   mEngine.Peers().SetNodes(peers);
 }
 
+void
+EntryNode::Parts::UpdateQuotaNodes(const std::vector<NodeStatus>& aAdvertised)
+{
+  if (!mEngine.Plan() || mEngine.Plan()->Tenants().empty()) {
+    return;
+  }
+  std::vector<NodeName> names;
+  mPeerAddresses.clear();
+  for (const NodeStatus& node : aAdvertised) {
+    names.push_back(node.mIdentity.mName);
+    mPeerAddresses.emplace(node.mIdentity.mName, node.mPeerAddress);
+  }
+  const Instant now = mLoop->Now();
+  mQuota.SetNodes(names, [&](const NodeName& aNode) {
+    return aNode == mSelf.mName || mGossip.IsAlive(aNode, now);
+  });
+}
+
 void
 EntryNode::Parts::UpdateOwnStatus()
 {
@@ -305,6 +325,7 @@
   }
   mSettings = ValueOf(settings);
   mEngine.SetBudgetLimits(EngineSettings(mSettings, mSelf).mBudgetLimits);
+  mQuota.SetRule(QuotaRuleOf(mSettings));
   mLogger.Log(LogEvent(EventNumber::SettingsReloaded).At(Step::Settings));
 }
 
@@ -329,7 +350,7 @@
   const GracefulShutdownPhase before = mShutdown.Phase();
   const GracefulShutdownPhase phase = mShutdown.Advance(
     mCallerListener->ConnectionCount(),
-    mEngine.RunningRequests() + mOperatorPort->InFlightCalls(),
+    mEngine.RunningRequests() + mQuota.size() + mOperatorPort->InFlightCalls(),
     mLoop->Now());
   if (before != phase && phase == GracefulShutdownPhase::Closing) {
     mCallerListener->StopAccepting();
--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -6,6 +6,7 @@
 #include "GatherPort.h"
 #include "GossipPort.h"
 #include "OperatorPort.h"
+#include "QuotaService.h"
 #include "SettingsFileWatcher.h"
 #include "StoreKeys.h"
 #include "StoreLink.h"
@@ -45,10 +46,18 @@
   {
     CallPointer mCall;
     CallerRequestPointer mRequest;
+    /// Whether it has taken a token of its tenant's quota.
+    bool mHasToken = false;
   };
 
   void OnCallerCall(const CallPointer& aCall);
   [[nodiscard]] PlanKnowledge KnowledgeOfPlan() const;
+  [[nodiscard]] QuotaService::Hooks QuotaHooks();
+  void OnQuotaDecision(RequestNumber aNumber,
+                       const QuotaDecisionAction& aDecision);
+  /// Address of an advertised node for datagrams.
+  [[nodiscard]] std::optional<SocketAddress> PeerAddressOf(
+    const NodeName& aNode) const;
   /// Sets the tenant of a request. If the request has no valid API key, answers
   /// it and returns false.
   [[nodiscard]] bool AuthenticateCall(RequestNumber aNumber,
@@ -78,6 +87,9 @@
   void UpdateAdvertisedNodes(Instant aNow);
   /// Passes to the engine the peers that may gather shards for this node.
   void UpdateGatherPeers(const std::vector<NodeStatus>& aAdvertised);
+  /// Passes the advertised nodes, which grant the tokens of quotas, to the
+  /// quota service.
+  void UpdateQuotaNodes(const std::vector<NodeStatus>& aAdvertised);
   void UpdateOwnStatus();
   /// The nodes that the directory lists for callers. Empty if none serves.
   [[nodiscard]] std::vector<NodeStatus> ChooseAdvertisedNodes();
@@ -99,6 +111,9 @@
   std::unique_ptr<GatherPort> mGatherPort;
   /// Addresses at which the peers accept delegated requests.
   std::map<NodeName, SocketAddress> mGatherAddresses;
+  /// Addresses at which the advertised nodes receive datagrams.
+  std::map<NodeName, SocketAddress> mPeerAddresses;
+  QuotaService mQuota;
   StoreLink mStore;
   StoreUpdateCache mStoreUpdateCache;
   StoreKeys mStoreKeys;
--- a/Services/verbenachuted/EntryNodePorts.cpp
+++ b/Services/verbenachuted/EntryNodePorts.cpp
@@ -5,6 +5,7 @@
 
 #include <platform/RequestWire.h>
 
+#include <LibCore/Verify.h>
 #include <LibEntry/OutcomeMetrics.h>
 #include <LibForward/RetryAfter.h>
 #include <LibTenant/Authenticator.h>
@@ -96,15 +97,71 @@
   mPendingCalls.emplace(number, PendingCall{ aCall, request });
   aCall->CallerDisconnected().connect([this, number]() {
     mPendingCalls.erase(number);
+    mQuota.Cancel(number);
     Perform(mEngine.OnCallerDisconnected(number, mLoop->Now()));
   });
   if (mEngine.Plan() && !mEngine.Plan()->Tenants().empty() &&
       !AuthenticateCall(number, request.get())) {
     return;
   }
+  const Tenant* tenant =
+    mEngine.Plan() ? mEngine.Plan()->FindTenant(request->mTenant) : nullptr;
+  if (tenant != nullptr && tenant->mQuota.IsLimited()) {
+    mQuota.Request(number, request->mTenant);
+    return;
+  }
   Perform(mEngine.Submit(number, request, mLoop->Now()));
 }
 
+QuotaService::Hooks
+EntryNode::Parts::QuotaHooks()
+{
+  return QuotaService::Hooks{
+    *mLoop,
+    mLogger,
+    mMetrics,
+    *mGossipPort,
+    [this]() { return mEngine.Plan(); },
+    [this](const NodeName& aNode) { return PeerAddressOf(aNode); },
+    [this](RequestNumber aNumber, const QuotaDecisionAction& aDecision) {
+      OnQuotaDecision(aNumber, aDecision);
+    }
+  };
+}
+
+std::optional<SocketAddress>
+EntryNode::Parts::PeerAddressOf(const NodeName& aNode) const
+{
+  const auto found = mPeerAddresses.find(aNode);
+  return found == mPeerAddresses.end() ? std::nullopt
+                                       : std::optional(found->second);
+}
+
+void
+EntryNode::Parts::OnQuotaDecision(RequestNumber aNumber,
+                                  const QuotaDecisionAction& aDecision)
+{
+  const auto found = mPendingCalls.find(aNumber);
+  VERIFY(found != mPendingCalls.end());
+  if (aDecision.mDecision == QuotaDecision::Granted) {
+    mMetrics.Add(Counter::QuotaGranted);
+    found->second.mHasToken = true;
+    Perform(mEngine.Submit(aNumber, found->second.mRequest, mLoop->Now()));
+    return;
+  }
+  const bool isDenied = aDecision.mDecision == QuotaDecision::Denied;
+  mMetrics.Add(isDenied ? Counter::QuotaDenied : Counter::QuotaUnknown);
+  AnswerAction answer;
+  answer.mNumber = aNumber;
+  answer.mOutcome = RefusedOutcome{ isDenied ? RefusalReason::OverQuota
+                                             : RefusalReason::QuotaUnknown,
+                                    aDecision.mRetryAfter };
+  answer.mSummary.mPlan = mEngine.Plan()->Version();
+  answer.mSummary.mElapsed =
+    mLoop->Now() - found->second.mRequest->mArrivalTime;
+  Answer(answer);
+}
+
 PlanKnowledge
 EntryNode::Parts::KnowledgeOfPlan() const
 {
@@ -267,6 +324,10 @@
   }
   const PendingCall pending = std::move(found->second);
   mPendingCalls.erase(found);
+  if (pending.mHasToken &&
+      std::holds_alternative<RefusedOutcome>(aAction.mOutcome)) {
+    mQuota.Return(pending.mRequest->mTenant);
+  }
   LogOutcome(aAction, pending.mRequest->mId, &mLogger);
   CountOutcome(aAction, pending.mRequest->mCaller, &mMetrics);
   platform::RespondToCaller(pending.mCall.get(),
--- a/Services/verbenachuted/EntrySettings.cpp
+++ b/Services/verbenachuted/EntrySettings.cpp
@@ -64,6 +64,14 @@
                                      aSettings.AddressValidity() };
 }
 
+QuotaRule
+QuotaRuleOf(const Settings& aSettings)
+{
+  return QuotaRule{ aSettings.QuotaWindow(),
+                    aSettings.QuotaOvershoot(),
+                    aSettings.QuotaSlack() };
+}
+
 ServerLimits
 LimitsOf(const CallerLimits& aLimits)
 {
--- a/Services/verbenachuted/EntrySettings.h
+++ b/Services/verbenachuted/EntrySettings.h
@@ -5,6 +5,7 @@
 #include <LibForward/ForwardSettings.h>
 #include <LibGossip/GossipTable.h>
 #include <LibHttp/HttpServerConnection.h>
+#include <LibQuota/QuotaRule.h>
 #include <LibRouting/ServingPlan.h>
 #include <LibSettings/Settings.h>
 
@@ -26,6 +27,9 @@
 GracefulShutdownSettings(const Settings& aSettings);
 
 /// Limits of the port that serves callers.
+[[nodiscard]] QuotaRule
+QuotaRuleOf(const Settings& aSettings);
+
 [[nodiscard]] ServerLimits
 LimitsOf(const CallerLimits& aLimits);
 
