verbenachuted, LibForward: Choose targets by version while a service has an order

Cause: the decisions of LibRollout had no effect on requests.

Change: the engine asks a version policy at each choice of a target and tells it of each attempt. Settings canary_share, canary_slack and rollback_ms, events 611 to 614 and two metrics are new.

TestLibForward and the daemon with an order have not been run yet.

--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -124,6 +124,11 @@
   }
   const Attempt attempt = found->second;
   mAttempts.erase(found);
+  EndAttempt(aAttempt,
+             aReply.mKind == ReplyKind::Answered ? AttemptEnd::Answered
+             : aReply.mKind == ReplyKind::Failed ? AttemptEnd::Failed
+                                                 : AttemptEnd::NotRun,
+             aNow);
   const auto statistics = mStatistics.find(attempt.mRoute);
   VERIFY(statistics != mStatistics.end());
   TargetRecord* target = mTargets.Find(attempt.mTarget);
@@ -173,6 +178,10 @@
   }
   const Attempt attempt = found->second;
   mAttempts.erase(found);
+  EndAttempt(aAttempt,
+             aFailure == AttemptFailure::NotSent ? AttemptEnd::NotRun
+                                                 : AttemptEnd::Failed,
+             aNow);
   TargetRecord* target = mTargets.Find(attempt.mTarget);
   if (target != nullptr) {
     mDomains.OnNoResponse(target->DomainIndex(), attempt.mTarget, aNow);
@@ -288,6 +297,7 @@
         UpdateDoubt(*target);
       }
       mAttempts.erase(running);
+      EndAttempt(attempt, AttemptEnd::Abandoned, aNow);
       mActions.push_back(CancelAction{ attempt });
     }
   }
@@ -314,6 +324,7 @@
     }
     const Attempt attempt = found->second;
     mAttempts.erase(found);
+    EndAttempt(id, AttemptEnd::Abandoned, aNow);
     const auto statistics = mStatistics.find(attempt.mRoute);
     TargetRecord* target = mTargets.Find(attempt.mTarget);
     if (target != nullptr && statistics != mStatistics.end()) {
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -7,6 +7,7 @@
 #include <LibForward/PoisonDetector.h>
 #include <LibForward/RouteStatistics.h>
 #include <LibForward/TargetRecords.h>
+#include <LibForward/VersionPolicy.h>
 
 #include <deque>
 #include <functional>
@@ -42,6 +43,9 @@
   [[nodiscard]] const ServingPlanPointer& Plan() const { return mPlan; }
   void SetBudgetLimits(const AttemptBudgetLimits& aLimits);
   void SetAdmissionFilter(AdmissionFilter aFilter);
+  /// Selects the software versions of targets; null if all may be used. It has
+  /// to live longer than the engine uses it.
+  void SetVersionPolicy(VersionPolicy* aPolicy) { mVersionPolicy = aPolicy; }
   /// Without a check, every attempt counts as one that may have left.
   void SetDepartureCheck(DepartureCheck aCheck);
   /// aServingNodes are the nodes to which callers are or recently were
@@ -300,6 +304,7 @@
   [[nodiscard]] std::optional<Instant> ServiceableFrom(
     const ServiceName& aService,
     const CallerId& aCaller,
+    const std::string& aRoute,
     Instant aNow) const;
   /// How long a part waits for a rate limit: a query that would be late is
   /// answered without the part, or refused.
@@ -364,7 +369,11 @@
   /// Whether the target is ready and the operators' rules let it take work of
   /// the caller.
   [[nodiscard]] bool MayServe(const TargetRecord& aTarget,
-                              const CallerId& aCaller) const;
+                              const CallerId& aCaller,
+                              const std::string& aRoute) const;
+  [[nodiscard]] VersionRank VersionRankOf(const TargetRecord& aTarget,
+                                          const std::string& aRoute) const;
+  void EndAttempt(AttemptId aAttempt, AttemptEnd aEnd, Instant aNow);
   /// Number of nodes before this one in the order of a target: where there are
   /// fewer requests than nodes, the first ones by rendezvous weight send.
   [[nodiscard]] std::size_t NodesBefore(const TargetRecord& aTarget) const;
@@ -584,6 +593,7 @@
   /// The previous plan; delegations of peers may still refer to it.
   ServingPlanPointer mPreviousPlan;
   AdmissionFilter mAdmissionFilter;
+  VersionPolicy* mVersionPolicy = nullptr;
   DepartureCheck mMayHaveLeft;
   /// When every request must be answered; empty unless the process is ending.
   std::optional<Instant> mAnswerBy;
--- a/Libraries/LibForward/ForwardEngineAdmission.cpp
+++ b/Libraries/LibForward/ForwardEngineAdmission.cpp
@@ -171,6 +171,7 @@
 std::optional<Instant>
 ForwardEngine::ServiceableFrom(const ServiceName& aService,
                                const CallerId& aCaller,
+                               const std::string& aRoute,
                                Instant aNow) const
 {
   const std::vector<TargetRecord*>& targets = mTargets.Of(aService);
@@ -185,7 +186,8 @@
       mDomains.IsProbeDue(domain, aNow) &&
       HasFreeConnection(*target, serviceSettings, target->IsSuspect(aNow));
     const bool unreachable = mDomains.IsUnreachable(domain, aNow) && !mayProbe;
-    if (!MayServe(*target, aCaller) || target->IsDown(aNow) || unreachable) {
+    if (!MayServe(*target, aCaller, aRoute) || target->IsDown(aNow) ||
+        unreachable) {
       continue;
     }
     const TargetRateShares shares =
@@ -239,7 +241,10 @@
   std::vector<Instant> times;
   for (const Part& part : aRequest->mParts) {
     const std::optional<Instant> from =
-      ServiceableFrom(part.mService, aRequest->mRequest->mCaller, aNow);
+      ServiceableFrom(part.mService,
+                      aRequest->mRequest->mCaller,
+                      aRequest->mRoute->mName,
+                      aNow);
     if (from.has_value()) {
       times.push_back(*from);
     }
--- a/Libraries/LibForward/ForwardEngineDelegation.cpp
+++ b/Libraries/LibForward/ForwardEngineDelegation.cpp
@@ -48,7 +48,8 @@
   std::optional<Duration> ownLatency;
   std::vector<std::pair<std::size_t, Duration>> remoteLatencies;
   for (const TargetRecord* target : mTargets.Of(aPart.mService)) {
-    if (!MayServe(*target, aRequest.mRequest->mCaller) ||
+    if (!MayServe(
+          *target, aRequest.mRequest->mCaller, aRequest.mRoute->mName) ||
         target->IsDown(aNow) || target->IsSuspect(aNow)) {
       continue;
     }
@@ -104,7 +105,7 @@
                 target->Listed().mName) != aPart.mTriedTargets.end();
     if (target->Listed().mDomain == aDomain && !wasTried &&
         !target->IsDown(aNow) &&
-        MayServe(*target, aRequest.mRequest->mCaller)) {
+        MayServe(*target, aRequest.mRequest->mCaller, aRequest.mRoute->mName)) {
       return target->Listed().mName;
     }
   }
--- a/Libraries/LibForward/ForwardEngineParts.cpp
+++ b/Libraries/LibForward/ForwardEngineParts.cpp
@@ -26,13 +26,32 @@
 
 bool
 ForwardEngine::MayServe(const TargetRecord& aTarget,
-                        const CallerId& aCaller) const
+                        const CallerId& aCaller,
+                        const std::string& aRoute) const
 {
   return aTarget.Listed().mAvailability == TargetAvailability::Ready &&
          !aTarget.Gate().IsLeaving() &&
+         VersionRankOf(aTarget, aRoute) != VersionRank::Excluded &&
          mAdmissionFilter(aTarget.Listed(), aCaller);
 }
 
+VersionRank
+ForwardEngine::VersionRankOf(const TargetRecord& aTarget,
+                             const std::string& aRoute) const
+{
+  return mVersionPolicy == nullptr
+           ? VersionRank::Preferred
+           : mVersionPolicy->RankOf(aTarget.Listed(), aRoute);
+}
+
+void
+ForwardEngine::EndAttempt(AttemptId aAttempt, AttemptEnd aEnd, Instant aNow)
+{
+  if (mVersionPolicy != nullptr) {
+    mVersionPolicy->OnEnded(aAttempt, aEnd, aNow);
+  }
+}
+
 std::uint32_t
 ForwardEngine::ConnectionShare(const ServiceSettings* aServiceSettings) const
 {
@@ -183,6 +202,7 @@
   std::uniform_real_distribution<double> noise(1, 1 + kChoiceNoise);
   Choice choice;
   double best = 0;
+  VersionRank bestRank = VersionRank::Excluded;
   const std::vector<TargetRecord*>& targets = mTargets.Of(aPart.mService);
   for (std::size_t index = 0; index < targets.size(); ++index) {
     TargetRecord* target = targets[index];
@@ -192,7 +212,9 @@
       aPart.mTriedTargets.end();
     const bool inScope = aScope == TargetScope::AllDomains ||
                          target->Listed().mDomain == mSettings.mDomain;
-    if (tried || !inScope || !MayServe(*target, aRequest.mRequest->mCaller) ||
+    if (tried || !inScope ||
+        !MayServe(
+          *target, aRequest.mRequest->mCaller, aRequest.mRoute->mName) ||
         target->IsDown(aNow) ||
         !MayConnect(aPart.mService, index, targets.size(), serviceSettings)) {
       continue;
@@ -227,10 +249,13 @@
       cost += static_cast<double>(mSettings.mCrossDomainCost.count());
     }
     cost *= noise(mRandom);
-    if (choice.mTarget != nullptr && cost >= best) {
+    const VersionRank rank = VersionRankOf(*target, aRequest.mRoute->mName);
+    if (choice.mTarget != nullptr &&
+        (rank < bestRank || (rank == bestRank && cost >= best))) {
       continue;
     }
     choice.mTarget = target;
+    bestRank = rank;
     best = cost;
   }
   return choice;
@@ -400,6 +425,10 @@
                              aNow,
                              route.mName,
                              false });
+  if (mVersionPolicy != nullptr) {
+    mVersionPolicy->OnSent(
+      id, listed, route.mName, aTarget->IsCold(aNow), aNow);
+  }
   BeginProbes(aTarget, aNow);
   const ServiceSettings* serviceSettings =
     aRequest->mPlan->FindService(part.mService);
--- a/Libraries/LibObservation/EventCatalogue.cpp
+++ b/Libraries/LibObservation/EventCatalogue.cpp
@@ -212,6 +212,25 @@
                     "A target's response was given up because of its size, or "
                     "as the largest one when all together took too much "
                     "memory." },
+  EventDescription{ RolloutOrdered,
+                    "rollout_ordered",
+                    Info,
+                    "An operator has ordered a service to move to another "
+                    "version, or has removed the order." },
+  EventDescription{ RolloutPhaseChanged,
+                    "rollout_phase_changed",
+                    Info,
+                    "The node acts on another phase of a roll-out." },
+  EventDescription{ RolloutStopped,
+                    "rollout_stopped",
+                    Warning,
+                    "The node sends nothing more to the new version of a "
+                    "service." },
+  EventDescription{ RolloutWriteFailed,
+                    "rollout_write_failed",
+                    Warning,
+                    "The phase of a roll-out could not be written, or another "
+                    "node wrote before." },
   EventDescription{ RequestReplayed,
                     "request_replayed",
                     Info,
--- a/Libraries/LibObservation/EventNumber.h
+++ b/Libraries/LibObservation/EventNumber.h
@@ -61,6 +61,10 @@
   TargetFieldUnreadable = 608,
   TargetHoldChanged = 609,
   TargetResponseTooLarge = 610,
+  RolloutOrdered = 611,
+  RolloutPhaseChanged = 612,
+  RolloutStopped = 613,
+  RolloutWriteFailed = 614,
 
   RequestReplayed = 700,
   RequestConflict = 701,
--- a/Libraries/LibObservation/MetricCatalogue.cpp
+++ b/Libraries/LibObservation/MetricCatalogue.cpp
@@ -56,6 +56,10 @@
       "Requests of tenants that were refused because no node that grants "
       "tokens "
       "answered, or it saw only a part of the nodes." },
+    { "verbenachute_rollout_reports_sent_total",
+      "Reports on roll-outs that were sent to other nodes." },
+    { "verbenachute_rollout_stops_total",
+      "Roll-outs in which this node stopped sending to the new version." },
   } };
 
 constexpr std::array<MetricDescription,
--- a/Libraries/LibObservation/MetricCatalogue.h
+++ b/Libraries/LibObservation/MetricCatalogue.h
@@ -32,7 +32,9 @@
   QuotaGranted,
   QuotaDenied,
   QuotaUnknown,
-  Last = QuotaUnknown,
+  RolloutReportsSent,
+  RolloutStops,
+  Last = RolloutStops,
 };
 
 /// Gauges without labels; their values increase and decrease.
--- a/Libraries/LibSettings/SettingTable.cpp
+++ b/Libraries/LibSettings/SettingTable.cpp
@@ -104,6 +104,21 @@
     "0 to 1000000",
     "requests by which a tenant may exceed its quota in a window besides, over "
     "all nodes" },
+  { "canary_share",
+    "0.1",
+    "0 to 1",
+    "share of a service's requests that a bad version may get during a "
+    "roll-out, over all nodes" },
+  { "canary_slack",
+    "0",
+    "0 to 1000000",
+    "requests that a bad version may get during a roll-out besides, over all "
+    "nodes" },
+  { "rollback_ms",
+    "5000",
+    "1 to 3600000",
+    "time after its 50th bad response from which a bad version may get no "
+    "request" },
   { "grace_s",
     "6",
     "0.5 to 3600",
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -106,6 +106,12 @@
   [[nodiscard]] double QuotaOvershoot() const { return mQuotaOvershoot; }
   /// Requests by which a tenant may exceed its quota in a window besides.
   [[nodiscard]] double QuotaSlack() const { return mQuotaSlack; }
+  /// Share of a service's requests that a bad version may get.
+  [[nodiscard]] double CanaryShare() const { return mCanaryShare; }
+  /// Requests that a bad version may get besides.
+  [[nodiscard]] double CanarySlack() const { return mCanarySlack; }
+  /// Time from the 50th bad response of a version to its last request.
+  [[nodiscard]] Duration RollbackTime() const { return mRollbackTime; }
   /// Time from SIGTERM until the process is killed.
   [[nodiscard]] Duration GracePeriod() const { return mGrace; }
   /// Processing capacity of this VM in thousandths of a core of speed 1; at
@@ -149,6 +155,9 @@
   Duration mQuotaWindow{ 0 };
   double mQuotaOvershoot = 0;
   double mQuotaSlack = 0;
+  double mCanaryShare = 0;
+  double mCanarySlack = 0;
+  Duration mRollbackTime{ 0 };
   Duration mGrace{ 0 };
   std::uint32_t mProcessorPower = 1;
   std::string mGathering;
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -79,6 +79,15 @@
              },
              mMetrics })
   , mStoreKeys(*mLoop, aSettings.PlatformAddress())
+  , mRollouts(mSelf,
+              RolloutRuleOf(aSettings),
+              { *mLoop,
+                mLogger,
+                mMetrics,
+                *mGossipPort,
+                mEngine,
+                mStoreKeys,
+                [this]() { return mGossip.ServingNodes(mLoop->Now()); } })
   , mOperatorState(mSelf, { mEntryState, mGossip, mStore.Follower() })
   , mShutdown(GracefulShutdownSettings(aSettings))
   , mSettingsFileWatcher(*mLoop,
@@ -190,6 +199,7 @@
   mRecentlyAdvertised.OnAdvertised(advertised, aNow);
   UpdateGatherPeers(advertised);
   UpdateQuotaNodes(advertised);
+  mRollouts.OnNodesChanged();
   const StoreWatchRole::Role watchRole =
     StoreWatchRole::Choose(StoreWatchRole::Inputs{ mSelf.mName,
                                                    mGossip.AliveCount(aNow),
@@ -269,6 +279,7 @@
   const bool wasReady = IsReady();
   const ServingPlanPointer planBefore = mEngine.Plan();
   const Revision before = mEntryState.Intent().RevisionInForce();
+  mRollouts.OnStoreChanges(aChanges, mStore.Follower().RestoredAt());
   mEntryState.Apply(aChanges, mStore.Follower(), mLoop->Now());
   const std::string nodes = platform::OwnKeyText("nodes/");
   std::vector<NodeName> registered;
@@ -326,6 +337,7 @@
   mSettings = ValueOf(settings);
   mEngine.SetBudgetLimits(EngineSettings(mSettings, mSelf).mBudgetLimits);
   mQuota.SetRule(QuotaRuleOf(mSettings));
+  mRollouts.SetRule(RolloutRuleOf(mSettings));
   mLogger.Log(LogEvent(EventNumber::SettingsReloaded).At(Step::Settings));
 }
 
--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -7,6 +7,7 @@
 #include "GossipPort.h"
 #include "OperatorPort.h"
 #include "QuotaService.h"
+#include "RolloutService.h"
 #include "SettingsFileWatcher.h"
 #include "StoreKeys.h"
 #include "StoreLink.h"
@@ -117,6 +118,7 @@
   StoreLink mStore;
   StoreUpdateCache mStoreUpdateCache;
   StoreKeys mStoreKeys;
+  RolloutService mRollouts;
   EntryOperatorState mOperatorState;
   std::unique_ptr<OperatorPort> mOperatorPort;
   RecentlyAdvertisedNodes mRecentlyAdvertised;
--- a/Services/verbenachuted/EntrySettings.cpp
+++ b/Services/verbenachuted/EntrySettings.cpp
@@ -72,6 +72,14 @@
                     aSettings.QuotaSlack() };
 }
 
+RolloutRule
+RolloutRuleOf(const Settings& aSettings)
+{
+  return RolloutRule{ aSettings.CanaryShare(),
+                      aSettings.CanarySlack(),
+                      aSettings.RollbackTime() };
+}
+
 ServerLimits
 LimitsOf(const CallerLimits& aLimits)
 {
--- a/Services/verbenachuted/EntrySettings.h
+++ b/Services/verbenachuted/EntrySettings.h
@@ -6,6 +6,7 @@
 #include <LibGossip/GossipTable.h>
 #include <LibHttp/HttpServerConnection.h>
 #include <LibQuota/QuotaRule.h>
+#include <LibRollout/RolloutRule.h>
 #include <LibRouting/ServingPlan.h>
 #include <LibSettings/Settings.h>
 
@@ -26,6 +27,9 @@
 [[nodiscard]] GracefulShutdown::Settings
 GracefulShutdownSettings(const Settings& aSettings);
 
+[[nodiscard]] RolloutRule
+RolloutRuleOf(const Settings& aSettings);
+
 /// Limits of the port that serves callers.
 [[nodiscard]] QuotaRule
 QuotaRuleOf(const Settings& aSettings);
