--- a/StandIns/Deployment/EntrySearcher.cpp
+++ b/StandIns/Deployment/EntrySearcher.cpp
@@ -273,6 +273,9 @@
 std::string
 EntrySearcher::Records()
 {
+  if (mShape.mResponseBytes > 0) {
+    return std::string(mShape.mResponseBytes, 'r');
+  }
   std::string records;
   for (std::size_t i = 0; i < kRecords * kRecordBytes; ++i) {
     records.push_back(static_cast<char>(mRandom() & 0xff));
--- a/StandIns/Deployment/EntrySearcher.h
+++ b/StandIns/Deployment/EntrySearcher.h
@@ -25,6 +25,8 @@
   std::size_t mConnections = 24;
   /// Mean time of a request.
   Duration mService = milliseconds(8);
+  /// Bytes of a response; 0: a few records.
+  std::size_t mResponseBytes = 0;
 };
 
 /// One searcher of the users' platform at an address of its own. It tells of
--- a/StandIns/Deployment/Soak.cpp
+++ b/StandIns/Deployment/Soak.cpp
@@ -173,6 +173,8 @@
       TargetName("i-" + aService + "-" + std::to_string(aReplica));
     shape.mAddress = address;
     shape.mConnections = kConnections;
+    shape.mResponseBytes =
+      aService == kSingleService ? mSettings.mSingleBytes : 0;
     ++address.mPort;
     mSearchers.push_back(std::make_unique<EntrySearcher>(
       mLoop, mModel, mPromises, shape, mSettings.mSeed + mSearchers.size()));
@@ -235,6 +237,9 @@
   for (const NodeFacts& node : mSettings.mNodes) {
     Print("start " + node.mName.value());
   }
+  if (mSettings.mActivity == Activity::None) {
+    return;
+  }
   After(kWarmUp, [this]() {
     // Nodes that have just started are settling.
     for (const NodeFacts& node : mSettings.mNodes) {
--- a/StandIns/Deployment/Soak.h
+++ b/StandIns/Deployment/Soak.h
@@ -27,6 +27,14 @@
 class Soak
 {
 public:
+  /// Whether there are faults, callers and operators around the nodes.
+  enum class Activity
+  {
+    Full,
+    /// Only the store and the targets run, until the process is ended.
+    None,
+  };
+
   struct Settings
   {
     std::uint64_t mSeed = 1;
@@ -43,6 +51,9 @@
     /// Share of requests that crash the targets that run them.
     double mCrashShare = 0;
     TimingChecks mTiming = TimingChecks::On;
+    Activity mActivity = Activity::Full;
+    /// Bytes of a response of the single service; 0: a few records.
+    std::size_t mSingleBytes = 0;
   };
 
   [[nodiscard]] static Result<std::unique_ptr<Soak>> Create(
--- a/StandIns/Deployment/main.cpp
+++ b/StandIns/Deployment/main.cpp
@@ -22,6 +22,11 @@
           "the next ten on: callers, peers, operators, directory, gather; "
           "targets follow after a hundred.");
 ABSL_FLAG(bool, timing, true, "Check bounds in real time.");
+ABSL_FLAG(bool, calm, false, "No faults and no callers; runs until SIGTERM.");
+ABSL_FLAG(std::uint64_t,
+          single_bytes,
+          0,
+          "Bytes of a response of the single service; 0: a few records.");
 ABSL_FLAG(std::uint32_t, nodes, 3, "Nodes, named node-1 and so on.");
 
 namespace verbenachute::standins {
@@ -52,6 +57,9 @@
   settings.mCrashShare = absl::GetFlag(FLAGS_crash_share);
   settings.mTiming =
     absl::GetFlag(FLAGS_timing) ? TimingChecks::On : TimingChecks::Off;
+  settings.mActivity =
+    absl::GetFlag(FLAGS_calm) ? Soak::Activity::None : Soak::Activity::Full;
+  settings.mSingleBytes = absl::GetFlag(FLAGS_single_bytes);
   settings.mRegion = absl::GetFlag(FLAGS_region);
   settings.mDomains = absl::GetFlag(FLAGS_domains);
   settings.mStore = PortAt(0);
