LibHttp, verbenachuted: Bound the memory and descriptors that clients take

Clients that stop before the end of a body, read slowly or connect without a request could take all memory and all descriptors of a node. MemoryBudget now bounds heads, bodies, read-ahead, complete requests and unwritten responses of all callers and of the directory. Beyond its limit the largest connections with the least recent progress are closed, those with a request in progress last; above half of it a minimum of progress is required. A complete request that does not fit gets 503 without having run. A pipelined request is parsed after the previous response has left. Listeners stop accepting at a maximum of connections and close those that have waited longest for input. The settings memory_mb and descriptors give the limits; 0 takes those of the machine.

Parts held for queries, peer frames and store pages are not counted yet.

--- a/Libraries/LibHttp/HttpCall.h
+++ b/Libraries/LibHttp/HttpCall.h
@@ -2,6 +2,7 @@
 
 #include <LibHttp/HttpFields.h>
 #include <LibHttp/HttpText.h>
+#include <LibHttp/MemoryBudget.h>
 
 #include <LibCore/Identifiers.h>
 #include <LibCore/Time.h>
@@ -53,6 +54,7 @@
   /// Null once the response was sent or the connection was closed.
   HttpServerConnection* mConnection = nullptr;
   bool mResponded = false;
+  MemoryBudget::Charge mCharge;
   sigc::signal<void()> mCallerDisconnected;
 };
 
--- a/Libraries/LibHttp/HttpListener.h
+++ b/Libraries/LibHttp/HttpListener.h
@@ -3,7 +3,10 @@
 #include <LibHttp/HttpServerConnection.h>
 
 #include <LibCore/Error.h>
+#include <LibTransport/Timer.h>
 
+#include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 
@@ -11,6 +14,16 @@
 
 namespace verbenachute {
 
+/// What the clients of a listener may take of the process.
+struct ClientResources
+{
+  /// Shared by several listeners; null if memory is not bounded.
+  MemoryBudget* mMemory = nullptr;
+  std::size_t mMaximumConnections = std::numeric_limits<std::size_t>::max();
+  /// Called when the listener stops accepting because of the maximum.
+  std::function<void()> mPaused;
+};
+
 /// Accepts connections on one address and passes their requests to a handler.
 class HttpListener
 {
@@ -21,7 +34,8 @@
     EventLoop& aLoop,
     const SocketAddress& aAddress,
     const ServerLimits& aLimits,
-    HttpServerConnection::Handler aHandler);
+    HttpServerConnection::Handler aHandler,
+    const ClientResources& aResources = ClientResources());
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
@@ -39,13 +53,22 @@
 private:
   HttpListener(EventLoop& aLoop,
                const ServerLimits& aLimits,
-               HttpServerConnection::Handler aHandler);
+               HttpServerConnection::Handler aHandler,
+               const ClientResources& aResources);
   void Accept(int aSocket);
+  void OnEnded(HttpServerConnection* aConnection);
+  /// Stops accepting until connections have ended, and closes those that have
+  /// waited longest for input.
+  void PauseAccepting();
+  void CloseLongestWaiting();
 
   EventLoop& mLoop;
   ServerLimits mLimits;
   HttpServerConnection::Handler mHandler;
+  ClientResources mResources;
   evconnlistener* mListener = nullptr;
+  bool mPaused = false;
+  Timer mPauseTimer;
   std::map<HttpServerConnection*, std::unique_ptr<HttpServerConnection>>
     mConnections;
 };
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -25,17 +25,44 @@
 constexpr Duration kMinimumCountedDelay = milliseconds(60);
 
 constexpr int kRequestTimeout = 408;
+// The same while a request is in progress.
+constexpr std::size_t kBusyReadAheadBytes = 16UL * 1024;
+// A response of at least this size is passed to the socket without a copy.
+constexpr std::size_t kLargeResponseBytes = 16UL * 1024;
+
+constexpr int kUnavailable = 503;
 constexpr int kBadRequest = 400;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
 
+void
+Write(bufferevent* aStream, std::string aText)
+{
+  if (aText.size() < kLargeResponseBytes) {
+    bufferevent_write(aStream, aText.data(), aText.size());
+    return;
+  }
+  std::unique_ptr<std::string> owned =
+    std::make_unique<std::string>(std::move(aText));
+  evbuffer_add_reference(
+    bufferevent_get_output(aStream),
+    owned->data(),
+    owned->size(),
+    [](const void*, std::size_t, void* aOwned) {
+      delete static_cast<std::string*>(aOwned);
+    },
+    owned.get());
+  static_cast<void>(owned.release());
+}
+
 } // namespace
 
 HttpServerConnection::HttpServerConnection(EventLoop& aLoop,
                                            int aSocket,
                                            const ServerLimits& aLimits,
                                            Handler aHandler,
-                                           EndedCallback aEnded)
+                                           EndedCallback aEnded,
+                                           MemoryBudget* aBudget)
   : mLoop(aLoop)
   , mLimits(aLimits)
   , mHandler(std::move(aHandler))
@@ -44,6 +71,8 @@
       bufferevent_socket_new(aLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE))
   , mReader(MessageKind::Requests, aLimits.mMessage)
   , mTimer(aLoop, [this]() { OnTimeout(); })
+  , mBudget(aBudget)
+  , mLastInput(aLoop.Now())
 {
   mAcceptDelay = aLoop.MaximumReadDelay();
   TuneSocket(aSocket, PeerTimeouts());
@@ -56,6 +85,8 @@
       HttpServerConnection* self = static_cast<HttpServerConnection*>(aSelf);
       if (self->mLingering) {
         self->BeginLinger();
+      } else {
+        self->OnDrained();
       }
     },
     [](bufferevent*, short aWhat, void* aSelf) {
@@ -69,6 +100,9 @@
 
 HttpServerConnection::~HttpServerConnection()
 {
+  if (mBudget != nullptr) {
+    mBudget->Remove(this);
+  }
   if (mCall) {
     mCall->mConnection = nullptr;
   }
@@ -82,6 +116,58 @@
          evbuffer_get_length(bufferevent_get_output(mStream)) == 0;
 }
 
+bool
+HttpServerConnection::IsWaitingForInput() const
+{
+  return !mCall && !mEnding &&
+         evbuffer_get_length(bufferevent_get_output(mStream)) == 0;
+}
+
+std::size_t
+HttpServerConnection::HeldBytes() const
+{
+  return evbuffer_get_length(bufferevent_get_input(mStream)) +
+         evbuffer_get_length(bufferevent_get_output(mStream)) +
+         (mReader.Current() == MessageReader::State::InMessage
+            ? mReader.MessageMemory()
+            : 0);
+}
+
+void
+HttpServerConnection::ReportMemory(std::size_t aMoved)
+{
+  if (mBudget == nullptr || mEnding || mEvicted) {
+    return;
+  }
+  const bool isSending =
+    evbuffer_get_length(bufferevent_get_output(mStream)) > 0;
+  mBudget->Update(this,
+                  isSending ? MemoryBudget::Use::UnreadResponse
+                  : mCall   ? MemoryBudget::Use::ReadAhead
+                            : MemoryBudget::Use::IncompleteRequest,
+                  HeldBytes(),
+                  aMoved,
+                  mLoop.Now());
+}
+
+void
+HttpServerConnection::OnEvicted()
+{
+  // Deferred, since the budget may be called from within a callback of this
+  // connection or of another one.
+  mEvicted = true;
+  mLoop.Defer([this]() { End(); });
+}
+
+void
+HttpServerConnection::OnDrained()
+{
+  ReportMemory(0);
+  if (!mCall && evbuffer_get_length(bufferevent_get_input(mStream)) > 0) {
+    ReadInput();
+  }
+}
+
 void
 HttpServerConnection::CloseWhenIdle()
 {
@@ -113,7 +199,12 @@
 HttpServerConnection::ReadInput()
 {
   evbuffer* input = bufferevent_get_input(mStream);
-  while (!mCall && !mLingering && evbuffer_get_length(input) > 0) {
+  mLastInput = mLoop.Now();
+  const std::size_t before = evbuffer_get_length(input);
+  // The next pipelined request waits until the previous response has left.
+  while (!mCall && !mLingering && !mEvicted &&
+         evbuffer_get_length(bufferevent_get_output(mStream)) == 0 &&
+         evbuffer_get_length(input) > 0) {
     if (mReader.Current() == MessageReader::State::BetweenMessages) {
       mReader.SetLimits(mLimits.mMessage);
       mTimer.Start(mLimits.mHeaderTimeout);
@@ -146,12 +237,21 @@
         return;
     }
   }
+  ReportMemory(before - evbuffer_get_length(input));
 }
 
 void
 HttpServerConnection::Dispatch()
 {
   mTimer.Stop();
+  const std::size_t size = mReader.MessageMemory();
+  if (mBudget != nullptr && !mBudget->Admits(size)) {
+    // The request was not passed to the handler, so it has not run.
+    mReader.DropBody();
+    mBudget->OnRefused();
+    Refuse(kUnavailable);
+    return;
+  }
   std::shared_ptr<HttpCall> call = std::make_shared<HttpCall>();
   call->mMethod = mReader.Method();
   call->mTarget = mReader.Target();
@@ -167,6 +267,10 @@
     mCloseAfterResponse = true;
   }
   mReader.Next();
+  if (mBudget != nullptr) {
+    call->mCharge = MemoryBudget::Charge(mBudget, size);
+    bufferevent_setwatermark(mStream, EV_READ, 0, kBusyReadAheadBytes);
+  }
   mCall = call;
   mHandler(call);
 }
@@ -184,21 +288,22 @@
     return;
   }
   const bool close = mCloseAfterResponse || aAfter == AfterResponse::Close;
-  const std::string text =
+  std::string text =
     SerializeResponse(aStatus,
                       aFields,
                       aBody,
                       close ? AfterResponse::Close : AfterResponse::KeepOpen);
   mLingering = close;
-  bufferevent_write(mStream, text.data(), text.size());
+  Write(mStream, std::move(text));
+  if (mBudget != nullptr) {
+    bufferevent_setwatermark(mStream, EV_READ, 0, kReadAheadBytes);
+  }
+  ReportMemory(0);
   if (close) {
     return;
   }
+  // OnDrained continues with the next pipelined request.
   StartIdleTimer();
-  if (evbuffer_get_length(bufferevent_get_input(mStream)) > 0) {
-    // Deferred, since the caller of Respond may still use the connection.
-    bufferevent_trigger(mStream, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
-  }
 }
 
 void
@@ -251,6 +356,9 @@
   }
   mEnding = true;
   mTimer.Stop();
+  if (mBudget != nullptr) {
+    mBudget->Remove(this);
+  }
   bufferevent_disable(mStream, EV_READ | EV_WRITE);
   if (mCall) {
     mCall->mConnection = nullptr;
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibHttp/HttpCall.h>
+#include <LibHttp/MemoryBudget.h>
 #include <LibHttp/MessageReader.h>
 
 #include <LibTransport/EventLoop.h>
@@ -26,7 +27,7 @@
 
 /// One connection of a caller. It parses one request at a time; pipelined
 /// requests stay unparsed until the response is sent.
-class HttpServerConnection
+class HttpServerConnection final : private MemoryBudget::Holder
 {
 public:
   using Handler = std::function<void(const std::shared_ptr<HttpCall>&)>;
@@ -34,12 +35,14 @@
 
   /// Takes ownership of the socket. aEnded is called once, from a deferred
   /// task, and must destroy the connection. aLimits must outlive the
-  /// connection.
+  /// connection. aBudget may be null, and must outlive the connection
+  /// otherwise.
   HttpServerConnection(EventLoop& aLoop,
                        int aSocket,
                        const ServerLimits& aLimits,
                        Handler aHandler,
-                       EndedCallback aEnded);
+                       EndedCallback aEnded,
+                       MemoryBudget* aBudget = nullptr);
   ~HttpServerConnection();
   HttpServerConnection(const HttpServerConnection&) = delete;
   HttpServerConnection& operator=(const HttpServerConnection&) = delete;
@@ -48,10 +51,20 @@
   /// the current request.
   void CloseWhenIdle();
   [[nodiscard]] bool IsIdle() const;
+  /// Whether no request is in progress and no response is being sent.
+  [[nodiscard]] bool IsWaitingForInput() const;
+  [[nodiscard]] Instant LastInput() const { return mLastInput; }
+  /// Closes the connection at once.
+  void Close() { End(); }
 
 private:
   friend class HttpCall;
 
+  void OnEvicted() override;
+  [[nodiscard]] std::size_t HeldBytes() const override;
+  /// Reports to the budget what the connection holds.
+  void ReportMemory(std::size_t aMoved);
+  void OnDrained();
   void Respond(int aStatus,
                const HttpFields& aFields,
                std::string_view aBody,
@@ -81,6 +94,9 @@
   bool mCloseAfterResponse = false;
   bool mLingering = false;
   bool mEnding = false;
+  MemoryBudget* mBudget;
+  Instant mLastInput;
+  bool mEvicted = false;
 };
 
 } // namespace verbenachute
--- a/Libraries/LibHttp/MessageReader.h
+++ b/Libraries/LibHttp/MessageReader.h
@@ -69,6 +69,11 @@
   [[nodiscard]] std::string& Body() { return mBody; }
   /// Memory that the body takes, in bytes.
   [[nodiscard]] std::size_t BodyMemory() const { return mBody.capacity(); }
+  /// Memory that the message takes, in bytes.
+  [[nodiscard]] std::size_t MessageMemory() const
+  {
+    return mBody.capacity() + mHeaderBytes;
+  }
   /// Frees the memory of the message, which must not be read any more.
   void DropBody() { mBody = std::string(); }
   /// Whether the connection may carry another message after the last complete
--- /dev/null
+++ b/Libraries/LibHttp/ResourceShares.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstddef>
+
+namespace verbenachute {
+
+/// How the memory and the descriptors of a process are divided.
+struct ResourceShares
+{
+  /// Bytes that the connections of clients may take together.
+  std::size_t mClientBytes = 0;
+  /// Bytes of the responses of targets that are being received.
+  std::size_t mTargetBytes = 0;
+  std::size_t mCallerConnections = 0;
+  std::size_t mDirectoryConnections = 0;
+};
+
+/// aMemoryBytes and aDescriptors are what the process may take in total.
+[[nodiscard]] ResourceShares
+DivideResources(std::size_t aMemoryBytes, std::size_t aDescriptors);
+
+} // namespace verbenachute
--- a/Libraries/LibObservation/EventNumber.h
+++ b/Libraries/LibObservation/EventNumber.h
@@ -49,6 +49,8 @@
   CallerInputRefused = 504,
   RequestFailed = 505,
   RequestLate = 506,
+  ClientEvicted = 507,
+  AcceptingPaused = 508,
 
   TargetWarming = 600,
   TargetReady = 601,
--- a/Libraries/LibObservation/MetricCatalogue.cpp
+++ b/Libraries/LibObservation/MetricCatalogue.cpp
@@ -56,6 +56,12 @@
       "Requests of tenants that were refused because no node that grants "
       "tokens "
       "answered, or it saw only a part of the nodes." },
+    { "verbenachute_clients_evicted_total",
+      "Connections of clients that were closed to free memory." },
+    { "verbenachute_requests_over_memory_total",
+      "Complete requests that were refused because memory was scarce." },
+    { "verbenachute_accept_pauses_total",
+      "Times that accepting clients was paused because of descriptors." },
   } };
 
 constexpr std::array<MetricDescription,
@@ -73,6 +79,8 @@
     { "verbenachute_held_buckets", "Buckets that this node holds." },
     { "verbenachute_configuration_revision",
       "Revision of the configuration in force on this node." },
+    { "verbenachute_client_memory_bytes",
+      "Memory that connections and requests of clients take." },
   } };
 
 constexpr std::array<const char*,
--- a/Libraries/LibObservation/MetricCatalogue.h
+++ b/Libraries/LibObservation/MetricCatalogue.h
@@ -32,7 +32,10 @@
   QuotaGranted,
   QuotaDenied,
   QuotaUnknown,
-  Last = QuotaUnknown,
+  ClientsEvicted,
+  RequestsOverMemory,
+  AcceptPauses,
+  Last = AcceptPauses,
 };
 
 /// Gauges without labels; their values increase and decrease.
@@ -46,7 +49,8 @@
   MembersSuspect,
   BucketsHeld,
   ConfigurationRevision,
-  Last = ConfigurationRevision,
+  ClientMemory,
+  Last = ClientMemory,
 };
 
 /// What causes bytes between failure domains.
--- a/Libraries/LibSettings/SettingTable.cpp
+++ b/Libraries/LibSettings/SettingTable.cpp
@@ -104,6 +104,15 @@
     "0 to 1000000",
     "requests by which a tenant may exceed its quota in a window besides, over "
     "all nodes" },
+  { "memory_mb",
+    "0",
+    "0 to 1000000",
+    "memory that the process may take; 0: as the machine has" },
+  { "descriptors",
+    "0",
+    "0 to 10000000",
+    "descriptors that the process may open, 200 of them for files; 0: as its "
+    "limit allows" },
   { "grace_s",
     "6",
     "0.5 to 3600",
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -247,6 +247,8 @@
   settings.mQuotaWindow = reader.Seconds("quota_window_s", 1, 3600);
   settings.mQuotaOvershoot = reader.Decimal("quota_overshoot", 0, 1);
   settings.mQuotaSlack = reader.Decimal("quota_slack", 0, 1'000'000);
+  settings.mMemory = reader.Number("memory_mb", 0, 1'000'000);
+  settings.mDescriptors = reader.Number("descriptors", 0, 10'000'000);
   settings.mGrace = reader.Seconds("grace_s", 0.5, 3600);
   settings.mProcessorPower = static_cast<std::uint32_t>(
     std::max(1.0,
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -108,6 +108,10 @@
   [[nodiscard]] double QuotaSlack() const { return mQuotaSlack; }
   /// Time from SIGTERM until the process is killed.
   [[nodiscard]] Duration GracePeriod() const { return mGrace; }
+  /// Memory that the process may take, in MB; 0: as the machine has.
+  [[nodiscard]] std::uint32_t MemoryMegabytes() const { return mMemory; }
+  /// Descriptors that the process may open; 0: as its limit allows.
+  [[nodiscard]] std::uint32_t Descriptors() const { return mDescriptors; }
   /// Processing capacity of this VM in thousandths of a core of speed 1; at
   /// least 1.
   [[nodiscard]] std::uint32_t ProcessorPower() const { return mProcessorPower; }
@@ -150,6 +154,8 @@
   double mQuotaOvershoot = 0;
   double mQuotaSlack = 0;
   Duration mGrace{ 0 };
+  std::uint32_t mMemory = 0;
+  std::uint32_t mDescriptors = 0;
   std::uint32_t mProcessorPower = 1;
   std::string mGathering;
   std::string mPartialAnswers;
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -43,6 +43,13 @@
   , mSelf(NewIdentity(aSettings))
   , mLoop(std::move(aLoop))
   , mLogger({ aSettings.Name() }, mLoop->SystemTime())
+  , mShares(SharesOf(aSettings))
+  , mClientMemory(
+      mShares.mClientBytes,
+      [this](const MemoryBudget::Eviction& aEviction) {
+        OnClientEvicted(aEviction);
+      },
+      [this]() { mMetrics.Add(Counter::RequestsOverMemory); })
   , mEngine(EngineSettings(aSettings, mSelf))
   , mEntryState(mEngine, mLogger, aSettings.Domains(), aSettings.HomeRegion())
   , mGossip(GossipSettings(mSelf), InitialStatus(aSettings, mSelf))
@@ -51,6 +58,7 @@
       *mLoop,
       mLogger,
       mMetrics,
+      mShares.mTargetBytes,
       [this](AttemptId aAttempt, PartReply aReply) {
         if (!aReply.mUnreadableFields.empty()) {
           mLogger.Log(LogEvent(EventNumber::TargetFieldUnreadable)
@@ -95,6 +103,7 @@
   , mIdleTimer(*mLoop,
                [this]() {
                  mPool.CloseIdle();
+                 mClientMemory.Sweep(mLoop->Now());
                  mEntryState.OnTime(mLoop->Now());
                  mStoreUpdateCache.OnTime(mLoop->Now());
                  mLogger.ReportSuppressed();
--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -17,6 +17,7 @@
 #include <LibEntry/EntryState.h>
 #include <LibEntry/GracefulShutdown.h>
 #include <LibHttp/HttpListener.h>
+#include <LibHttp/ResourceShares.h>
 #include <LibObservation/BoostLogger.h>
 #include <LibStore/StoreUpdateCache.h>
 #include <LibTenant/Authenticator.h>
@@ -73,6 +74,9 @@
                            const DelegationRequest& aRequest);
   void OnStoreChanges(const StoreMirror::Changes& aChanges);
   void OnOperatorTick();
+  void OnClientEvicted(const MemoryBudget::Eviction& aEviction);
+  /// What the clients of a listener may take.
+  [[nodiscard]] ClientResources ResourcesFor(std::size_t aMaximumConnections);
   void OnSettingsChanged();
   void OnStop();
   void OnShutdownTick();
@@ -103,6 +107,8 @@
   std::unique_ptr<EventLoop> mLoop;
   BoostLogger mLogger;
   MetricsRegistry mMetrics;
+  ResourceShares mShares;
+  MemoryBudget mClientMemory;
   ForwardEngine mEngine;
   EntryState mEntryState;
   GossipTable mGossip;
--- a/Services/verbenachuted/EntryNodePorts.cpp
+++ b/Services/verbenachuted/EntryNodePorts.cpp
@@ -37,14 +37,19 @@
     std::optional<SocketAddress> mAddress;
     std::unique_ptr<HttpListener>* mListener;
     void (Parts::*mHandler)(const CallPointer&);
+    ClientResources mResources;
   };
   const Port ports[] = {
-    { mSettings.CallerAddress(), &mCallerListener, &Parts::OnCallerCall },
+    { mSettings.CallerAddress(),
+      &mCallerListener,
+      &Parts::OnCallerCall,
+      ResourcesFor(mShares.mCallerConnections) },
     { mSettings.DirectoryAddress(),
       &mDirectoryListener,
-      &Parts::OnDirectoryCall },
-    { mSettings.ReadyAddress(), &mReadyListener, &Parts::OnReadyCall },
-    { mSettings.PeerAddress(), &mPeerListener, &Parts::OnPeerCall },
+      &Parts::OnDirectoryCall,
+      ResourcesFor(mShares.mDirectoryConnections) },
+    { mSettings.ReadyAddress(), &mReadyListener, &Parts::OnReadyCall, {} },
+    { mSettings.PeerAddress(), &mPeerListener, &Parts::OnPeerCall, {} },
   };
   for (const Port& port : ports) {
     if (!port.mAddress.has_value()) {
@@ -56,7 +61,8 @@
       ServerLimits(),
       [this, handler = port.mHandler](const CallPointer& aCall) {
         (this->*handler)(aCall);
-      });
+      },
+      port.mResources);
     if (IsError(listener)) {
       return ErrorOf(listener);
     }
@@ -77,6 +83,37 @@
   return Success();
 }
 
+ClientResources
+EntryNode::Parts::ResourcesFor(std::size_t aMaximumConnections)
+{
+  return ClientResources{ &mClientMemory, aMaximumConnections, [this]() {
+                           mMetrics.Add(Counter::AcceptPauses);
+                           mLogger.Log(LogEvent(EventNumber::AcceptingPaused));
+                         } };
+}
+
+void
+EntryNode::Parts::OnClientEvicted(const MemoryBudget::Eviction& aEviction)
+{
+  static const std::pair<MemoryBudget::Use, const char*> kUses[] = {
+    { MemoryBudget::Use::IncompleteRequest, "incomplete_request" },
+    { MemoryBudget::Use::UnreadResponse, "unread_response" },
+    { MemoryBudget::Use::ReadAhead, "read_ahead" },
+  };
+  const auto use =
+    std::find_if(std::begin(kUses), std::end(kUses), [&](const auto& aEntry) {
+      return aEntry.first == aEviction.mUse;
+    });
+  mMetrics.Add(Counter::ClientsEvicted);
+  mLogger.Log(LogEvent(EventNumber::ClientEvicted)
+                .With("held_for", use->second)
+                .With("reason",
+                      aEviction.mReason == MemoryBudget::Reason::TooSlow
+                        ? "too_slow"
+                        : "over_limit")
+                .With("bytes", aEviction.mBytes));
+}
+
 AfterResponse
 EntryNode::Parts::ConnectionAfterResponse() const
 {
@@ -307,6 +344,7 @@
 EntryNode::Parts::RespondWithMetrics(const CallPointer& aCall)
 {
   mMetrics.Set(Gauge::QueriesInFlight, mEngine.RunningRequests());
+  mMetrics.Set(Gauge::ClientMemory, mClientMemory.Held());
   mMetrics.Set(Gauge::MembersAlive, mGossip.AliveCount(mLoop->Now()));
   mMetrics.Set(Gauge::ConfigurationRevision,
                mEntryState.Intent().RevisionInForce().value());
--- a/Services/verbenachuted/EntrySettings.cpp
+++ b/Services/verbenachuted/EntrySettings.cpp
@@ -1,5 +1,11 @@
 #include "EntrySettings.h"
 
+#include <LibCore/Verify.h>
+
+#include <algorithm>
+#include <sys/resource.h>
+#include <sys/sysinfo.h>
+
 namespace verbenachute {
 
 namespace {
@@ -72,6 +78,26 @@
                     aSettings.QuotaSlack() };
 }
 
+ResourceShares
+SharesOf(const Settings& aSettings)
+{
+  constexpr std::size_t kMegabyte = 1024UL * 1024;
+  std::size_t memory = aSettings.MemoryMegabytes() * kMegabyte;
+  struct sysinfo machine = {};
+  if (memory == 0) {
+    VERIFY(sysinfo(&machine) == 0);
+    memory = static_cast<std::size_t>(machine.totalram) * machine.mem_unit;
+  }
+  rlimit limit{};
+  VERIFY(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+  std::size_t descriptors = static_cast<std::size_t>(limit.rlim_cur);
+  if (aSettings.Descriptors() > 0) {
+    descriptors =
+      std::min(descriptors, static_cast<std::size_t>(aSettings.Descriptors()));
+  }
+  return DivideResources(memory, descriptors);
+}
+
 ServerLimits
 LimitsOf(const CallerLimits& aLimits)
 {
--- a/Services/verbenachuted/EntrySettings.h
+++ b/Services/verbenachuted/EntrySettings.h
@@ -5,6 +5,7 @@
 #include <LibForward/ForwardSettings.h>
 #include <LibGossip/GossipTable.h>
 #include <LibHttp/HttpServerConnection.h>
+#include <LibHttp/ResourceShares.h>
 #include <LibQuota/QuotaRule.h>
 #include <LibRouting/ServingPlan.h>
 #include <LibSettings/Settings.h>
@@ -30,6 +31,10 @@
 [[nodiscard]] QuotaRule
 QuotaRuleOf(const Settings& aSettings);
 
+/// Takes what the settings leave open from the machine.
+[[nodiscard]] ResourceShares
+SharesOf(const Settings& aSettings);
+
 [[nodiscard]] ServerLimits
 LimitsOf(const CallerLimits& aLimits);
 
--- a/Services/verbenachuted/TargetConnectionPool.cpp
+++ b/Services/verbenachuted/TargetConnectionPool.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-// Memory of all responses that are being received, in bytes. Responses are
-// small; only targets that send without end come near it.
-constexpr std::size_t kMaximumReceivedBytes = 24UL * 1024 * 1024;
 // A non-idempotent request can not be retried if the target has closed the
 // connection in the meantime, so it gets a new one instead of one that has been
 // idle for longer.
@@ -47,12 +44,13 @@
 TargetConnectionPool::TargetConnectionPool(EventLoop& aLoop,
                                            Logger& aLogger,
                                            MetricsRegistry& aMetrics,
+                                           std::size_t aMaximumReceivedBytes,
                                            ReplyArrived aReplyArrived,
                                            AttemptFailed aAttemptFailed)
   : mLoop(aLoop)
   , mLogger(aLogger)
   , mMetrics(aMetrics)
-  , mReceiveBudget(kMaximumReceivedBytes)
+  , mReceiveBudget(aMaximumReceivedBytes)
   , mReplyArrived(std::move(aReplyArrived))
   , mAttemptFailed(std::move(aAttemptFailed))
 {
--- a/Services/verbenachuted/TargetConnectionPool.h
+++ b/Services/verbenachuted/TargetConnectionPool.h
@@ -22,10 +22,12 @@
   using ReplyArrived = std::function<void(AttemptId, PartReply)>;
   using AttemptFailed = std::function<void(AttemptId, AttemptFailure)>;
 
+  /// aMaximumReceivedBytes bounds all responses that are being received.
   /// Bytes of attempts that cross failure domains are added to aMetrics.
   TargetConnectionPool(EventLoop& aLoop,
                        Logger& aLogger,
                        MetricsRegistry& aMetrics,
+                       std::size_t aMaximumReceivedBytes,
                        ReplyArrived aReplyArrived,
                        AttemptFailed aAttemptFailed);
 
--- a/review/common.sh
+++ b/review/common.sh
@@ -64,6 +64,7 @@
     -e "s/{{platform.Address}}/$store_address/" \
     -e "s/{{Bounds.RetryRatio}}/0.2/" -e "s/{{Bounds.RetryWindowS}}/10/" \
     -e "s/{{Bounds.RetrySlack}}/58/" -e "s/{{Bounds.GraceS}}/6/" \
+    -e "s/{{Limits.MemoryMb}}/256/" -e "s/{{Limits.MaxFds}}/4096/" \
     -e "s/{{Limits.CpuShare}}/0.25/" -e "s/{{Limits.Cores}}/1/" \
     deploy/settings.template >"$folder/node-$1.toml"
 }
