--- a/Libraries/LibObservation/MetricCatalogue.h
+++ b/Libraries/LibObservation/MetricCatalogue.h
@@ -34,7 +34,10 @@
   QuotaUnknown,
   RolloutReportsSent,
   RolloutStops,
-  Last = RolloutStops,
+  ClientsEvicted,
+  RequestsOverMemory,
+  AcceptPauses,
+  Last = AcceptPauses,
 };
 
 /// Gauges without labels; their values increase and decrease.
@@ -48,7 +51,8 @@
   MembersSuspect,
   BucketsHeld,
   ConfigurationRevision,
-  Last = ConfigurationRevision,
+  ClientMemory,
+  Last = ClientMemory,
 };
 
 /// What causes bytes between failure domains.
--- a/Libraries/LibSettings/SettingTable.cpp
+++ b/Libraries/LibSettings/SettingTable.cpp
@@ -119,6 +119,15 @@
     "1 to 3600000",
     "time after its 50th bad response from which a bad version may get no "
     "request" },
+  { "memory_mb",
+    "0",
+    "0 to 1000000",
+    "memory that the process may take; 0: as the machine has" },
+  { "descriptors",
+    "0",
+    "0 to 10000000",
+    "descriptors that the process may open, 200 of them for files; 0: as its "
+    "limit allows" },
   { "grace_s",
     "6",
     "0.5 to 3600",
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -251,6 +251,8 @@
   settings.mCanarySlack = reader.Decimal("canary_slack", 0, 1'000'000);
   settings.mRollbackTime =
     milliseconds(reader.Number("rollback_ms", 1, 3'600'000));
+  settings.mMemory = reader.Number("memory_mb", 0, 1'000'000);
+  settings.mDescriptors = reader.Number("descriptors", 0, 10'000'000);
   settings.mGrace = reader.Seconds("grace_s", 0.5, 3600);
   settings.mProcessorPower = static_cast<std::uint32_t>(
     std::max(1.0,
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -114,6 +114,10 @@
   [[nodiscard]] Duration RollbackTime() const { return mRollbackTime; }
   /// Time from SIGTERM until the process is killed.
   [[nodiscard]] Duration GracePeriod() const { return mGrace; }
+  /// Memory that the process may take, in MB; 0: as the machine has.
+  [[nodiscard]] std::uint32_t MemoryMegabytes() const { return mMemory; }
+  /// Descriptors that the process may open; 0: as its limit allows.
+  [[nodiscard]] std::uint32_t Descriptors() const { return mDescriptors; }
   /// Processing capacity of this VM in thousandths of a core of speed 1; at
   /// least 1.
   [[nodiscard]] std::uint32_t ProcessorPower() const { return mProcessorPower; }
@@ -159,6 +163,8 @@
   double mCanarySlack = 0;
   Duration mRollbackTime{ 0 };
   Duration mGrace{ 0 };
+  std::uint32_t mMemory = 0;
+  std::uint32_t mDescriptors = 0;
   std::uint32_t mProcessorPower = 1;
   std::string mGathering;
   std::string mPartialAnswers;
--- a/Services/verbenachuted/EntrySettings.h
+++ b/Services/verbenachuted/EntrySettings.h
@@ -5,6 +5,7 @@
 #include <LibForward/ForwardSettings.h>
 #include <LibGossip/GossipTable.h>
 #include <LibHttp/HttpServerConnection.h>
+#include <LibHttp/ResourceShares.h>
 #include <LibQuota/QuotaRule.h>
 #include <LibRollout/RolloutRule.h>
 #include <LibRouting/ServingPlan.h>
@@ -34,6 +35,10 @@
 [[nodiscard]] QuotaRule
 QuotaRuleOf(const Settings& aSettings);
 
+/// Takes what the settings leave open from the machine.
+[[nodiscard]] ResourceShares
+SharesOf(const Settings& aSettings);
+
 [[nodiscard]] ServerLimits
 LimitsOf(const CallerLimits& aLimits);
 
