--- a/Libraries/LibConfiguration/ConfigurationWriter.cpp
+++ b/Libraries/LibConfiguration/ConfigurationWriter.cpp
@@ -101,6 +101,10 @@
   }
   mReadHead = ValueOf(head);
   mKeyRevision = aKeyRevision;
+  if (mMayLackParts && mReadHead == mEncoded.mHead) {
+    RepairParts(aNow, &actions);
+    return actions;
+  }
   mState = State::ReadingParts;
   mToRead.clear();
   for (const PartName& part : mReadHead.mParts) {
@@ -332,6 +336,28 @@
   PlanParts(aNow, aActions);
 }
 
+void
+ConfigurationWriter::OnEra(StoreEra aEra)
+{
+  if (mEra.has_value() && *mEra != aEra) {
+    mStored.clear();
+    mMayLackParts = true;
+  }
+  mEra = aEra;
+}
+
+void
+ConfigurationWriter::RepairParts(Instant aNow, Actions* aActions)
+{
+  mState = State::WritingParts;
+  mToWrite.clear();
+  mToDelete.clear();
+  for (const auto& part : mEncoded.mParts) {
+    mToWrite.push_back(part.first);
+  }
+  ContinueParts(aNow, aActions);
+}
+
 void
 ConfigurationWriter::PlanParts(Instant aNow, Actions* aActions)
 {
@@ -373,9 +399,14 @@
     const CallId call = Remember(CallKind::DeletePart, name, aNow);
     aActions->push_back(DeletePart{ call, name });
   }
-  if (mCalls.IsEmpty()) {
-    Swap(aNow, aActions);
+  if (!mCalls.IsEmpty()) {
+    return;
+  }
+  if (mReadHead == mEncoded.mHead) {
+    Finish(WriteOutcome{ mNext, mEncoded, mSwapSent }, aActions);
+    return;
   }
+  Swap(aNow, aActions);
 }
 
 void
--- a/Libraries/LibConfiguration/ConfigurationWriter.h
+++ b/Libraries/LibConfiguration/ConfigurationWriter.h
@@ -4,6 +4,7 @@
 #include <LibConfiguration/PendingCalls.h>
 #include <LibConfiguration/WriteTask.h>
 #include <LibConfiguration/WriterAction.h>
+#include <LibCore/StoreEra.h>
 
 #include <deque>
 #include <set>
@@ -51,6 +52,9 @@
   [[nodiscard]] Actions OnTick(Instant aNow);
   [[nodiscard]] Instant NextWake() const;
 
+  /// The era of the store in which the head was read; to be called before
+  /// OnHead. After a rise the parts that were written before may be lost.
+  void OnEra(StoreEra aEra);
   [[nodiscard]] Actions OnHead(CallId aCall,
                                const std::string& aText,
                                std::uint64_t aKeyRevision,
@@ -111,6 +115,8 @@
   void ContinueReading(Instant aNow, Actions* aActions);
   void BaseRead(Instant aNow, Actions* aActions);
   void MakeNext(Instant aNow, Actions* aActions);
+  /// Writes the parts of the head that this writer has swapped in again.
+  void RepairParts(Instant aNow, Actions* aActions);
   void PlanParts(Instant aNow, Actions* aActions);
   void ContinueParts(Instant aNow, Actions* aActions);
   void Swap(Instant aNow, Actions* aActions);
@@ -145,6 +151,8 @@
   /// Parts of which a write was sent, and those of them that are stored.
   std::set<PartName> mWritten;
   std::set<PartName> mStored;
+  std::optional<StoreEra> mEra;
+  bool mMayLackParts = false;
   /// Revision of the key that a swap without a known outcome expects.
   std::optional<std::uint64_t> mOpenSwap;
   Instant mSwapSent;
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -33,41 +33,33 @@
                   Instant aNow)
 {
   bool ownChanged = false;
+  if (mOfferedPlan.has_value()) {
+    ApplyPlan(*std::exchange(mOfferedPlan, std::nullopt));
+  }
   for (const StoreChange& change : aChanges) {
-    std::visit(
-      Overloaded{ [&](const platform::PlanKey&) {
-                   // If the plan is deleted the last one stays in force:
-                   // a plan is never reverted.
-                   if (change.mValue.has_value()) {
-                     ApplyPlan(*change.mValue);
-                   }
-                 },
-                  [&](const platform::DomainOutKey& aKey) {
-                    if (change.mValue.has_value()) {
-                      mDomainsOut.insert(aKey.mDomain);
-                    } else {
-                      mDomainsOut.erase(aKey.mDomain);
-                    }
-                    mLogger.Log(
-                      LogEvent(change.mValue.has_value()
-                                 ? EventNumber::DomainTakenOut
-                                 : EventNumber::DomainBroughtIn)
-                        .With("domain", aKey.mDomain.value())
-                        .With("store_revision", change.mRevision.value()));
-                  },
-                  [&](const platform::TargetKey& aKey) {
-                    ApplyTarget(aKey.mTarget, change.mValue, aFollower, aNow);
-                  },
-                  [&](const platform::OwnKey&) {
-                    if (change.mValue.has_value()) {
-                      mOwnKeys[change.mKey] = *change.mValue;
-                    } else {
-                      mOwnKeys.erase(change.mKey);
-                    }
-                    ownChanged = true;
-                  },
-                  [](const platform::OtherKey&) {} },
-      platform::ClassifyKey(change.mKey));
+    std::visit(Overloaded{ [&](const platform::PlanKey&) {
+                            // If the plan is deleted the last one stays in
+                            // force: a plan is never reverted.
+                            if (change.mValue.has_value()) {
+                              ApplyStoredPlan(*change.mValue, aFollower);
+                            }
+                          },
+                           [&](const platform::DomainOutKey& aKey) {
+                             ApplyDomainOut(aKey.mDomain, change, aNow);
+                           },
+                           [&](const platform::TargetKey& aKey) {
+                             ApplyTarget(aKey.mTarget, change, aFollower, aNow);
+                           },
+                           [&](const platform::OwnKey&) {
+                             if (change.mValue.has_value()) {
+                               mOwnKeys[change.mKey] = *change.mValue;
+                             } else {
+                               mOwnKeys.erase(change.mKey);
+                             }
+                             ownChanged = true;
+                           },
+                           [](const platform::OtherKey&) {} },
+               platform::ClassifyKey(change.mKey));
   }
   if (ownChanged) {
     ApplyOperatorConfiguration();
@@ -121,14 +113,62 @@
 }
 
 void
-EntryState::ApplyPlan(const std::string& aValue)
+EntryState::ApplyDomainOut(const FailureDomain& aDomain,
+                           const StoreChange& aChange,
+                           Instant aNow)
+{
+  if (aChange.mCause == ChangeCause::LostByRestore) {
+    mEvacuationRetention.OnLost(aDomain, aNow);
+    mLogger.Log(LogEvent(EventNumber::EvacuationRetained)
+                  .With("domain", aDomain.value())
+                  .With("store_revision", aChange.mRevision.value()));
+    return;
+  }
+  mEvacuationRetention.OnWritten(aDomain);
+  if (aChange.mValue.has_value()) {
+    mDomainsOut.insert(aDomain);
+  } else {
+    mDomainsOut.erase(aDomain);
+  }
+  mLogger.Log(LogEvent(aChange.mValue.has_value()
+                         ? EventNumber::DomainTakenOut
+                         : EventNumber::DomainBroughtIn)
+                .With("domain", aDomain.value())
+                .With("store_revision", aChange.mRevision.value()));
+}
+
+void
+EntryState::ApplyStoredPlan(const std::string& aValue,
+                            const StoreFollower& aFollower)
+{
+  if (mEngine.Plan() || aFollower.Era() == StoreEra()) {
+    ApplyPlan(aValue);
+    return;
+  }
+  const std::optional<platform::DecodedPlan> plan = DecodePlan(aValue);
+  if (plan.has_value()) {
+    mHeldPlan = aValue;
+    mHeldVersion = plan->mContent.mVersion;
+  }
+}
+
+void
+EntryState::ReleaseHeldPlan()
+{
+  if (mHeldVersion.has_value()) {
+    mOfferedPlan = mHeldPlan;
+  }
+}
+
+std::optional<platform::DecodedPlan>
+EntryState::DecodePlan(const std::string& aValue)
 {
   Result<platform::DecodedPlan> decoded = platform::DecodePlan(aValue);
   if (IsError(decoded)) {
     ++mUnreadableEntries;
     mLogger.Log(
       LogEvent(EventNumber::EntryUnreadable).WithError(ErrorOf(decoded)));
-    return;
+    return std::nullopt;
   }
   platform::DecodedPlan plan = ReleaseValue(std::move(decoded));
   for (const std::string& skipped : plan.mSkipped) {
@@ -137,11 +177,26 @@
                   .At(Step::Configuration)
                   .With("entry", skipped));
   }
-  const PlanVersion version = plan.mContent.mVersion;
+  return plan;
+}
+
+void
+EntryState::ApplyPlan(const std::string& aValue)
+{
+  std::optional<platform::DecodedPlan> plan = DecodePlan(aValue);
+  if (!plan.has_value()) {
+    return;
+  }
+  const PlanVersion version = plan->mContent.mVersion;
   const bool newer = !mEngine.Plan() || version > mEngine.Plan()->Version();
   mTargetAdmission.OnListingChanged();
   mEngine.SetPlan(
-    std::make_shared<const ServingPlan>(std::move(plan.mContent)));
+    std::make_shared<const ServingPlan>(std::move(plan->mContent)));
+  if (newer) {
+    mEncodedPlan = aValue;
+  }
+  mHeldPlan.clear();
+  mHeldVersion.reset();
   mLogger.Log(
     LogEvent(newer ? EventNumber::PlanApplied : EventNumber::PlanIgnored)
       .At(Step::Configuration)
@@ -150,19 +205,24 @@
 
 void
 EntryState::ApplyTarget(const TargetName& aTarget,
-                        const std::optional<std::string>& aValue,
+                        const StoreChange& aChange,
                         const StoreFollower& aFollower,
                         Instant aNow)
 {
-  if (!aValue.has_value()) {
+  if (!aChange.mValue.has_value()) {
+    // A target that the restored store lacks counts as removed in an outage.
+    const std::optional<Instant> failingSince =
+      aChange.mCause == ChangeCause::LostByRestore ? aNow
+                                                   : aFollower.FailingSince();
     const RemovalDelay::Verdict verdict = mRemovalDelay.OnRemoved(
-      aTarget, aFollower.FailingSince(), aFollower.RestoredAt(), aNow);
+      aTarget, failingSince, aFollower.RestoredAt(), aNow);
     if (verdict == RemovalDelay::Verdict::RemoveNow) {
       Unlist(aTarget, "entry removed");
     }
     return;
   }
-  const Result<ListedTarget> target = platform::DecodeTarget(aTarget, *aValue);
+  const Result<ListedTarget> target =
+    platform::DecodeTarget(aTarget, *aChange.mValue);
   if (IsError(target)) {
     ++mUnreadableEntries;
     mLogger.Log(
@@ -205,6 +265,12 @@
   for (const TargetName& target : mRemovalDelay.TakeDue(aNow)) {
     Unlist(target, "entry not back after the outage");
   }
+  for (const FailureDomain& domain : mEvacuationRetention.TakeDue(aNow)) {
+    mDomainsOut.erase(domain);
+    mLogger.Log(LogEvent(EventNumber::DomainBroughtIn)
+                  .With("domain", domain.value())
+                  .With("reason", "evacuation not written again"));
+  }
 }
 
 } // namespace verbenachute
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibEntry/EvacuationRetention.h>
 #include <LibEntry/OperatorConfiguration.h>
 #include <LibEntry/RemovalDelay.h>
 #include <LibEntry/TargetAdmission.h>
@@ -7,6 +8,8 @@
 #include <LibObservation/Logger.h>
 #include <LibStore/StoreFollower.h>
 
+#include <platform/KeyWire.h>
+
 #include <functional>
 #include <map>
 #include <set>
@@ -34,7 +37,24 @@
   void Apply(const StoreMirror::Changes& aChanges,
              const StoreFollower& aFollower,
              Instant aNow);
-  /// Removes the targets whose removal delay is over.
+  /// Offers a plan that comes from a peer; the next Apply puts it into force if
+  /// it is newer than the one in force.
+  void OfferPlan(std::string aValue) { mOfferedPlan = std::move(aValue); }
+  /// Offers the plan that is held back; see HeldPlan.
+  void ReleaseHeldPlan();
+  /// Version of the store's plan that is held back, since this node has none in
+  /// force and the restored store may have an older one than its peers. Empty
+  /// if none is held back, as always in era 0.
+  [[nodiscard]] std::optional<PlanVersion> HeldPlan() const
+  {
+    return mHeldVersion;
+  }
+  /// The encoded plan in force; empty if there is none. A copy, since a
+  /// restored store may lack it.
+  [[nodiscard]] const std::string& EncodedPlan() const { return mEncodedPlan; }
+
+  /// Removes the targets whose removal delay is over, and lets domains back in
+  /// whose evacuation a restored store lacks.
   void OnTime(Instant aNow);
 
   /// Keys that this product writes to the store, with their values.
@@ -66,9 +86,17 @@
 
 private:
   void ApplyPlan(const std::string& aValue);
+  /// Decodes a plan and logs what is unreadable; nothing if all of it is.
+  [[nodiscard]] std::optional<platform::DecodedPlan> DecodePlan(
+    const std::string& aValue);
+  void ApplyStoredPlan(const std::string& aValue,
+                       const StoreFollower& aFollower);
+  void ApplyDomainOut(const FailureDomain& aDomain,
+                      const StoreChange& aChange,
+                      Instant aNow);
   void ApplyOperatorConfiguration();
   void ApplyTarget(const TargetName& aTarget,
-                   const std::optional<std::string>& aValue,
+                   const StoreChange& aChange,
                    const StoreFollower& aFollower,
                    Instant aNow);
   void Unlist(const TargetName& aTarget, const char* aReason);
@@ -77,11 +105,16 @@
   Logger& mLogger;
   RemovalDelay mRemovalDelay;
   std::set<FailureDomain> mDomainsOut;
+  EvacuationRetention mEvacuationRetention;
   Domains mDomains;
   Region mDefaultRegion;
   OperatorConfiguration::Keys mOwnKeys;
   OperatorConfiguration mOperatorConfiguration;
   TargetAdmission mTargetAdmission;
+  std::string mEncodedPlan;
+  std::string mHeldPlan;
+  std::optional<PlanVersion> mHeldVersion;
+  std::optional<std::string> mOfferedPlan;
   std::uint64_t mUnreadableEntries = 0;
 };
 
--- a/Libraries/LibGossip/GossipCodec.cpp
+++ b/Libraries/LibGossip/GossipCodec.cpp
@@ -16,7 +16,9 @@
 void
 WriteStatus(const NodeStatus& aStatus, FieldWriter* aWriter)
 {
-  aWriter->Array(kStatusFields);
+  // Era 0 is left out, as in the messages of earlier releases.
+  const bool hasEra = aStatus.mStoreEra != StoreEra();
+  aWriter->Array(kStatusFields + (hasEra ? 1 : 0));
   aWriter->Id(aStatus.mIdentity.mName);
   aWriter->Id(aStatus.mIdentity.mIncarnation);
   aWriter->Number(aStatus.mHeartbeatCount);
@@ -33,6 +35,9 @@
   aWriter->Id(aStatus.mConfigurationRevision);
   aWriter->Number(aStatus.mCpuMillicores);
   aWriter->Number(aStatus.mUsedMillicores);
+  if (hasEra) {
+    aWriter->Id(aStatus.mStoreEra);
+  }
 }
 
 NodeStatus
@@ -60,6 +65,9 @@
   status.mConfigurationRevision = aReader.Id<Revision>();
   status.mCpuMillicores = aReader.Number<std::uint32_t>();
   status.mUsedMillicores = aReader.Number<std::uint32_t>();
+  if (aReader.Remaining() > 0) {
+    status.mStoreEra = aReader.Id<StoreEra>();
+  }
   return status;
 }
 
--- a/Libraries/LibGossip/GossipTable.cpp
+++ b/Libraries/LibGossip/GossipTable.cpp
@@ -55,12 +55,13 @@
 }
 
 void
-GossipTable::SetVersions(StoreRevision aStoreRevision,
+GossipTable::SetVersions(StorePosition aStorePosition,
                          std::optional<Duration> aStoreAge,
                          PlanVersion aPlanVersion,
                          Revision aConfigurationRevision)
 {
-  mSelf.mStoreRevision = aStoreRevision;
+  mSelf.mStoreRevision = aStorePosition.mRevision;
+  mSelf.mStoreEra = aStorePosition.mEra;
   mSelf.mStoreAgeMs.reset();
   if (aStoreAge.has_value()) {
     mSelf.mStoreAgeMs = static_cast<std::uint32_t>(std::min<milliseconds::rep>(
@@ -454,7 +455,7 @@
 }
 
 const NodeStatus*
-GossipTable::PeerWithNewerStore(StoreRevision aNewerThan, Instant aNow)
+GossipTable::PeerWithNewerStore(StorePosition aNewerThan, Instant aNow)
 {
   // Selected at random, so that a change is fetched from many nodes.
   const NodeStatus* selected = nullptr;
@@ -462,7 +463,7 @@
   unsigned candidates = 0;
   for (const auto& entry : mPeers) {
     if (!IsPeerAlive(entry.second, aNow) ||
-        entry.second.mStatus.mStoreRevision <= aNewerThan) {
+        entry.second.mStatus.Position() <= aNewerThan) {
       continue;
     }
     const bool isInOwnDomain = IsInOwnDomain(entry.second);
--- a/Libraries/LibGossip/GossipTable.h
+++ b/Libraries/LibGossip/GossipTable.h
@@ -80,9 +80,9 @@
   {
     mSelf.mUsedMillicores = aThousandths;
   }
-  /// The revisions that this node reports. aStoreAge is the time since the last
+  /// The versions that this node reports. aStoreAge is the time since the last
   /// response of the store, empty if there was none.
-  void SetVersions(StoreRevision aStoreRevision,
+  void SetVersions(StorePosition aStorePosition,
                    std::optional<Duration> aStoreAge,
                    PlanVersion aPlanVersion,
                    Revision aConfigurationRevision);
@@ -124,9 +124,9 @@
   /// The nodes that may still send to targets: this one and those with a status
   /// not older than kPossiblyAliveTime.
   [[nodiscard]] std::vector<NodeName> PossiblyAlive(Instant aNow) const;
-  /// A random peer that is alive and knows changes of the store after a
-  /// revision, from this node's domain if it has one; null if there is none.
-  [[nodiscard]] const NodeStatus* PeerWithNewerStore(StoreRevision aNewerThan,
+  /// A random peer that is alive and knows a later state of the store, from
+  /// this node's domain if it has one; null if there is none.
+  [[nodiscard]] const NodeStatus* PeerWithNewerStore(StorePosition aNewerThan,
                                                      Instant aNow);
   /// Time since the most recent response of the store to any known peer; empty
   /// if none is known.
--- a/Libraries/LibGossip/NodeStatus.h
+++ b/Libraries/LibGossip/NodeStatus.h
@@ -48,6 +48,8 @@
   GossipRole mGossipRole = GossipRole::Direct;
   /// The node knows all changes of the store up to this revision.
   StoreRevision mStoreRevision;
+  /// The store's era to which that revision belongs.
+  StoreEra mStoreEra = StoreEra();
   /// Milliseconds since the last response of the store to the node; empty if
   /// there was none.
   std::optional<std::uint32_t> mStoreAgeMs;
@@ -59,6 +61,12 @@
   /// CPU usage of the node, in thousandths of a core.
   std::uint32_t mUsedMillicores = 0;
 
+  /// The state of the store that the node knows.
+  [[nodiscard]] StorePosition Position() const
+  {
+    return { mStoreEra, mStoreRevision };
+  }
+
   friend bool operator==(const NodeStatus&, const NodeStatus&) = default;
 };
 
--- a/Libraries/LibObservation/EventCatalogue.cpp
+++ b/Libraries/LibObservation/EventCatalogue.cpp
@@ -136,6 +136,31 @@
                     "settings_reloaded",
                     Info,
                     "The settings file has changed and was read again." },
+  EventDescription{ StoreEraRaised,
+                    "store_era_raised",
+                    Warning,
+                    "The platform's store was restored from an older copy; all "
+                    "keys are read again." },
+  EventDescription{ StoreEraUnreadable,
+                    "store_era_unreadable",
+                    Warning,
+                    "A response of the store has an unreadable era and counts "
+                    "as of the one known." },
+  EventDescription{ EvacuationRetained,
+                    "evacuation_retained",
+                    Warning,
+                    "The restored store lacks the key that takes a failure "
+                    "domain out; the domain stays out for a while." },
+  EventDescription{ PlanFromPeer,
+                    "plan_from_peer",
+                    Info,
+                    "The restored store has an older plan than a node that "
+                    "serves; that node's plan was fetched." },
+  EventDescription{ ConfigurationRewritten,
+                    "configuration_rewritten",
+                    Info,
+                    "The operators' configuration in force was written again "
+                    "to the restored store." },
   EventDescription{ QueryRefused,
                     "query_refused",
                     Info,
--- a/Libraries/LibObservation/EventNumber.h
+++ b/Libraries/LibObservation/EventNumber.h
@@ -41,6 +41,11 @@
   DomainTakenOut = 410,
   DomainBroughtIn = 411,
   SettingsReloaded = 412,
+  StoreEraRaised = 413,
+  StoreEraUnreadable = 414,
+  EvacuationRetained = 415,
+  PlanFromPeer = 416,
+  ConfigurationRewritten = 417,
 
   QueryRefused = 500,
   QueryPartial = 501,
--- a/Libraries/LibOperator/WriteRunner.cpp
+++ b/Libraries/LibOperator/WriteRunner.cpp
@@ -63,6 +63,9 @@
                 }
                 const Instant now = self->mLoop.Now();
                 const std::optional<StoredValue>& value = ValueOf(aRead);
+                if (value) {
+                  self->mWriter.OnEra(value->mEra);
+                }
                 self->CarryOut(
                   value ? self->mWriter.OnHead(
                             call, value->mValue, value->mRevision.value(), now)
--- a/Libraries/LibPlatform/KeyValueStore.h
+++ b/Libraries/LibPlatform/KeyValueStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Error.h>
+#include <LibCore/StoreEra.h>
 #include <LibCore/Strong.h>
 
 #include <cstdint>
@@ -17,6 +18,8 @@
 {
   std::string mValue;
   KeyRevision mRevision;
+  /// The era of the store to which the revision belongs.
+  StoreEra mEra = StoreEra();
 };
 
 enum class SwapResult
--- a/Libraries/LibStore/StoreFollower.cpp
+++ b/Libraries/LibStore/StoreFollower.cpp
@@ -36,12 +36,51 @@
   mAfter.clear();
 }
 
+void
+StoreFollower::BeginEra(StoreEra aEra, Instant aNow)
+{
+  mDiscardPage = mCallPending && mPhase == Phase::Loading && !mAfter.empty();
+  if (IsWatching()) {
+    mCallPending = false;
+  }
+  mEra = aEra;
+  BeginLoading();
+  mLatestProbed.reset();
+  mNextCall = aNow;
+  // Leases have ended as in an outage, even if no call has failed.
+  mRestoredAt = aNow;
+}
+
+void
+StoreFollower::OnEra(StoreEra aEra, Instant aNow)
+{
+  if (aEra > mEra) {
+    BeginEra(aEra, aNow);
+  }
+}
+
 StoreMirror::Changes
 StoreFollower::OnPage(const StorePage& aPage, Instant aNow)
 {
   OnStoreResponse(aNow);
   mNextCall = aNow;
   ++mPagesRead;
+  if (aPage.mEra > mEra) {
+    // The first page of a reading is the first one of the new era as well.
+    const bool isFirst = mPhase == Phase::Loading && mAfter.empty();
+    BeginEra(aPage.mEra, aNow);
+    if (!isFirst) {
+      return {};
+    }
+  }
+  if (std::exchange(mDiscardPage, false)) {
+    return {};
+  }
+  if (aPage.mEra < mEra) {
+    // A late response, or one of a replica that is not restored yet.
+    mNextCall = aNow + mSettings.mBatchDelay;
+    return {};
+  }
   if (mPhase == Phase::Watching) {
     // A copy from a peer has arrived before the page.
     return {};
@@ -58,7 +97,7 @@
     return {};
   }
   StoreMirror::Changes changes =
-    mMirror.Replace(mLoadedItems, *mLoadedRevision);
+    mMirror.Replace(mLoadedItems, { mEra, *mLoadedRevision });
   mHasCopy = true;
   BeginLoading();
   mPhase = Phase::Watching;
@@ -70,7 +109,19 @@
 StoreMirror::Changes
 StoreFollower::OnChanges(const StoreChanges& aChanges, Instant aNow)
 {
+  if (aChanges.mEra < mEra && mPhase == Phase::Loading) {
+    // The watch was abandoned when the era rose.
+    return {};
+  }
   OnStoreResponse(aNow);
+  if (aChanges.mEra > mEra) {
+    BeginEra(aChanges.mEra, aNow);
+    return {};
+  }
+  if (aChanges.mEra < mEra) {
+    mNextCall = aNow + mSettings.mBatchDelay;
+    return {};
+  }
   mNextCall = aChanges.mChanges.empty() ? aNow : aNow + mSettings.mBatchDelay;
   StoreMirror::Changes changes = mMirror.Apply(aChanges);
   mKnownAsOf = std::max(mKnownAsOf, mWatchStart);
@@ -82,6 +133,7 @@
 StoreFollower::OnFailure(StoreFailure aFailure, Instant aNow)
 {
   mCallPending = false;
+  mDiscardPage = false;
   mWatchPredatesOutage = false;
   if (aFailure == StoreFailure::HistoryCompacted) {
     BeginLoading();
@@ -108,15 +160,16 @@
 }
 
 void
-StoreFollower::OnProbe(StoreRevision aRevision, Instant aNow)
+StoreFollower::OnProbe(StorePosition aPosition, Instant aNow)
 {
   mProbePending = false;
   mLastAnswer = aNow;
-  mProbedRevision = std::max(mProbedRevision, aRevision);
+  OnEra(aPosition.mEra, aNow);
+  mProbedPosition = std::max(mProbedPosition, aPosition);
   // A store that lacks the probed key reports no revision.
-  if (mProbeConsistency == ReadConsistency::Latest &&
-      aRevision != StoreRevision()) {
-    mLatestProbed = { aRevision, mProbeStart };
+  if (mProbeConsistency == ReadConsistency::Latest && aPosition.mEra == mEra &&
+      aPosition.mRevision != StoreRevision()) {
+    mLatestProbed = { aPosition, mProbeStart };
     UpdateKnownAsOf();
   }
   if (mFailingSince.has_value()) {
@@ -129,8 +182,7 @@
 void
 StoreFollower::UpdateKnownAsOf()
 {
-  if (mLatestProbed.has_value() &&
-      mLatestProbed->first <= mMirror.CurrentRevision()) {
+  if (mLatestProbed.has_value() && mLatestProbed->first <= mMirror.Position()) {
     mKnownAsOf = std::max(mKnownAsOf, mLatestProbed->second);
     mLatestProbed.reset();
   }
@@ -155,7 +207,7 @@
 void
 StoreFollower::UpdateBehind(Instant aNow)
 {
-  if (std::max(mProbedRevision, mPeerRevision) <= mMirror.CurrentRevision()) {
+  if (std::max(mProbedPosition, mPeerPosition) <= mMirror.Position()) {
     mBehindSince.reset();
   } else if (!mBehindSince.has_value()) {
     mBehindSince = aNow;
@@ -197,16 +249,18 @@
 
 StoreMirror::Changes
 StoreFollower::OnPeerCopy(const std::vector<StoreItem>& aItems,
-                          StoreRevision aRevision,
+                          StorePosition aPosition,
                           Instant aNow)
 {
   mPeerCallPending = false;
   mNextPeerCall = aNow + mSettings.mPeerInterval;
-  if (mHasCopy && aRevision <= mMirror.CurrentRevision()) {
+  if (aPosition.mEra < mEra || (mHasCopy && aPosition <= mMirror.Position())) {
     return {};
   }
-  StoreMirror::Changes changes = mMirror.Replace(aItems, aRevision);
-  if (!mHasCopy) {
+  OnEra(aPosition.mEra, aNow);
+  const bool raisesEra = aPosition.mEra > mMirror.Position().mEra;
+  StoreMirror::Changes changes = mMirror.Replace(aItems, aPosition);
+  if (!mHasCopy || raisesEra) {
     mHasCopy = true;
     if (mPhase == Phase::Loading) {
       BeginLoading();
@@ -252,9 +306,9 @@
 }
 
 void
-StoreFollower::OnPeerRevision(StoreRevision aRevision)
+StoreFollower::OnPeerPosition(StorePosition aPosition)
 {
-  mPeerRevision = std::max(mPeerRevision, aRevision);
+  mPeerPosition = std::max(mPeerPosition, aPosition);
 }
 
 std::vector<FollowerCall>
@@ -303,7 +357,7 @@
   }
   if (MayFetchFromPeer() && aNow >= mNextPeerCall) {
     mPeerCallPending = true;
-    calls.emplace_back(FetchFromPeerAction{ mMirror.CurrentRevision() });
+    calls.emplace_back(FetchFromPeerAction{ mMirror.Position() });
   }
   return calls;
 }
@@ -311,8 +365,7 @@
 bool
 StoreFollower::MayFetchFromPeer() const
 {
-  const bool peerHasNewer =
-    mPeerRevision > mMirror.CurrentRevision() || !mHasCopy;
+  const bool peerHasNewer = mPeerPosition > mMirror.Position() || !mHasCopy;
   const bool usesPeers =
     mFailingSince.has_value() || mSource == UpdateSource::Peers;
   return usesPeers && peerHasNewer && !mPeerCallPending;
--- a/Libraries/LibStore/StoreFollower.h
+++ b/Libraries/LibStore/StoreFollower.h
@@ -58,8 +58,8 @@
 /// Request newer changes, or a complete copy, of the store from another node.
 struct FetchFromPeerAction
 {
-  /// The peer has to know changes after this revision.
-  StoreRevision mNewerThan;
+  /// The peer has to know a later state than this.
+  StorePosition mNewerThan;
 };
 
 using FollowerCall =
@@ -137,19 +137,22 @@
   [[nodiscard]] StoreMirror::Changes OnChanges(const StoreChanges& aChanges,
                                                Instant aNow);
   void OnFailure(StoreFailure aFailure, Instant aNow);
-  /// The store's revision as reported to a probe; it may be out of date.
-  void OnProbe(StoreRevision aRevision, Instant aNow);
+  /// The store's position as reported to a probe; it may be out of date.
+  void OnProbe(StorePosition aPosition, Instant aNow);
   void OnProbeFailure(Instant aNow);
   [[nodiscard]] StoreMirror::Changes OnPeerCopy(
     const std::vector<StoreItem>& aItems,
-    StoreRevision aRevision,
+    StorePosition aPosition,
     Instant aNow);
+  /// The era that the response to another call of the owner reports, as of a
+  /// write.
+  void OnEra(StoreEra aEra, Instant aNow);
   void OnPeerFailure(Instant aNow);
   /// Changes from a peer, which begin at the mirror's revision or before it.
   [[nodiscard]] StoreMirror::Changes OnPeerChanges(const StoreChanges& aChanges,
                                                    Instant aNow);
-  /// The latest revision that a peer reports to know.
-  void OnPeerRevision(StoreRevision aRevision);
+  /// The latest position that a peer reports to know.
+  void OnPeerPosition(StorePosition aPosition);
 
   /// Requests that the mirror be known to contain all changes up to a time,
   /// which is not promised while the store does not respond or peers are the
@@ -174,6 +177,9 @@
     return mLastAnswer;
   }
   [[nodiscard]] const StoreMirror& Mirror() const { return mMirror; }
+  /// The highest era that a response of the store or a copy has reported; the
+  /// mirror reaches it with the next complete copy.
+  [[nodiscard]] StoreEra Era() const { return mEra; }
   /// Whether a complete copy has been read, from the store or from a peer.
   [[nodiscard]] bool HasCopy() const { return mHasCopy; }
   /// Start of the present outage: when the first call failed or was refused;
@@ -197,6 +203,9 @@
 
   void OnStoreResponse(Instant aNow);
   void BeginLoading();
+  /// The store has been restored from an older copy: what was read before is
+  /// void.
+  void BeginEra(StoreEra aEra, Instant aNow);
   [[nodiscard]] bool MayCallStore(Instant aNow) const;
   [[nodiscard]] bool MayFetchFromPeer() const;
   /// When the next probe is due; empty while none is needed.
@@ -234,10 +243,10 @@
   Instant mKnownAsOf;
   /// The latest revision at the time of a probe that found newer changes than
   /// the mirror contains; empty if there is none.
-  std::optional<std::pair<StoreRevision, Instant>> mLatestProbed;
+  std::optional<std::pair<StorePosition, Instant>> mLatestProbed;
   /// The pending watch began before an outage that probes have noticed.
   bool mWatchPredatesOutage = false;
-  StoreRevision mProbedRevision;
+  StorePosition mProbedPosition;
   /// Since when others have known changes that the mirror lacks; empty if they
   /// know none.
   std::optional<Instant> mBehindSince;
@@ -247,8 +256,12 @@
   Instant mNextPeerCall;
   std::vector<StoreItem> mLoadedItems;
   std::optional<StoreRevision> mLoadedRevision;
+  StoreEra mEra;
+  /// The pending read began before the rise of the era, and so continues an
+  /// earlier reading.
+  bool mDiscardPage = false;
   std::string mAfter;
-  StoreRevision mPeerRevision;
+  StorePosition mPeerPosition;
   std::optional<Instant> mFailingSince;
   std::optional<Instant> mRestoredAt;
 };
--- a/Libraries/LibStore/StoreItem.h
+++ b/Libraries/LibStore/StoreItem.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/StoreEra.h>
 #include <LibCore/Strong.h>
 
 #include <cstdint>
@@ -12,6 +13,16 @@
 /// Sequence number of a change in the platform's store; larger is later.
 using StoreRevision = Strong<struct StoreRevisionTag, std::uint64_t>;
 
+/// A state of the store; larger is later.
+struct StorePosition
+{
+  StoreEra mEra = StoreEra();
+  StoreRevision mRevision = StoreRevision();
+
+  friend bool operator==(const StorePosition&, const StorePosition&) = default;
+  friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+};
+
 /// A key of the store with its value and the revision of its last change.
 struct StoreItem
 {
@@ -22,12 +33,20 @@
   friend bool operator==(const StoreItem&, const StoreItem&) = default;
 };
 
+enum class ChangeCause
+{
+  Written,
+  /// The restored store lacks the key, which nobody has removed.
+  LostByRestore,
+};
+
 /// A change of one key. mValue is nullopt if the key was removed.
 struct StoreChange
 {
   std::string mKey;
   std::optional<std::string> mValue;
   StoreRevision mRevision;
+  ChangeCause mCause = ChangeCause::Written;
 
   friend bool operator==(const StoreChange&, const StoreChange&) = default;
 };
@@ -40,6 +59,12 @@
   bool mHasMore = false;
   /// Revision of the store when the page was read.
   StoreRevision mStoreRevision;
+  StoreEra mEra = StoreEra();
+
+  [[nodiscard]] StorePosition Position() const
+  {
+    return { mEra, mStoreRevision };
+  }
 };
 
 /// Changes since an earlier revision, up to mStoreRevision.
@@ -47,6 +72,12 @@
 {
   std::vector<StoreChange> mChanges;
   StoreRevision mStoreRevision;
+  StoreEra mEra = StoreEra();
+
+  [[nodiscard]] StorePosition Position() const
+  {
+    return { mEra, mStoreRevision };
+  }
 };
 
 } // namespace verbenachute
--- a/Libraries/LibStore/StoreMirror.cpp
+++ b/Libraries/LibStore/StoreMirror.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace verbenachute {
 
@@ -20,6 +21,9 @@
 StoreMirror::Apply(const StoreChanges& aChanges)
 {
   Changes changes;
+  if (aChanges.mEra != mEra) {
+    return changes;
+  }
   for (const StoreChange& change : aChanges.mChanges) {
     if (change.mValue.has_value()) {
       Put(StoreItem{ change.mKey, *change.mValue, change.mRevision }, &changes);
@@ -38,30 +42,64 @@
 
 StoreMirror::Changes
 StoreMirror::Replace(const std::vector<StoreItem>& aItems,
-                     StoreRevision aRevision)
+                     StorePosition aPosition)
 {
+  if (aPosition.mEra > mEra) {
+    return ReplaceEra(aItems, aPosition);
+  }
   Changes changes;
-  if (aRevision < mStoreRevision) {
+  if (aPosition < Position()) {
     return changes;
   }
+  const StoreRevision revision = aPosition.mRevision;
   std::set<std::string> present;
   for (const StoreItem& item : aItems) {
     present.insert(item.mKey);
     Put(item, &changes);
   }
   for (auto item = mItems.begin(); item != mItems.end();) {
-    if (present.contains(item->first) || item->second.mRevision > aRevision) {
+    if (present.contains(item->first) || item->second.mRevision > revision) {
       ++item;
       continue;
     }
-    changes.push_back(StoreChange{ item->first, std::nullopt, aRevision });
+    changes.push_back(StoreChange{ item->first, std::nullopt, revision });
     RecordRemoval(changes.back());
     item = mItems.erase(item);
   }
   if (mStoreRevision == StoreRevision()) {
-    mRemovalsKnownSince = aRevision;
+    mRemovalsKnownSince = revision;
   }
-  mStoreRevision = aRevision;
+  mStoreRevision = revision;
+  return changes;
+}
+
+StoreMirror::Changes
+StoreMirror::ReplaceEra(const std::vector<StoreItem>& aItems,
+                        StorePosition aPosition)
+{
+  Changes changes;
+  std::map<std::string, StoreItem> before = std::exchange(mItems, {});
+  for (const StoreItem& item : aItems) {
+    // Compared by value, since the store hands out revisions again.
+    const auto known = before.find(item.mKey);
+    if (known == before.end() || known->second.mValue != item.mValue) {
+      changes.push_back(StoreChange{ item.mKey, item.mValue, item.mRevision });
+    }
+    if (known != before.end()) {
+      before.erase(known);
+    }
+    mItems[item.mKey] = item;
+  }
+  for (const auto& lost : before) {
+    changes.push_back(StoreChange{ lost.first,
+                                   std::nullopt,
+                                   aPosition.mRevision,
+                                   ChangeCause::LostByRestore });
+  }
+  mRemovals.clear();
+  mRemovalsKnownSince = aPosition.mRevision;
+  mEra = aPosition.mEra;
+  mStoreRevision = aPosition.mRevision;
   return changes;
 }
 
@@ -84,6 +122,7 @@
   }
   StoreChanges changes;
   changes.mStoreRevision = mStoreRevision;
+  changes.mEra = mEra;
   for (const StoreChange& removal : mRemovals) {
     if (removal.mRevision > aAfter) {
       changes.mChanges.push_back(removal);
@@ -99,6 +138,13 @@
   return changes;
 }
 
+const StoreItem*
+StoreMirror::Find(const std::string& aKey) const
+{
+  const auto found = mItems.find(aKey);
+  return found == mItems.end() ? nullptr : &found->second;
+}
+
 std::vector<StoreItem>
 StoreMirror::Items() const
 {
--- a/Libraries/LibStore/StoreMirror.h
+++ b/Libraries/LibStore/StoreMirror.h
@@ -10,8 +10,10 @@
 
 namespace verbenachute {
 
-/// A copy of the store's items whose revision never decreases. It accepts pages
-/// and changes from the store and from other nodes in any order.
+/// A copy of the store's items whose position never decreases. It accepts pages
+/// and changes from the store and from other nodes in any order. Changes of
+/// another era than its own are ignored; a complete copy of a later era
+/// replaces everything.
 class StoreMirror
 {
 public:
@@ -21,24 +23,38 @@
   /// Applies changes and returns those that took effect; a change that is older
   /// than the known state of its key is ignored.
   [[nodiscard]] Changes Apply(const StoreChanges& aChanges);
-  /// Replaces the contents by a complete copy as of aRevision and returns what
+  /// Replaces the contents by a complete copy as of a position and returns what
   /// changed. Keys that the copy lacks are removed, unless they were written
-  /// after aRevision. A copy that is older than the mirror is ignored.
+  /// after that position in the same era. A copy that is older than the mirror
+  /// is ignored.
   [[nodiscard]] Changes Replace(const std::vector<StoreItem>& aItems,
-                                StoreRevision aRevision);
+                                StorePosition aPosition);
+  [[nodiscard]] Changes Replace(const std::vector<StoreItem>& aItems,
+                                StoreRevision aRevision)
+  {
+    return Replace(aItems, { mEra, aRevision });
+  }
 
-  /// The keys that changed after a revision, with their current values; empty
-  /// if the removals since then are no longer recorded.
+  /// The keys that changed after a revision of the mirror's era, with their
+  /// current values; empty if the removals since then are no longer recorded.
   [[nodiscard]] std::optional<StoreChanges> ChangesSince(
     StoreRevision aAfter) const;
 
   /// The mirror contains all changes up to this revision.
   [[nodiscard]] StoreRevision CurrentRevision() const { return mStoreRevision; }
+  [[nodiscard]] StorePosition Position() const
+  {
+    return { mEra, mStoreRevision };
+  }
   [[nodiscard]] std::vector<StoreItem> Items() const;
+  /// The item of a key; null if there is none.
+  [[nodiscard]] const StoreItem* Find(const std::string& aKey) const;
   [[nodiscard]] std::size_t size() const { return mItems.size(); }
 
 private:
   void Put(const StoreItem& aItem, Changes* aChanges);
+  [[nodiscard]] Changes ReplaceEra(const std::vector<StoreItem>& aItems,
+                                   StorePosition aPosition);
 
   void RecordRemoval(const StoreChange& aRemoval);
 
@@ -49,6 +65,7 @@
   std::deque<StoreChange> mRemovals;
   /// All removals after this revision are recorded.
   StoreRevision mRemovalsKnownSince;
+  StoreEra mEra;
   StoreRevision mStoreRevision;
 };
 
--- a/Libraries/LibStore/StoreUpdateCache.cpp
+++ b/Libraries/LibStore/StoreUpdateCache.cpp
@@ -7,32 +7,37 @@
 void
 StoreUpdateCache::DiscardOutdated(const StoreMirror& aMirror, Instant aNow)
 {
-  if (aMirror.CurrentRevision() != mStoreRevision) {
+  if (aMirror.Position() != mPosition) {
     mChanges.clear();
     mCopy = std::string();
-    mStoreRevision = aMirror.CurrentRevision();
+    mPosition = aMirror.Position();
   }
   mLastRequest = aNow;
 }
 
 const std::string&
 StoreUpdateCache::Changes(const StoreMirror& aMirror,
-                          StoreRevision aAfter,
+                          StorePosition aAfter,
                           Instant aNow)
 {
   DiscardOutdated(aMirror, aNow);
-  const auto cached = mChanges.find(aAfter);
+  if (aAfter.mEra != mPosition.mEra) {
+    return Copy(aMirror, aNow);
+  }
+  const auto cached = mChanges.find(aAfter.mRevision);
   if (cached != mChanges.end()) {
     return cached->second;
   }
-  const std::optional<StoreChanges> changes = aMirror.ChangesSince(aAfter);
+  const std::optional<StoreChanges> changes =
+    aMirror.ChangesSince(aAfter.mRevision);
   if (!changes.has_value()) {
     return Copy(aMirror, aNow);
   }
   if (mChanges.size() >= kMost) {
     mChanges.erase(mChanges.begin());
   }
-  return mChanges.emplace(aAfter, EncodeStoreUpdate(*changes)).first->second;
+  return mChanges.emplace(aAfter.mRevision, EncodeStoreUpdate(*changes))
+    .first->second;
 }
 
 const std::string&
@@ -43,6 +48,7 @@
     StorePage page;
     page.mItems = aMirror.Items();
     page.mStoreRevision = aMirror.CurrentRevision();
+    page.mEra = aMirror.Position().mEra;
     mCopy = EncodeStoreUpdate(page);
   }
   return mCopy;
--- a/Libraries/LibStore/StoreUpdateCache.h
+++ b/Libraries/LibStore/StoreUpdateCache.h
@@ -13,11 +13,11 @@
 class StoreUpdateCache
 {
 public:
-  /// The encoded changes after a revision, or a complete copy if the mirror no
-  /// longer records the removals since then. The reference is valid until the
-  /// next call.
+  /// The encoded changes after a position, or a complete copy if the mirror no
+  /// longer records the removals since then or is of another era. The reference
+  /// is valid until the next call.
   [[nodiscard]] const std::string& Changes(const StoreMirror& aMirror,
-                                           StoreRevision aAfter,
+                                           StorePosition aAfter,
                                            Instant aNow);
   /// The encoded complete copy. The reference is valid until the next call.
   [[nodiscard]] const std::string& Copy(const StoreMirror& aMirror,
@@ -33,11 +33,11 @@
   static constexpr std::size_t kMost = 8;
 
 private:
-  /// Clears the cache if the mirror has another revision, and notes the
+  /// Clears the cache if the mirror has another position, and notes the
   /// request.
   void DiscardOutdated(const StoreMirror& aMirror, Instant aNow);
 
-  StoreRevision mStoreRevision;
+  StorePosition mPosition;
   Instant mLastRequest;
   std::map<StoreRevision, std::string> mChanges;
   std::string mCopy;
--- a/Libraries/LibStore/StoreUpdateCodec.cpp
+++ b/Libraries/LibStore/StoreUpdateCodec.cpp
@@ -71,6 +71,22 @@
   return decompressed;
 }
 
+/// Era 0 is left out, so that nodes of earlier releases get the message that
+/// they expect.
+void
+WriteEra(StoreEra aEra, FieldWriter* aWriter)
+{
+  if (aEra != StoreEra()) {
+    aWriter->Id(aEra);
+  }
+}
+
+StoreEra
+ReadEra(FieldReader* aReader)
+{
+  return aReader->Remaining() > 0 ? aReader->Id<StoreEra>() : StoreEra();
+}
+
 void
 Write(const StorePage& aPage, FieldWriter* aWriter)
 {
@@ -83,6 +99,7 @@
     aWriter->Text(item.mValue);
     aWriter->Id(item.mRevision);
   }
+  WriteEra(aPage.mEra, aWriter);
 }
 
 void
@@ -98,6 +115,7 @@
     aWriter->Text(change.mValue.value_or(""));
     aWriter->Id(change.mRevision);
   }
+  WriteEra(aChanges.mEra, aWriter);
 }
 
 StorePage
@@ -113,6 +131,7 @@
     item.mValue = entry.Text();
     item.mRevision = entry.Id<StoreRevision>();
   }
+  page.mEra = ReadEra(aReader);
   return page;
 }
 
@@ -133,6 +152,7 @@
     }
     change.mRevision = entry.Id<StoreRevision>();
   }
+  changes.mEra = ReadEra(aReader);
   return changes;
 }
 
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -68,7 +68,7 @@
            { *mLoop,
              mLogger,
              mGossip.Self().mDomain,
-             [this](StoreRevision aNewerThan) {
+             [this](StorePosition aNewerThan) {
                return mGossip.PeerWithNewerStore(aNewerThan, mLoop->Now());
              },
              [this](const StoreMirror::Changes& aChanges) {
@@ -78,7 +78,10 @@
                Perform(mEngine.OnListKnown(aAsOf, mLoop->Now()));
              },
              mMetrics })
-  , mStoreKeys(*mLoop, aSettings.PlatformAddress())
+  , mStoreKeys(*mLoop,
+               mLogger,
+               aSettings.PlatformAddress(),
+               [this](StoreEra aEra) { mStore.OnEra(aEra); })
   , mOperatorState(mSelf, { mEntryState, mGossip, mStore.Follower() })
   , mShutdown(GracefulShutdownSettings(aSettings))
   , mSettingsFileWatcher(*mLoop,
@@ -151,7 +154,7 @@
   }
   LogPoisonNotices();
   for (const NodeStatus& status : aMessage.mStatuses) {
-    mStore.OnPeerRevision(status.mStoreRevision);
+    mStore.OnPeerPosition(status.Position());
     mEngine.Peers().OnPlanVersion(status.mIdentity.mName, status.mPlanVersion);
     mNewestPlanVersion = std::max(mNewestPlanVersion, status.mPlanVersion);
   }
@@ -177,6 +180,7 @@
   mGossip.SetUsedMillicores(mCpuUsage.Millicores(now));
   mGossip.SetPoisonConvictions(mEngine.PoisonConvictions(now));
   SendGossip(mGossip.Round(now));
+  OnRestoreTick(now);
   UpdateAdvertisedNodes(now);
   mEngine.SetNodes(mRecentlyAdvertised.Current(now), mSelf.mName);
   mGossipTimer.Start(GossipTable::Settings().mPeriod);
@@ -252,7 +256,7 @@
   if (mStore.Follower().LastResponse().has_value()) {
     storeAge = mLoop->Now() - *mStore.Follower().LastResponse();
   }
-  mGossip.SetVersions(mStore.Follower().Mirror().CurrentRevision(),
+  mGossip.SetVersions(mStore.Follower().Mirror().Position(),
                       storeAge,
                       mEngine.Plan() ? mEngine.Plan()->Version()
                                      : PlanVersion(),
--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -13,9 +13,11 @@
 #include "TargetConnectionPool.h"
 
 #include <LibEntry/AdvertisementPolicy.h>
+#include <LibEntry/ConfigurationRestore.h>
 #include <LibEntry/CpuUsageEstimator.h>
 #include <LibEntry/EntryState.h>
 #include <LibEntry/GracefulShutdown.h>
+#include <LibEntry/PlanCatchUp.h>
 #include <LibHttp/HttpListener.h>
 #include <LibObservation/BoostLogger.h>
 #include <LibStore/StoreUpdateCache.h>
@@ -73,6 +75,17 @@
                            const DelegationRequest& aRequest);
   void OnStoreChanges(const StoreMirror::Changes& aChanges);
   void OnOperatorTick();
+  /// What is due after the store was restored from an older copy; nothing in
+  /// era 0. See docs/design/store-era.md.
+  void OnRestoreTick(Instant aNow);
+  void CatchUpWithPlan(Instant aNow);
+  void FetchPlan(Instant aNow);
+  void RewriteConfiguration(Instant aNow);
+  /// The newest plan version of the peers that are alive.
+  [[nodiscard]] PlanVersion NewestPlanOfPeers(Instant aNow) const;
+  /// Number of serving nodes that are before this one in the order for writing
+  /// the configuration again.
+  [[nodiscard]] std::size_t RankForRewrite(Instant aNow) const;
   void OnSettingsChanged();
   void OnStop();
   void OnShutdownTick();
@@ -118,6 +131,9 @@
   StoreUpdateCache mStoreUpdateCache;
   StoreKeys mStoreKeys;
   EntryOperatorState mOperatorState;
+  PlanCatchUp mPlanCatchUp;
+  std::unique_ptr<HttpClientStream> mPlanStream;
+  ConfigurationRestore mConfigurationRestore;
   std::unique_ptr<OperatorPort> mOperatorPort;
   RecentlyAdvertisedNodes mRecentlyAdvertised;
   CpuUsageEstimator mCpuUsage;
--- a/Services/verbenachuted/EntryNodePorts.cpp
+++ b/Services/verbenachuted/EntryNodePorts.cpp
@@ -27,6 +27,14 @@
 // Addresses in one response of the directory.
 constexpr std::size_t kMaximumAddresses = 64;
 
+/// The number that a parameter of a request has; 0 if it is absent.
+std::uint64_t
+NumberParameter(const std::string& aTarget, const char* aName)
+{
+  return std::strtoull(
+    QueryParameter(aTarget, aName).c_str(), nullptr, kDecimal);
+}
+
 } // namespace
 
 Result<Success>
@@ -284,20 +292,24 @@
     RespondWithMetrics(aCall);
     return;
   }
+  if (path == "/plan") {
+    const std::string& plan = mEntryState.EncodedPlan();
+    aCall->Respond(plan.empty() ? kUnavailable : kOk, HttpFields(), plan);
+    return;
+  }
   if ((path != "/copy" && path != "/changes") || !mStore.Follower().HasCopy()) {
     aCall->Respond(kUnavailable, HttpFields(), "");
     return;
   }
   const Instant now = mLoop->Now();
   const std::string& update =
-    path == "/copy" ? mStoreUpdateCache.Copy(mirror, now)
-                    : mStoreUpdateCache.Changes(
-                        mirror,
-                        StoreRevision(std::strtoull(
-                          QueryParameter(aCall->mTarget, "after").c_str(),
-                          nullptr,
-                          kDecimal)),
-                        now);
+    path == "/copy"
+      ? mStoreUpdateCache.Copy(mirror, now)
+      : mStoreUpdateCache.Changes(
+          mirror,
+          { StoreEra(NumberParameter(aCall->mTarget, "era")),
+            StoreRevision(NumberParameter(aCall->mTarget, "after")) },
+          now);
   HttpFields fields;
   fields.Add("Content-Type", "application/octet-stream");
   aCall->Respond(kOk, fields, update);
--- a/Services/verbenachuted/StoreKeys.cpp
+++ b/Services/verbenachuted/StoreKeys.cpp
@@ -14,13 +14,20 @@
 
 // Less than the 2 s after which a ConfigurationWriter abandons a call.
 constexpr Duration kCallTimeout = milliseconds(1900);
+// A writer reads its head shortly before it writes it.
+constexpr std::size_t kMaximumReads = 64;
 
 } // namespace
 
-StoreKeys::StoreKeys(EventLoop& aLoop, const SocketAddress& aStore)
+StoreKeys::StoreKeys(EventLoop& aLoop,
+                     Logger& aLogger,
+                     const SocketAddress& aStore,
+                     std::function<void(StoreEra)> aOnEra)
   : mLoop(aLoop)
   , mStore(aStore)
   , mHost(SocketAddressText(aStore))
+  , mLogger(aLogger)
+  , mOnEra(std::move(aOnEra))
 {
 }
 
@@ -28,18 +35,21 @@
 StoreKeys::Read(const std::string& aKey, ReadDone aDone)
 {
   Call(platform::ReadKeyCall(mHost, aKey),
-       [this, done = std::move(aDone)](const StreamOutcome& aOutcome) {
+       [this, aKey, done = std::move(aDone)](const StreamOutcome& aOutcome,
+                                             StoreEra aEra) {
          const platform::StoreResult<std::optional<StoreItem>> readItem =
            platform::ReadKeyResult(aOutcome);
          if (std::holds_alternative<StoreFailure>(readItem)) {
            done(MakeError(ErrorCode::Unavailable));
            return;
          }
+         NoteRead(aKey, aEra);
          const std::optional<StoreItem>& item =
            std::get<std::optional<StoreItem>>(readItem);
-         done(item ? std::optional<StoredValue>(StoredValue{
-                       item->mValue, KeyRevision(item->mRevision.value()) })
-                   : std::nullopt);
+         done(item
+                ? std::optional<StoredValue>(StoredValue{
+                    item->mValue, KeyRevision(item->mRevision.value()), aEra })
+                : std::nullopt);
        });
 }
 
@@ -49,14 +59,13 @@
                           KeyRevision aExpected,
                           SwapDone aDone)
 {
-  Call(platform::WriteKeyCall(mHost,
-                              aKey,
-                              aValue,
-                              StoreRevision(aExpected.value()),
-                              platform::LeaseId()),
-       [this, done = std::move(aDone)](const StreamOutcome& aOutcome) {
-         done(ToSwapOutcome(aOutcome));
-       });
+  Write(aKey,
+        platform::WriteKeyCall(mHost,
+                               aKey,
+                               aValue,
+                               StoreRevision(aExpected.value()),
+                               platform::LeaseId()),
+        std::move(aDone));
 }
 
 void
@@ -64,12 +73,82 @@
                   KeyRevision aExpected,
                   SwapDone aDone)
 {
-  Call(platform::RemoveKeyCall(mHost, aKey, StoreRevision(aExpected.value())),
-       [this, done = std::move(aDone)](const StreamOutcome& aOutcome) {
+  Write(aKey,
+        platform::RemoveKeyCall(mHost, aKey, StoreRevision(aExpected.value())),
+        std::move(aDone));
+}
+
+void
+StoreKeys::Write(const std::string& aKey, std::string aRequest, SwapDone aDone)
+{
+  const StoreEra conditionEra = TakeConditionEra(aKey);
+  if (conditionEra < mEra) {
+    mLoop.Defer([done = std::move(aDone)]() {
+      done(SwapOutcome{ SwapResult::Conflict, KeyRevision() });
+    });
+    return;
+  }
+  Call(std::move(aRequest),
+       [this, conditionEra, done = std::move(aDone)](
+         const StreamOutcome& aOutcome, StoreEra aEra) {
+         if (aEra != conditionEra) {
+           // The revision of the condition may have been handed out again, and
+           // what was written before may be lost: the caller reads again.
+           done(MakeError(ErrorCode::OutcomeUnknown));
+           return;
+         }
          done(ToSwapOutcome(aOutcome));
        });
 }
 
+void
+StoreKeys::OnEra(StoreEra aEra)
+{
+  mEra = std::max(mEra, aEra);
+}
+
+StoreEra
+StoreKeys::NoteEra(const StreamOutcome& aOutcome)
+{
+  const Result<std::optional<StoreEra>> era = platform::EraOf(aOutcome);
+  if (IsError(era)) {
+    mLogger.Log(
+      LogEvent(EventNumber::StoreEraUnreadable).WithError(ErrorOf(era)));
+    return mEra;
+  }
+  const StoreEra reported = ValueOf(era).value_or(mEra);
+  if (reported > mEra) {
+    mEra = reported;
+    mOnEra(reported);
+  }
+  return reported;
+}
+
+void
+StoreKeys::NoteRead(const std::string& aKey, StoreEra aEra)
+{
+  static_cast<void>(TakeConditionEra(aKey));
+  mReads.emplace_back(aKey, aEra);
+  if (mReads.size() > kMaximumReads) {
+    mReads.pop_front();
+  }
+}
+
+StoreEra
+StoreKeys::TakeConditionEra(const std::string& aKey)
+{
+  const auto read =
+    std::find_if(mReads.begin(), mReads.end(), [&](const auto& aRead) {
+      return aRead.first == aKey;
+    });
+  if (read == mReads.end()) {
+    return mEra;
+  }
+  const StoreEra era = read->second;
+  mReads.erase(read);
+  return era;
+}
+
 Result<SwapOutcome>
 StoreKeys::ToSwapOutcome(const StreamOutcome& aOutcome) const
 {
@@ -120,19 +199,20 @@
 }
 
 void
-StoreKeys::Call(std::string aRequest,
-                std::function<void(const StreamOutcome&)> aDone)
+StoreKeys::Call(std::string aRequest, Done aDone)
 {
   HttpClientStream::Exchange exchange;
   exchange.mRequest = std::move(aRequest);
   exchange.mTimeout = kCallTimeout;
-  IdleStream().Send(
-    std::move(exchange),
-    [this, done = std::move(aDone)](StreamOutcome aOutcome) {
-      // Deferred to the event loop, since the next call may destroy the
-      // stream that calls this.
-      mLoop.Defer([done, outcome = std::move(aOutcome)]() { done(outcome); });
-    });
+  IdleStream().Send(std::move(exchange),
+                    [this, done = std::move(aDone)](StreamOutcome aOutcome) {
+                      // Deferred to the event loop, since the next call may
+                      // destroy the stream that calls this.
+                      mLoop.Defer(
+                        [this, done, outcome = std::move(aOutcome)]() {
+                          done(outcome, NoteEra(outcome));
+                        });
+                    });
 }
 
 } // namespace verbenachute
--- a/Services/verbenachuted/StoreKeys.h
+++ b/Services/verbenachuted/StoreKeys.h
@@ -1,12 +1,16 @@
 #pragma once
 
 #include <LibHttp/HttpClientStream.h>
+#include <LibObservation/Logger.h>
 #include <LibPlatform/KeyValueStore.h>
+#include <LibStore/StoreItem.h>
 #include <LibTransport/EventLoop.h>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace verbenachute {
@@ -17,7 +21,14 @@
 class StoreKeys final : public KeyValueStore
 {
 public:
-  StoreKeys(EventLoop& aLoop, const SocketAddress& aStore);
+  /// aOnEra is called with the era of each response.
+  StoreKeys(EventLoop& aLoop,
+            Logger& aLogger,
+            const SocketAddress& aStore,
+            std::function<void(StoreEra)> aOnEra);
+
+  /// Another part of this node has learned the era.
+  void OnEra(StoreEra aEra);
 
   void Read(const std::string& aKey, ReadDone aDone) override;
   void CompareAndSwap(const std::string& aKey,
@@ -29,8 +40,17 @@
               SwapDone aDone) override;
 
 private:
-  void Call(std::string aRequest,
-            std::function<void(const StreamOutcome&)> aDone);
+  using Done = std::function<void(const StreamOutcome&, StoreEra)>;
+
+  void Call(std::string aRequest, Done aDone);
+  /// Makes a conditional write. A condition that was read in an earlier era is
+  /// void, so its write is not sent.
+  void Write(const std::string& aKey, std::string aRequest, SwapDone aDone);
+  /// The era that a response reports, or the one known so far.
+  [[nodiscard]] StoreEra NoteEra(const StreamOutcome& aOutcome);
+  void NoteRead(const std::string& aKey, StoreEra aEra);
+  /// The era in which the condition of a write was read.
+  [[nodiscard]] StoreEra TakeConditionEra(const std::string& aKey);
   [[nodiscard]] Result<SwapOutcome> ToSwapOutcome(
     const StreamOutcome& aOutcome) const;
   [[nodiscard]] Error MakeError(ErrorCode aCode) const;
@@ -39,6 +59,11 @@
   EventLoop& mLoop;
   SocketAddress mStore;
   std::string mHost;
+  Logger& mLogger;
+  std::function<void(StoreEra)> mOnEra;
+  StoreEra mEra;
+  /// The keys read last with the era of the response.
+  std::deque<std::pair<std::string, StoreEra>> mReads;
   std::vector<std::unique_ptr<HttpClientStream>> mStreams;
 };
 
--- a/Services/verbenachuted/StoreLink.cpp
+++ b/Services/verbenachuted/StoreLink.cpp
@@ -51,6 +51,17 @@
   VERIFY(!"unknown failure");
 }
 
+/// Era 0 is left out, as in the requests of earlier releases.
+std::string
+ChangesTarget(StorePosition aAfter)
+{
+  const std::string target =
+    "/changes?after=" + std::to_string(aAfter.mRevision.value());
+  return aAfter.mEra == StoreEra()
+           ? target
+           : target + "&era=" + std::to_string(aAfter.mEra.value());
+}
+
 StoreFollower::Settings
 FollowerSettings(const NodeName& aSelf)
 {
@@ -95,14 +106,39 @@
 }
 
 void
-StoreLink::OnPeerRevision(StoreRevision aRevision)
+StoreLink::OnPeerPosition(StorePosition aPosition)
+{
+  if (aPosition > mFollower.Mirror().Position()) {
+    mFollower.OnPeerPosition(aPosition);
+    Advance();
+  }
+}
+
+void
+StoreLink::OnEra(StoreEra aEra)
 {
-  if (aRevision > mFollower.Mirror().CurrentRevision()) {
-    mFollower.OnPeerRevision(aRevision);
+  if (aEra > mFollower.Era()) {
+    mFollower.OnEra(aEra, mDependencies.mLoop.Now());
     Advance();
   }
 }
 
+void
+StoreLink::NoticeEra()
+{
+  const StoreEra era = mFollower.Era();
+  if (era > mReportedEra) {
+    mDependencies.mLogger.Log(LogEvent(EventNumber::StoreEraRaised)
+                                .At(Step::Store)
+                                .With("before", mReportedEra.value())
+                                .With("era", era.value()));
+    mReportedEra = era;
+  }
+  if (mRegistrationStep != RegistrationStep::Lease && era > mLeaseEra) {
+    ScheduleRegistration();
+  }
+}
+
 void
 StoreLink::RequestKnownAsOf(std::optional<Instant> aTime)
 {
@@ -118,6 +154,7 @@
 StoreLink::Advance()
 {
   const Instant now = mDependencies.mLoop.Now();
+  NoticeEra();
   if (mFollower.KnownAsOf() > mReportedAsOf) {
     mReportedAsOf = mFollower.KnownAsOf();
     mDependencies.mOnKnownAsOf(mReportedAsOf);
@@ -162,10 +199,43 @@
     });
 }
 
+StoreEra
+StoreLink::EraOrKnown(const StreamOutcome& aOutcome)
+{
+  const Result<std::optional<StoreEra>> era = platform::EraOf(aOutcome);
+  if (IsError(era)) {
+    mDependencies.mLogger.Log(
+      LogEvent(EventNumber::StoreEraUnreadable).WithError(ErrorOf(era)));
+    return mFollower.Era();
+  }
+  return ValueOf(era).value_or(mFollower.Era());
+}
+
 void
-StoreLink::OnCallFailure(StoreFailure aFailure, const char* aCall)
+StoreLink::CallStore(std::unique_ptr<HttpClientStream>* aStream,
+                     std::string aRequest,
+                     Duration aTimeout,
+                     StoreDone aDone,
+                     const MessageLimits& aLimits)
+{
+  Call(
+    aStream,
+    mStore,
+    std::move(aRequest),
+    aTimeout,
+    [this, done = std::move(aDone)](const StreamOutcome& aOutcome) {
+      done(aOutcome, EraOrKnown(aOutcome));
+    },
+    aLimits);
+}
+
+void
+StoreLink::OnCallFailure(StoreFailure aFailure,
+                         const char* aCall,
+                         StoreEra aEra)
 {
   const Instant now = mDependencies.mLoop.Now();
+  mFollower.OnEra(aEra, now);
   mDependencies.mMetrics.Add(Counter::StoreFailures);
   if (!mFollower.FailingSince().has_value()) {
     mDependencies.mLogger.Log(LogEvent(EventNumber::StoreUnavailable)
@@ -180,25 +250,27 @@
 void
 StoreLink::Execute(const ReadPageAction& aAction)
 {
-  Call(&mReadStream,
-       mStore,
-       platform::ReadPageCall(mHost, aAction),
-       aAction.mTimeout,
-       [this](const StreamOutcome& aOutcome) {
-         const platform::StoreResult<StorePage> result =
-           platform::ReadPageResult(aOutcome);
-         if (const StoreFailure* failure = std::get_if<StoreFailure>(&result)) {
-           OnCallFailure(*failure, "read");
-           return;
-         }
-         if (mFollower.FailingSince().has_value()) {
-           mDependencies.mLogger.Log(LogEvent(EventNumber::StoreRestored));
-         }
-         const StoreMirror::Changes changes = mFollower.OnPage(
-           std::get<StorePage>(result), mDependencies.mLoop.Now());
-         mDependencies.mOnChanged(changes);
-         Advance();
-       });
+  CallStore(&mReadStream,
+            platform::ReadPageCall(mHost, aAction),
+            aAction.mTimeout,
+            [this](const StreamOutcome& aOutcome, StoreEra aEra) {
+              platform::StoreResult<StorePage> result =
+                platform::ReadPageResult(aOutcome);
+              if (const StoreFailure* failure =
+                    std::get_if<StoreFailure>(&result)) {
+                OnCallFailure(*failure, "read", aEra);
+                return;
+              }
+              if (mFollower.FailingSince().has_value()) {
+                mDependencies.mLogger.Log(LogEvent(EventNumber::StoreRestored));
+              }
+              StorePage& page = std::get<StorePage>(result);
+              page.mEra = aEra;
+              const StoreMirror::Changes changes =
+                mFollower.OnPage(page, mDependencies.mLoop.Now());
+              mDependencies.mOnChanged(changes);
+              Advance();
+            });
 }
 
 void
@@ -206,23 +278,24 @@
 {
   MessageLimits limits;
   limits.mBodyBytes = kMaximumWatchBytes;
-  Call(
+  CallStore(
     &mReadStream,
-    mStore,
     platform::WatchCall(mHost, aAction),
     aAction.mWait + kWatchGrace,
-    [this](const StreamOutcome& aOutcome) {
-      const platform::StoreResult<StoreChanges> result =
+    [this](const StreamOutcome& aOutcome, StoreEra aEra) {
+      platform::StoreResult<StoreChanges> result =
         platform::WatchResult(aOutcome);
       if (const StoreFailure* failure = std::get_if<StoreFailure>(&result)) {
-        OnCallFailure(*failure, "watch");
+        OnCallFailure(*failure, "watch", aEra);
         return;
       }
       if (mFollower.FailingSince().has_value()) {
         mDependencies.mLogger.Log(LogEvent(EventNumber::StoreRestored));
       }
-      const StoreMirror::Changes changes = mFollower.OnChanges(
-        std::get<StoreChanges>(result), mDependencies.mLoop.Now());
+      StoreChanges& reported = std::get<StoreChanges>(result);
+      reported.mEra = aEra;
+      const StoreMirror::Changes changes =
+        mFollower.OnChanges(reported, mDependencies.mLoop.Now());
       const bool ownKeyRemoved = std::any_of(
         changes.begin(), changes.end(), [&](const StoreChange& aChange) {
           return aChange.mKey == mOwnKey && !aChange.mValue.has_value();
@@ -239,22 +312,22 @@
 void
 StoreLink::Execute(const ProbeAction& aAction)
 {
-  Call(&mProbeStream,
-       mStore,
-       platform::ProbeCall(mHost, mOwnKey, aAction),
-       kCallTimeout,
-       [this](const StreamOutcome& aOutcome) {
-         const Instant now = mDependencies.mLoop.Now();
-         const platform::StoreResult<StoreRevision> result =
-           platform::ProbeResult(aOutcome);
-         if (const StoreRevision* revision =
-               std::get_if<StoreRevision>(&result)) {
-           mFollower.OnProbe(*revision, now);
-         } else {
-           mFollower.OnProbeFailure(now);
-         }
-         Advance();
-       });
+  CallStore(&mProbeStream,
+            platform::ProbeCall(mHost, mOwnKey, aAction),
+            kCallTimeout,
+            [this](const StreamOutcome& aOutcome, StoreEra aEra) {
+              const Instant now = mDependencies.mLoop.Now();
+              const platform::StoreResult<StoreRevision> result =
+                platform::ProbeResult(aOutcome);
+              if (const StoreRevision* revision =
+                    std::get_if<StoreRevision>(&result)) {
+                mFollower.OnProbe({ aEra, *revision }, now);
+              } else {
+                mFollower.OnEra(aEra, now);
+                mFollower.OnProbeFailure(now);
+              }
+              Advance();
+            });
 }
 
 void
@@ -269,9 +342,7 @@
   HttpFields fields;
   fields.Add("Host", SocketAddressText(peer->mPeerAddress));
   const std::string target =
-    mFollower.HasCopy()
-      ? "/changes?after=" + std::to_string(aAction.mNewerThan.value())
-      : "/copy";
+    mFollower.HasCopy() ? ChangesTarget(aAction.mNewerThan) : "/copy";
   const bool crossesDomains = peer->mDomain != mDependencies.mDomain;
   Call(&mPeerStream,
        peer->mPeerAddress,
@@ -301,7 +372,7 @@
     mFollower.OnPeerFailure(now);
   } else if (const StorePage* page = std::get_if<StorePage>(&ValueOf(update))) {
     mDependencies.mOnChanged(
-      mFollower.OnPeerCopy(page->mItems, page->mStoreRevision, now));
+      mFollower.OnPeerCopy(page->mItems, page->Position(), now));
   } else {
     mDependencies.mOnChanged(
       mFollower.OnPeerChanges(std::get<StoreChanges>(ValueOf(update)), now));
@@ -320,59 +391,72 @@
 StoreLink::Register()
 {
   if (mRegistrationStep == RegistrationStep::Lease) {
-    Call(&mWriteStream,
-         mStore,
-         platform::GrantLeaseCall(mHost, kLeaseDuration),
-         kCallTimeout,
-         [this](const StreamOutcome& aOutcome) {
-           const platform::StoreResult<platform::LeaseId> lease =
-             platform::GrantLeaseResult(aOutcome);
-           if (std::holds_alternative<StoreFailure>(lease)) {
-             ScheduleRegistration();
-             return;
-           }
-           mLease = std::get<platform::LeaseId>(lease);
-           mRegistrationStep = RegistrationStep::Key;
-           Register();
-         });
+    CallStore(&mWriteStream,
+              platform::GrantLeaseCall(mHost, kLeaseDuration),
+              kCallTimeout,
+              [this](const StreamOutcome& aOutcome, StoreEra aEra) {
+                const platform::StoreResult<platform::LeaseId> lease =
+                  platform::GrantLeaseResult(aOutcome);
+                if (std::holds_alternative<StoreFailure>(lease)) {
+                  ScheduleRegistration();
+                  OnEra(aEra);
+                  return;
+                }
+                mLeaseEra = aEra;
+                mLease = std::get<platform::LeaseId>(lease);
+                mRegistrationStep = RegistrationStep::Key;
+                Register();
+                OnEra(aEra);
+              });
     return;
   }
   if (mRegistrationStep == RegistrationStep::Registered) {
     Renew();
     return;
   }
-  Call(&mWriteStream,
-       mStore,
-       platform::WriteKeyCall(mHost, mOwnKey, mOwnValue, std::nullopt, mLease),
-       kCallTimeout,
-       [this](const StreamOutcome& aOutcome) {
-         const platform::StoreResult<StoreRevision> writtenRevision =
-           platform::WriteKeyResult(aOutcome);
-         if (std::holds_alternative<StoreFailure>(writtenRevision)) {
-           ScheduleRegistration();
-           return;
-         }
-         mRegistrationStep = RegistrationStep::Registered;
-         mRegistrationBackoff.OnSuccess();
-         mRegistrationTimer.Start(kRenewalInterval);
-       });
+  CallStore(
+    &mWriteStream,
+    platform::WriteKeyCall(mHost, mOwnKey, mOwnValue, std::nullopt, mLease),
+    kCallTimeout,
+    [this](const StreamOutcome& aOutcome, StoreEra aEra) {
+      const platform::StoreResult<StoreRevision> writtenRevision =
+        platform::WriteKeyResult(aOutcome);
+      if (mRegistrationStep != RegistrationStep::Key) {
+        // The era has risen since, so the lease is void.
+        return;
+      }
+      if (std::holds_alternative<StoreFailure>(writtenRevision) ||
+          aEra != mLeaseEra) {
+        ScheduleRegistration();
+        OnEra(aEra);
+        return;
+      }
+      mRegistrationStep = RegistrationStep::Registered;
+      mRegistrationBackoff.OnSuccess();
+      mRegistrationTimer.Start(kRenewalInterval);
+    });
 }
 
 void
 StoreLink::Renew()
 {
-  Call(&mWriteStream,
-       mStore,
-       platform::RenewLeaseCall(mHost, mLease),
-       kCallTimeout,
-       [this](const StreamOutcome& aOutcome) {
-         const HttpResponse* response = std::get_if<HttpResponse>(&aOutcome);
-         if (response == nullptr || response->mStatus != kOk) {
-           ScheduleRegistration();
-           return;
-         }
-         mRegistrationTimer.Start(kRenewalInterval);
-       });
+  CallStore(&mWriteStream,
+            platform::RenewLeaseCall(mHost, mLease),
+            kCallTimeout,
+            [this](const StreamOutcome& aOutcome, StoreEra aEra) {
+              if (mRegistrationStep != RegistrationStep::Registered) {
+                return;
+              }
+              const HttpResponse* response =
+                std::get_if<HttpResponse>(&aOutcome);
+              if (response == nullptr || response->mStatus != kOk ||
+                  aEra != mLeaseEra) {
+                ScheduleRegistration();
+                OnEra(aEra);
+                return;
+              }
+              mRegistrationTimer.Start(kRenewalInterval);
+            });
 }
 
 } // namespace verbenachute
--- a/Services/verbenachuted/StoreLink.h
+++ b/Services/verbenachuted/StoreLink.h
@@ -27,9 +27,9 @@
     Logger& mLogger;
     /// Failure domain of this node.
     FailureDomain mDomain;
-    /// Returns the status of a peer that knows changes after a revision; null
-    /// if there is none.
-    std::function<const NodeStatus*(StoreRevision)> mFindPeer;
+    /// Returns the status of a peer that knows a later state; null if there is
+    /// none.
+    std::function<const NodeStatus*(StorePosition)> mFindPeer;
     /// Called with the changes to the mirror, which may be none.
     std::function<void(const StoreMirror::Changes&)> mOnChanged;
     /// Called after the mirror has become known to contain all changes up to a
@@ -45,14 +45,17 @@
   void Start(const std::string& aOwnKey, const std::string& aOwnValue);
   /// Sets the source of updates and the maximum wait of the watches.
   void SetSource(UpdateSource aSource, Duration aWatchTimeout);
-  /// Another node reports the latest revision that it knows.
-  void OnPeerRevision(StoreRevision aRevision);
+  /// Another node reports the latest position that it knows.
+  void OnPeerPosition(StorePosition aPosition);
+  /// The era of a response that the store gave to another part of this node.
+  void OnEra(StoreEra aEra);
   /// See StoreFollower::RequestKnownAsOf.
   void RequestKnownAsOf(std::optional<Instant> aTime);
   [[nodiscard]] const StoreFollower& Follower() const { return mFollower; }
 
 private:
   using Done = std::function<void(const StreamOutcome&)>;
+  using StoreDone = std::function<void(const StreamOutcome&, StoreEra)>;
 
   enum class RegistrationStep
   {
@@ -73,7 +76,18 @@
             Duration aTimeout,
             Done aDone,
             const MessageLimits& aLimits = MessageLimits());
-  void OnCallFailure(StoreFailure aFailure, const char* aCall);
+  /// A call to the store; aDone gets the era that the response reports, or the
+  /// one known so far if it reports none that can be read.
+  void CallStore(std::unique_ptr<HttpClientStream>* aStream,
+                 std::string aRequest,
+                 Duration aTimeout,
+                 StoreDone aDone,
+                 const MessageLimits& aLimits = MessageLimits());
+  [[nodiscard]] StoreEra EraOrKnown(const StreamOutcome& aOutcome);
+  /// Reports a rise of the era, and registers this node again if its lease is
+  /// of an earlier one.
+  void NoticeEra();
+  void OnCallFailure(StoreFailure aFailure, const char* aCall, StoreEra aEra);
   void Register();
   void Renew();
   void ScheduleRegistration();
@@ -95,6 +109,10 @@
   BackoffSchedule mRegistrationBackoff;
   RegistrationStep mRegistrationStep = RegistrationStep::Lease;
   platform::LeaseId mLease;
+  /// The era in which mLease was granted.
+  StoreEra mLeaseEra;
+  /// The last era that was logged.
+  StoreEra mReportedEra;
   std::string mOwnKey;
   std::string mOwnValue;
 };
--- a/Tests/LibGossip/TestGossipTable.cpp
+++ b/Tests/LibGossip/TestGossipTable.cpp
@@ -312,20 +312,22 @@
   fleet.Advance(seconds(5));
   fleet.mCrossDomainBytes = 0;
   for (std::uint64_t revision = 1; revision <= 20; ++revision) {
-    fleet.At(1).SetVersions(
-      StoreRevision(revision), milliseconds(1), PlanVersion(1), Revision(0));
+    fleet.At(1).SetVersions({ StoreEra(), StoreRevision(revision) },
+                            milliseconds(1),
+                            PlanVersion(1),
+                            Revision(0));
     fleet.Deliver(
       fleet.At(1).Announce(AnnouncementScope::OwnDomain, fleet.mNow));
   }
   CHECK(fleet.mCrossDomainBytes == 0);
   // Node 5 is in the same domain.
-  CHECK(fleet.At(5).PeerWithNewerStore(StoreRevision(19), fleet.mNow) !=
-        nullptr);
-  CHECK(fleet.At(2).PeerWithNewerStore(StoreRevision(19), fleet.mNow) ==
-        nullptr);
+  CHECK(fleet.At(5).PeerWithNewerStore({ StoreEra(), StoreRevision(19) },
+                                       fleet.mNow) != nullptr);
+  CHECK(fleet.At(2).PeerWithNewerStore({ StoreEra(), StoreRevision(19) },
+                                       fleet.mNow) == nullptr);
   fleet.Advance(GossipTable::Settings().mPeriod);
-  CHECK(fleet.At(2).PeerWithNewerStore(StoreRevision(19), fleet.mNow) !=
-        nullptr);
+  CHECK(fleet.At(2).PeerWithNewerStore({ StoreEra(), StoreRevision(19) },
+                                       fleet.mNow) != nullptr);
 }
 
 TEST_CASE("A poison observation reaches each node once")
@@ -356,26 +358,32 @@
 TEST_CASE("A peer that knows newer changes of the store is found")
 {
   Fleet fleet(4);
-  fleet.At(2).SetVersions(
-    StoreRevision(9), milliseconds(40), PlanVersion(1), Revision(3));
+  fleet.At(2).SetVersions({ StoreEra(), StoreRevision(9) },
+                          milliseconds(40),
+                          PlanVersion(1),
+                          Revision(3));
   fleet.Advance(seconds(2));
   GossipTable& first = fleet.At(0);
-  REQUIRE(first.PeerWithNewerStore(StoreRevision(8), fleet.mNow) != nullptr);
-  CHECK(
-    first.PeerWithNewerStore(StoreRevision(8), fleet.mNow)->mIdentity.mName ==
-    NodeName("n2"));
-  CHECK(first.PeerWithNewerStore(StoreRevision(9), fleet.mNow) == nullptr);
+  REQUIRE(first.PeerWithNewerStore({ StoreEra(), StoreRevision(8) },
+                                   fleet.mNow) != nullptr);
+  CHECK(first.PeerWithNewerStore({ StoreEra(), StoreRevision(8) }, fleet.mNow)
+          ->mIdentity.mName == NodeName("n2"));
+  CHECK(first.PeerWithNewerStore({ StoreEra(), StoreRevision(9) },
+                                 fleet.mNow) == nullptr);
   // A peer of the own domain is preferred.
   Fleet largerFleet(9);
   for (const int informed : { 2, 4, 7 }) {
-    largerFleet.At(informed).SetVersions(
-      StoreRevision(9), milliseconds(40), PlanVersion(1), Revision(3));
+    largerFleet.At(informed).SetVersions({ StoreEra(), StoreRevision(9) },
+                                         milliseconds(40),
+                                         PlanVersion(1),
+                                         Revision(3));
   }
   largerFleet.Advance(seconds(2));
   for (int i = 0; i < 20; ++i) {
-    CHECK(largerFleet.At(0)
-            .PeerWithNewerStore(StoreRevision(8), largerFleet.mNow)
-            ->mIdentity.mName == NodeName("n4"));
+    CHECK(
+      largerFleet.At(0)
+        .PeerWithNewerStore({ StoreEra(), StoreRevision(8) }, largerFleet.mNow)
+        ->mIdentity.mName == NodeName("n4"));
   }
   CHECK(first.AliveCount(fleet.mNow) == 4);
   REQUIRE(first.Peers().size() == 3);
@@ -406,4 +414,31 @@
   CHECK(ValueOf(received).mPoisonObservations.empty());
 }
 
+// Guards against a node that fetches from a peer whose larger revision is of an
+// earlier era, and against bytes that earlier releases do not expect.
+TEST_CASE("The store's era is reported, and decides before the revision")
+{
+  GossipMessage sent;
+  sent.mStatuses = { StatusOf(1) };
+  const std::size_t bytesWithoutEra = EncodeGossip(sent).size();
+  sent.mStatuses[0].mStoreEra = StoreEra(1);
+  CHECK(EncodeGossip(sent).size() == bytesWithoutEra + 1);
+  const Result<GossipMessage> received = DecodeGossip(EncodeGossip(sent));
+  REQUIRE(!IsError(received));
+  REQUIRE(ValueOf(received).mStatuses.size() == 1);
+  CHECK(ValueOf(received).mStatuses[0].Position() ==
+        sent.mStatuses[0].Position());
+
+  Fleet fleet(3);
+  fleet.At(1).SetVersions({ StoreEra(1), StoreRevision(5) },
+                          milliseconds(1),
+                          PlanVersion(1),
+                          Revision(0));
+  fleet.Advance(seconds(2));
+  const StorePosition earlierEra{ StoreEra(), StoreRevision(90) };
+  const StorePosition laterEra{ StoreEra(2), StoreRevision(1) };
+  CHECK(fleet.At(0).PeerWithNewerStore(earlierEra, fleet.mNow) != nullptr);
+  CHECK(fleet.At(0).PeerWithNewerStore(laterEra, fleet.mNow) == nullptr);
+}
+
 } // namespace verbenachute
--- a/Tests/LibStore/TestStoreFollower.cpp
+++ b/Tests/LibStore/TestStoreFollower.cpp
@@ -14,6 +14,12 @@
   return StoreItem{ aKey, "v", StoreRevision(aRevision) };
 }
 
+StorePosition
+At(std::uint64_t aRevision = 0, std::uint64_t aEra = 0)
+{
+  return { StoreEra(aEra), StoreRevision(aRevision) };
+}
+
 StorePage
 Page(std::vector<StoreItem> aItems, std::uint64_t aAt, bool aMore = false)
 {
@@ -167,7 +173,7 @@
   Instant now = kStart;
   int calls = 0;
   follower.OnFailure(StoreFailure::Unreachable, now);
-  follower.OnPeerRevision(StoreRevision(50));
+  follower.OnPeerPosition(At(50));
   bool peerAsked = false;
   for (int i = 0; i < 100; ++i) {
     now += milliseconds(100);
@@ -194,9 +200,7 @@
   follower.OnFailure(StoreFailure::Unreachable, kStart);
   CHECK(FindAction<FetchFromPeerAction>(
           follower.TakeDueCalls(kStart + milliseconds(10))) != nullptr);
-  CHECK(
-    follower.OnPeerCopy({ Item("a", 5) }, StoreRevision(9), kStart).size() ==
-    1);
+  CHECK(follower.OnPeerCopy({ Item("a", 5) }, At(9), kStart).size() == 1);
   CHECK(follower.HasCopy());
   const std::vector<FollowerCall> calls =
     follower.TakeDueCalls(kStart + seconds(3));
@@ -204,7 +208,7 @@
   CHECK(FindAction<WatchAction>(calls)->mAfter == StoreRevision(9));
   SUBCASE("an older copy is ignored")
   {
-    CHECK(follower.OnPeerCopy({}, StoreRevision(8), kStart).empty());
+    CHECK(follower.OnPeerCopy({}, At(8), kStart).empty());
     CHECK(follower.Mirror().size() == 1);
   }
   SUBCASE("the end of the outage is recorded")
@@ -228,15 +232,14 @@
   CHECK(follower.TakeDueCalls(now).empty());
   CHECK(!follower.NextDueTime(now).has_value());
   follower.SetSource(UpdateSource::Peers, now);
-  follower.OnPeerRevision(StoreRevision(10));
+  follower.OnPeerPosition(At(10));
   CHECK(FindAction<FetchFromPeerAction>(follower.TakeDueCalls(now)) != nullptr);
-  CHECK(follower.OnPeerCopy({ Item("a", 5) }, StoreRevision(10), now).size() ==
-        1);
+  CHECK(follower.OnPeerCopy({ Item("a", 5) }, At(10), now).size() == 1);
   for (int i = 0; i < 100; ++i) {
     now += milliseconds(500);
     CHECK(follower.TakeDueCalls(now).empty());
   }
-  follower.OnPeerRevision(StoreRevision(12));
+  follower.OnPeerPosition(At(12));
   CHECK(FindAction<FetchFromPeerAction>(follower.TakeDueCalls(now)) != nullptr);
   CHECK(follower
           .OnPeerChanges({ { StoreChange{ "a", "w", StoreRevision(12) } },
@@ -287,7 +290,7 @@
 {
   StoreFollower follower = WatchingFollower();
   follower.OnFailure(StoreFailure::Unreachable, kStart);
-  follower.OnPeerRevision(StoreRevision(10));
+  follower.OnPeerPosition(At(10));
   CHECK(FindAction<FetchFromPeerAction>(
           follower.TakeDueCalls(kStart + seconds(9))) == nullptr);
 }
@@ -302,7 +305,7 @@
   REQUIRE(FindAction<ProbeAction>(follower.TakeDueCalls(now)) != nullptr);
   SUBCASE("a probe reports a revision that the watch does not")
   {
-    follower.OnProbe(StoreRevision(11), now);
+    follower.OnProbe(At(11), now);
     CHECK(follower.TakeDueCalls(now).empty());
     CHECK(follower.TakeDueCalls(now + milliseconds(700)).empty());
     now += milliseconds(800);
@@ -316,8 +319,8 @@
   SUBCASE("a peer reports a revision that the watch does not")
   {
     // The store may answer probes from a state that is seconds old.
-    follower.OnProbe(StoreRevision(8), now);
-    follower.OnPeerRevision(StoreRevision(11));
+    follower.OnProbe(At(8), now);
+    follower.OnPeerPosition(At(11));
     CHECK(follower.TakeDueCalls(now).empty());
     now += milliseconds(800);
     REQUIRE(FindAction<ReadPageAction>(follower.TakeDueCalls(now)) != nullptr);
@@ -329,7 +332,7 @@
   }
   SUBCASE("the watch reports the revision in time")
   {
-    follower.OnProbe(StoreRevision(11), now);
+    follower.OnProbe(At(11), now);
     now += milliseconds(100);
     CHECK(follower
             .OnChanges({ { StoreChange{ "a", "2", StoreRevision(11) } },
@@ -346,14 +349,14 @@
     CHECK(follower.FailingSince().has_value());
     now += seconds(3);
     REQUIRE(FindAction<ProbeAction>(follower.TakeDueCalls(now)) != nullptr);
-    follower.OnProbe(StoreRevision(10), now);
+    follower.OnProbe(At(10), now);
     CHECK(!follower.FailingSince().has_value());
     CHECK(follower.RestoredAt() == now);
     CHECK(FindAction<WatchAction>(follower.TakeDueCalls(now)) != nullptr);
   }
   SUBCASE("nothing has changed")
   {
-    follower.OnProbe(StoreRevision(10), now);
+    follower.OnProbe(At(10), now);
     CHECK(follower.TakeDueCalls(now + seconds(1)).empty());
     CHECK(FindAction<ProbeAction>(follower.TakeDueCalls(now + seconds(3))) !=
           nullptr);
@@ -369,7 +372,7 @@
   REQUIRE(FindAction<WatchAction>(follower.TakeDueCalls(now)) != nullptr);
   now += seconds(3);
   REQUIRE(FindAction<ProbeAction>(follower.TakeDueCalls(now)) != nullptr);
-  follower.OnProbe(StoreRevision(10), now);
+  follower.OnProbe(At(10), now);
   CHECK(!follower.FailingSince().has_value());
   CHECK(follower.TakeDueCalls(now + seconds(1)).empty());
 }
@@ -392,14 +395,14 @@
   const Instant answered = wanted + milliseconds(5);
   SUBCASE("nothing has changed")
   {
-    follower.OnProbe(StoreRevision(10), answered);
+    follower.OnProbe(At(10), answered);
     CHECK(follower.KnownAsOf() == wanted);
     const std::optional<Instant> next = follower.NextDueTime(answered);
     CHECK(next.value_or(Instant::max()) > wanted + seconds(1));
   }
   SUBCASE("a change is under way")
   {
-    follower.OnProbe(StoreRevision(11), answered);
+    follower.OnProbe(At(11), answered);
     CHECK(follower.KnownAsOf() < wanted);
     static_cast<void>(follower.OnChanges(
       { { StoreChange{ "a", "w", StoreRevision(11) } }, StoreRevision(11) },
@@ -416,7 +419,7 @@
   }
   SUBCASE("the store has no key to probe")
   {
-    follower.OnProbe(StoreRevision(), answered);
+    follower.OnProbe(At(), answered);
     CHECK(follower.KnownAsOf() < wanted);
   }
 }
--- a/Tests/LibStore/TestStoreUpdate.cpp
+++ b/Tests/LibStore/TestStoreUpdate.cpp
@@ -115,13 +115,14 @@
   static_cast<void>(mirror.Apply(
     StoreChanges{ { { "b", "2", StoreRevision(3) } }, StoreRevision(3) }));
   CHECK(PageOf(cache.Copy(mirror, kNow)).mItems.size() == 2);
-  const std::string& changes = cache.Changes(mirror, StoreRevision(2), kNow);
+  const std::string& changes =
+    cache.Changes(mirror, { StoreEra(), StoreRevision(2) }, kNow);
   REQUIRE(ChangesOf(changes).mChanges.size() == 1);
-  CHECK(&cache.Changes(mirror, StoreRevision(2), kNow) == &changes);
+  CHECK(&cache.Changes(mirror, { StoreEra(), StoreRevision(2) }, kNow) ==
+        &changes);
   cache.OnTime(kNow + seconds(3));
-  CHECK(
-    ChangesOf(cache.Changes(mirror, StoreRevision(2), kNow)).mStoreRevision ==
-    StoreRevision(3));
+  CHECK(ChangesOf(cache.Changes(mirror, { StoreEra(), StoreRevision(2) }, kNow))
+          .mStoreRevision == StoreRevision(3));
 }
 
 TEST_CASE("The cache is bounded, and older revisions get a complete copy")
@@ -129,16 +130,16 @@
   StoreMirror mirror;
   static_cast<void>(mirror.Replace({ Item("a", "1", 50) }, StoreRevision(50)));
   StoreUpdateCache cache;
-  CHECK(PageOf(cache.Changes(mirror, StoreRevision(4), kNow)).mStoreRevision ==
-        StoreRevision(50));
+  CHECK(PageOf(cache.Changes(mirror, { StoreEra(), StoreRevision(4) }, kNow))
+          .mStoreRevision == StoreRevision(50));
   for (std::uint64_t i = 0; i < 40; ++i) {
     static_cast<void>(mirror.Apply(StoreChanges{
       { { "b", "2", StoreRevision(51 + i) } }, StoreRevision(51 + i) }));
   }
   for (std::uint64_t i = 50; i < 90; ++i) {
     CHECK(
-      ChangesOf(cache.Changes(mirror, StoreRevision(i), kNow)).mStoreRevision ==
-      StoreRevision(90));
+      ChangesOf(cache.Changes(mirror, { StoreEra(), StoreRevision(i) }, kNow))
+        .mStoreRevision == StoreRevision(90));
   }
 }
 
--- a/Tests/Platform/TestStoreWire.cpp
+++ b/Tests/Platform/TestStoreWire.cpp
@@ -118,4 +118,22 @@
   CHECK(call.find(R"("Writes":[])") != std::string::npos);
 }
 
+TEST_CASE("The era is read from every response, and 0 if it is absent")
+{
+  const auto withEra = [](int aStatus, const char* aText) {
+    HttpResponse response;
+    response.mStatus = aStatus;
+    response.mFields.Add("store-era", aText);
+    return StreamOutcome(response);
+  };
+  CHECK(ValueOf(EraOf(withEra(200, "3"))) == StoreEra(3));
+  CHECK(ValueOf(EraOf(withEra(410, "4"))) == StoreEra(4));
+  CHECK(ValueOf(EraOf(Response(200, "{}"))) == StoreEra());
+  CHECK(!ValueOf(EraOf(StreamFailure::TimedOut)).has_value());
+  for (const char* text : { "", "x", "-1", "1 ", "99999999999999999999" }) {
+    CAPTURE(text);
+    CHECK(IsError(EraOf(withEra(200, text))));
+  }
+}
+
 } // namespace verbenachute::platform
