StandIns: Restore the store from an old copy in the soak

The soak had no fault in which the store loses acknowledged writes. The stand-in now goes away and comes back from a copy up to 4 s old, with the era raised, revisions going back and leases lost; targets and the operator write their entries again within 2 s.

--- a/StandIns/Deployment/EntrySearcher.cpp
+++ b/StandIns/Deployment/EntrySearcher.cpp
@@ -73,6 +73,7 @@
 void
 EntrySearcher::TellState(const char* aState)
 {
+  mToldState = aState;
   Json::Value entry(Json::objectValue);
   entry["Backend"] = mShape.mFacts.mService.value();
   entry["Address"] = SocketAddressText(mShape.mAddress);
@@ -88,6 +89,18 @@
   mStore.Put("servers/" + mShape.mFacts.mName.value(), CompactJson(entry));
 }
 
+void
+EntrySearcher::WriteEntryAgain()
+{
+  if (mToldState.empty()) {
+    mStore.Remove("servers/" + mShape.mFacts.mName.value());
+    return;
+  }
+  // A copy, since it is assigned to itself otherwise.
+  const std::string state = mToldState;
+  TellState(state.c_str());
+}
+
 void
 EntrySearcher::Drain()
 {
@@ -98,6 +111,7 @@
 void
 EntrySearcher::Crash()
 {
+  mToldState.clear();
   mStore.Remove("servers/" + mShape.mFacts.mName.value());
   mPromises.OnTargetGone(mShape.mFacts.mName);
   CrashSilently();
--- a/StandIns/Deployment/EntrySearcher.h
+++ b/StandIns/Deployment/EntrySearcher.h
@@ -41,6 +41,8 @@
 
   /// Listens and tells of itself; ends the process if it can not listen.
   void Start();
+  /// Writes its entry as it told it last, or removes it if it did that last.
+  void WriteEntryAgain();
   /// Drops all connections and runs; the entry goes from the store.
   void Crash();
   /// A new life after a crash, under a new name.
@@ -107,6 +109,8 @@
   /// Calls that get no answer; kept, so that their connections stay open.
   std::vector<CallPointer> mUnanswered;
   std::uint64_t mNumber = 0;
+  /// The state told last; empty if the entry was removed.
+  std::string mToldState;
   unsigned mLives = 0;
   bool mHung = false;
   double mSlowness = 1;
--- a/StandIns/Deployment/FaultPlan.cpp
+++ b/StandIns/Deployment/FaultPlan.cpp
@@ -28,6 +28,7 @@
   { FaultKind::StoreSilent, "store_silent", 500, 5000, 2 },
   { FaultKind::StoreSlow, "store_slow", 1000, 4000, 1 },
   { FaultKind::StoreLosingAnswers, "store_losing_answers", 1000, 4000, 1 },
+  { FaultKind::StoreRestored, "store_restored", 300, 2000, 1 },
   { FaultKind::StoreForgetting, "store_forgetting", 0, 0, 1 },
   { FaultKind::SearcherCrashed, "searcher_crashed", 300, 4000, 3 },
   { FaultKind::SearcherHung, "searcher_hung", 500, 3000, 2 },
--- a/StandIns/Deployment/FaultPlan.h
+++ b/StandIns/Deployment/FaultPlan.h
@@ -19,6 +19,7 @@
   StoreSilent,
   StoreSlow,
   StoreLosingAnswers,
+  StoreRestored,
   StoreForgetting,
   SearcherCrashed,
   SearcherHung,
--- a/StandIns/Deployment/Soak.cpp
+++ b/StandIns/Deployment/Soak.cpp
@@ -31,6 +31,11 @@
 /// From SIGTERM to the end of a process at the latest, as the nodes are set.
 constexpr Duration kGrace = seconds(6);
 constexpr Duration kWarmUp = seconds(2);
+/// A restored store is up to kCopies * kCopyInterval old.
+constexpr std::size_t kCopies = 4;
+constexpr Duration kCopyInterval = seconds(1);
+/// From the return of a restored store until all has been written again.
+constexpr Duration kRewriteTime = seconds(2);
 /// Time at the end in which the callers must be served again.
 constexpr Duration kRecovered = seconds(3);
 /// Share of requests that must be served then.
@@ -223,7 +228,8 @@
       plan["Routes"].append(route);
     }
   }
-  mModel.Put("op/config", CompactJson(plan));
+  mPlan = CompactJson(plan);
+  mModel.Put("op/config", mPlan);
   mPromises.OnPlan(shards, mLoop.Now());
 }
 
@@ -232,6 +238,7 @@
 {
   AddSearchers();
   AcceptPlan(PlanSize::Small);
+  CopyStore();
   for (const NodeFacts& node : mSettings.mNodes) {
     Print("start " + node.mName.value());
   }
@@ -344,6 +351,7 @@
     case FaultKind::StoreRefusing:
       mStore->SetFault(StoreServer::Fault::Refusing);
       break;
+    case FaultKind::StoreRestored:
     case FaultKind::StoreSilent:
       mStore->SetFault(StoreServer::Fault::Silent);
       break;
@@ -354,7 +362,10 @@
       mStore->SetDelay(milliseconds(300));
       break;
   }
-  After(aFault.mLength, [this]() {
+  After(aFault.mLength, [this, kind = aFault.mKind]() {
+    if (kind == FaultKind::StoreRestored) {
+      RestoreStore();
+    }
     mPromises.OnRelief(NodeName(), mLoop.Now());
     if (--mStoreFaults == 0) {
       mStore->SetFault(StoreServer::Fault::None);
@@ -363,6 +374,49 @@
   });
 }
 
+void
+Soak::CopyStore()
+{
+  mCopies.push_back(mModel.MakeCopy());
+  if (mCopies.size() > kCopies) {
+    mCopies.pop_front();
+  }
+  After(kCopyInterval, [this]() { CopyStore(); });
+}
+
+void
+Soak::RestoreStore()
+{
+  mModel.Restore(mCopies.front());
+  // Copies of the lost seconds are not part of the new era.
+  mCopies.erase(mCopies.begin() + 1, mCopies.end());
+  for (std::size_t i = 0; i < mSearchers.size(); ++i) {
+    After(kRewriteTime * static_cast<int>(i) /
+            static_cast<int>(mSearchers.size()),
+          [one = mSearchers[i].get()]() { one->WriteEntryAgain(); });
+  }
+  // Until then the operator's acts may be missing, which is nobody's fault.
+  mPromises.OnDisruption(NodeName());
+  After(kRewriteTime, [this]() {
+    RewriteOperatorsKeys();
+    mPromises.OnRelief(NodeName(), mLoop.Now());
+  });
+}
+
+void
+Soak::RewriteOperatorsKeys()
+{
+  mModel.Put("op/config", mPlan);
+  for (const std::string& domain : mSettings.mDomains) {
+    const std::string key = "op/evacuate/" + domain;
+    if (mEvacuations.contains(key)) {
+      mModel.Put(key, "{}");
+    } else if (mModel.Find(key) != nullptr) {
+      mModel.Remove(key);
+    }
+  }
+}
+
 void
 Soak::Drain(EntrySearcher* aSearcher, Duration aLength)
 {
--- a/StandIns/Deployment/Soak.h
+++ b/StandIns/Deployment/Soak.h
@@ -5,7 +5,9 @@
 #include "FaultPlan.h"
 #include "StoreServer.h"
 
+#include <deque>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,6 +70,12 @@
   void Begin(const PlannedFault& aFault);
   void BeginNodeFault(const PlannedFault& aFault);
   void BeginStoreFault(const PlannedFault& aFault);
+  /// Keeps copies of the store for a restore.
+  void CopyStore();
+  /// Brings the store back from an old copy. Targets and operators write again
+  /// what it lacks.
+  void RestoreStore();
+  void RewriteOperatorsKeys();
   void BeginSearcherFault(const PlannedFault& aFault);
   void BeginOperatorAct(const PlannedFault& aFault);
   /// The node is started again after its absence.
@@ -90,6 +98,12 @@
   Settings mSettings;
   Promises mPromises;
   StoreModel mModel;
+  /// The last copies of the store, the oldest first.
+  std::deque<StoreModel::Copy> mCopies;
+  /// Last plan that an operator wrote.
+  std::string mPlan;
+  /// Keys of the evacuations that last.
+  std::set<std::string> mEvacuations;
   std::unique_ptr<StoreServer> mStore;
   std::vector<std::unique_ptr<EntrySearcher>> mSearchers;
   Callers mCallers;
--- a/StandIns/Deployment/SoakOperators.cpp
+++ b/StandIns/Deployment/SoakOperators.cpp
@@ -25,13 +25,14 @@
 Soak::Evacuate(const FailureDomain& aDomain, Duration aLength)
 {
   const std::string key = "op/evacuate/" + aDomain.value();
-  if (mModel.Find(key) != nullptr) {
+  if (!mEvacuations.insert(key).second) {
     return;
   }
   mModel.Put(key, "{}");
   mPromises.OnDomainOut(aDomain, mLoop.Now());
   After(aLength, [this, key, aDomain]() {
     mPromises.OnDomainIn(aDomain);
+    mEvacuations.erase(key);
     mModel.Remove(key);
   });
 }
--- a/StandIns/Deployment/StoreModel.cpp
+++ b/StandIns/Deployment/StoreModel.cpp
@@ -115,7 +115,7 @@
 std::optional<std::vector<StoreModel::Event>>
 StoreModel::Since(std::uint64_t aAfter) const
 {
-  if (aAfter < mForgotten) {
+  if (aAfter < mForgotten || (mEra > 0 && aAfter > mRevision)) {
     return std::nullopt;
   }
   const auto first =
@@ -128,6 +128,25 @@
   return std::vector<Event>(first, mHistory.end());
 }
 
+StoreModel::Copy
+StoreModel::MakeCopy() const
+{
+  return Copy{ mRevision, mLastLease, mItems };
+}
+
+void
+StoreModel::Restore(const Copy& aCopy)
+{
+  ++mEra;
+  mRevision = aCopy.mRevision;
+  mLastLease = aCopy.mLastLease;
+  mItems = aCopy.mItems;
+  std::erase_if(mItems,
+                [](const auto& aEntry) { return aEntry.second.mLease != 0; });
+  mLeases.clear();
+  ForgetHistory();
+}
+
 void
 StoreModel::ForgetHistory()
 {
--- a/StandIns/Deployment/StoreModel.h
+++ b/StandIns/Deployment/StoreModel.h
@@ -57,6 +57,14 @@
     UnknownLease,
   };
 
+  /// A copy of the service at one moment, without its leases.
+  struct Copy
+  {
+    std::uint64_t mRevision = 1;
+    LeaseNumber mLastLease = 0;
+    std::map<std::string, Item> mItems;
+  };
+
   [[nodiscard]] std::uint64_t Revision() const { return mRevision; }
   [[nodiscard]] const Item* Find(const std::string& aKey) const;
   [[nodiscard]] const std::map<std::string, Item>& Items() const
@@ -82,6 +90,13 @@
     std::uint64_t aAfter) const;
   void ForgetHistory();
 
+  [[nodiscard]] Copy MakeCopy() const;
+  /// Goes back to a copy: later writes, all leases and the keys on them are
+  /// lost, and revisions are handed out again.
+  void Restore(const Copy& aCopy);
+  /// Number of times that it was restored.
+  [[nodiscard]] std::uint64_t Era() const { return mEra; }
+
 private:
   struct Lease
   {
@@ -91,6 +106,7 @@
 
   void RemoveAt(const std::string& aKey, std::uint64_t aRevision);
 
+  std::uint64_t mEra = 0;
   std::uint64_t mRevision = 1;
   /// Changes up to this revision are not kept.
   std::uint64_t mForgotten = 0;
--- a/StandIns/Deployment/StoreServer.cpp
+++ b/StandIns/Deployment/StoreServer.cpp
@@ -306,6 +306,10 @@
 {
   HttpFields fields;
   fields.Add("Content-Type", "application/json");
+  // A store that was never restored does not know the field.
+  if (mModel.Era() > 0) {
+    fields.Add("Store-Era", std::to_string(mModel.Era()));
+  }
   aCall->Respond(aStatus, fields, CompactJson(aBody));
 }
 
