--- a/Libraries/LibStore/StoreItem.h
+++ b/Libraries/LibStore/StoreItem.h
@@ -20,6 +20,7 @@
   StoreRevision mRevision = StoreRevision();
 
   friend bool operator==(const StorePosition&, const StorePosition&) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): the rewritten 0 is no pointer.
   friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
 };
 
