--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -14,9 +14,11 @@
 #include "TargetConnectionPool.h"
 
 #include <LibEntry/AdvertisementPolicy.h>
+#include <LibEntry/ConfigurationRestore.h>
 #include <LibEntry/CpuUsageEstimator.h>
 #include <LibEntry/EntryState.h>
 #include <LibEntry/GracefulShutdown.h>
+#include <LibEntry/PlanCatchUp.h>
 #include <LibHttp/HttpListener.h>
 #include <LibHttp/ResourceShares.h>
 #include <LibObservation/BoostLogger.h>
@@ -78,6 +80,17 @@
   void OnClientEvicted(const MemoryBudget::Eviction& aEviction);
   /// What the clients of a listener may take.
   [[nodiscard]] ClientResources ResourcesFor(std::size_t aMaximumConnections);
+  /// What is due after the store was restored from an older copy; nothing in
+  /// era 0. See docs/design/store-era.md.
+  void OnRestoreTick(Instant aNow);
+  void CatchUpWithPlan(Instant aNow);
+  void FetchPlan(Instant aNow);
+  void RewriteConfiguration(Instant aNow);
+  /// The newest plan version of the peers that are alive.
+  [[nodiscard]] PlanVersion NewestPlanOfPeers(Instant aNow) const;
+  /// Number of serving nodes that are before this one in the order for writing
+  /// the configuration again.
+  [[nodiscard]] std::size_t RankForRewrite(Instant aNow) const;
   void OnSettingsChanged();
   void OnStop();
   void OnShutdownTick();
@@ -126,6 +139,9 @@
   StoreKeys mStoreKeys;
   RolloutService mRollouts;
   EntryOperatorState mOperatorState;
+  PlanCatchUp mPlanCatchUp;
+  std::unique_ptr<HttpClientStream> mPlanStream;
+  ConfigurationRestore mConfigurationRestore;
   std::unique_ptr<OperatorPort> mOperatorPort;
   RecentlyAdvertisedNodes mRecentlyAdvertised;
   CpuUsageEstimator mCpuUsage;
