LibForward: Admit queries by the queues of the targets they need

Cause: with more work than the targets can take, the queries in progress share the targets' slots and few get all their parts in time.

Change: a query is refused at once if the wait at the slowest of the shards that it needs, as the targets report their queues, would make it late or would make more urgent queries late that use the same shards. Setting load_admission; auto takes effect once targets report the fourth load figure. Without queues nothing is refused and no random number is drawn.

--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -21,6 +21,8 @@
   , mNodes{ NodeName() }
   , mNextAttempt(aSettings.mFirstAttempt.value())
   , mRandom(static_cast<std::minstd_rand::result_type>(aSettings.mSeed))
+  , mLoad(aSettings.mLoadAdmission)
+  , mLoadRandom(static_cast<std::minstd_rand::result_type>(aSettings.mSeed))
 {
 }
 
@@ -135,6 +137,9 @@
   }
   if (aReply.mKind == ReplyKind::Answered) {
     statistics->second.ObserveLatency(aNow - attempt.mSent);
+    if (aReply.mLoad.has_value()) {
+      mLoad.OnAnswered(attempt.mRoute, *aReply.mLoad, aNow - attempt.mSent);
+    }
   }
   const auto request = mRequests.find(attempt.mNumber);
   if (request != mRequests.end() && !attempt.mIsAbandoned) {
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -3,6 +3,7 @@
 #include <LibForward/DomainReachability.h>
 #include <LibForward/ForwardAction.h>
 #include <LibForward/ForwardSettings.h>
+#include <LibForward/LoadAdmission.h>
 #include <LibForward/PeerRecords.h>
 #include <LibForward/PoisonDetector.h>
 #include <LibForward/RouteStatistics.h>
@@ -41,6 +42,7 @@
   /// Null until the first plan is set.
   [[nodiscard]] const ServingPlanPointer& Plan() const { return mPlan; }
   void SetBudgetLimits(const AttemptBudgetLimits& aLimits);
+  void SetLoadAdmission(LoadAdmissionMode aMode) { mLoad.SetMode(aMode); }
   void SetAdmissionFilter(AdmissionFilter aFilter);
   /// Without a check, every attempt counts as one that may have left.
   void SetDepartureCheck(DepartureCheck aCheck);
@@ -199,6 +201,8 @@
     Instant mDeadline;
     /// Whether the process ends before the time of the request is up.
     bool mEndsWithProcess = false;
+    /// When the latency objective is missed.
+    Instant mObjectiveAt;
     /// Time from which an incomplete answer is preferred to a late one.
     Instant mPartialAnswerAt;
     /// When parts that wait for a target fail.
@@ -282,6 +286,17 @@
   [[nodiscard]] std::optional<RefusedOutcome> AdmissionRefusal(
     const Request& aRequest,
     Instant aNow);
+  /// The refusal if the needed targets queue too much work for the request;
+  /// empty otherwise.
+  [[nodiscard]] std::optional<RefusedOutcome> LoadRefusal(
+    const Request& aRequest,
+    Instant aNow);
+  /// How long a new part would wait at the targets of a service.
+  [[nodiscard]] Duration WaitAt(const ServiceName& aService,
+                                Instant aNow) const;
+  /// The routes that share a service with the request.
+  [[nodiscard]] static std::vector<CompetingRoute> CompetingRoutes(
+    const Request& aRequest);
   /// The refusal if too few parts have a target that can serve them; empty
   /// otherwise.
   [[nodiscard]] std::optional<RefusedOutcome> CoverageRefusal(
@@ -615,6 +630,10 @@
   std::vector<GateNotice> mGateNotices;
   std::uint64_t mNextAttempt;
   std::minstd_rand mRandom;
+  LoadAdmission mLoad;
+  /// Separate from mRandom, so that load decisions do not change the choice of
+  /// targets.
+  std::minstd_rand mLoadRandom;
   ForwardActions mActions;
 };
 
--- a/Libraries/LibForward/ForwardEngineAdmission.cpp
+++ b/Libraries/LibForward/ForwardEngineAdmission.cpp
@@ -71,6 +71,9 @@
   if (!refusal.has_value()) {
     refusal = CoverageRefusal(&request, aNow);
   }
+  if (!refusal.has_value()) {
+    refusal = LoadRefusal(request, aNow);
+  }
   if (refusal.has_value()) {
     AddAnswer(aNumber, *refusal, request.mSummary);
     return TakeActions();
@@ -103,6 +106,7 @@
   aRequest->mDeadline = request.mArrivalTime + timeLimit - returnDelay;
   const Duration timeToAnswer = route.mLatencyObjective - spent -
                                 mSettings.mCallerOneWayDelay - returnDelay;
+  aRequest->mObjectiveAt = request.mArrivalTime + timeToAnswer;
   aRequest->mPartialAnswerAt =
     std::min(aRequest->mDeadline,
              request.mArrivalTime + std::max(timeToAnswer, Duration(0)));
--- a/Libraries/LibForward/ForwardSettings.h
+++ b/Libraries/LibForward/ForwardSettings.h
@@ -35,6 +35,15 @@
   ViaPeer,
 };
 
+/// Whether queries are refused because the targets queue too much work.
+enum class LoadAdmissionMode
+{
+  /// Only once targets report how long work currently takes.
+  Automatic,
+  Off,
+  On,
+};
+
 /// Settings of the forward engine.
 struct ForwardSettings
 {
@@ -44,6 +53,7 @@
   ForwardHedging mHedging = ForwardHedging::Adaptive;
   PartialAnswers mPartialAnswers = PartialAnswers::AtObjective;
   ShardGathering mGathering = ShardGathering::ViaPeer;
+  LoadAdmissionMode mLoadAdmission = LoadAdmissionMode::Automatic;
   /// Maximum number of requests that run at the same time.
   std::size_t mMaximumRunning = 600;
   /// One-way network delay between a caller and this node.
--- a/Libraries/LibForward/PartReply.h
+++ b/Libraries/LibForward/PartReply.h
@@ -28,6 +28,9 @@
   std::uint32_t mRunning = 0;
   std::uint32_t mWaiting = 0;
   std::uint32_t mSlots = 1;
+  /// How long work currently takes at the target, 100 being as usual; empty if
+  /// it does not report this.
+  std::optional<std::uint32_t> mSlowdownPercent;
 };
 
 /// The decoded response of a target.
--- a/Libraries/LibForward/TargetRecord.cpp
+++ b/Libraries/LibForward/TargetRecord.cpp
@@ -50,7 +50,7 @@
   mFailureRate = 0;
   mConsecutiveFailures = 0;
   mLastSample = aNow;
-  mLoad = ReportedLoad{ 0, 0, std::max(mListed.mSlots, 1U) };
+  mLoad = ReportedLoad{ 0, 0, std::max(mListed.mSlots, 1U), {} };
   mLoadReported = aNow;
   mDownUntil = aNow;
   mSuspectUntil = aNow;
@@ -238,6 +238,15 @@
   mDeclinedUntil = aNow + kPeerDeclineValidity;
 }
 
+std::size_t
+TargetRecord::SentSinceReport() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mInFlight.begin(), mInFlight.end(), [&](const auto& aEntry) {
+      return aEntry.second.mSent > mLoadReported;
+    }));
+}
+
 bool
 TargetRecord::IsDown(Instant aNow) const
 {
--- a/Libraries/LibForward/TargetRecord.h
+++ b/Libraries/LibForward/TargetRecord.h
@@ -38,6 +38,12 @@
   /// The attempt is abandoned while it still runs.
   void OnAbandoned(AttemptId aAttempt, Duration aMedianLatency, Instant aNow);
 
+  /// The load that the target reported last, and when; no load before the first
+  /// report.
+  [[nodiscard]] const ReportedLoad& Load() const { return mLoad; }
+  [[nodiscard]] Instant LoadReported() const { return mLoadReported; }
+  /// Number of attempts in flight that were sent after the last load report.
+  [[nodiscard]] std::size_t SentSinceReport() const;
   [[nodiscard]] std::size_t InFlight() const { return mInFlight.size(); }
   /// No attempt may be sent now: nothing listens at the address, or it belongs
   /// to another target.
--- a/Libraries/LibSettings/SettingTable.cpp
+++ b/Libraries/LibSettings/SettingTable.cpp
@@ -116,6 +116,11 @@
     "1",
     "0.001 to 1000",
     "speed of a core of this VM, relative to the others' cores" },
+  { "load_admission",
+    "auto",
+    "auto, off or on",
+    "whether queries are refused that the queues of the targets would make "
+    "late; auto: if the targets report how long work currently takes" },
   { "gathering",
     "near",
     "near or direct",
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -252,6 +252,8 @@
     std::max(1.0,
              1000 * reader.Decimal("processor_share", 0.001, 1000) *
                reader.Decimal("processor_speed", 0.001, 1000)));
+  settings.mLoadAdmission =
+    reader.OneOf("load_admission", { "auto", "off", "on" });
   settings.mGathering = reader.OneOf("gathering", { "near", "direct" });
   settings.mPartialAnswers =
     reader.OneOf("partial_answers", { "at_objective", "last" });
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -111,6 +111,11 @@
   /// Processing capacity of this VM in thousandths of a core of speed 1; at
   /// least 1.
   [[nodiscard]] std::uint32_t ProcessorPower() const { return mProcessorPower; }
+  /// "auto", "off" or "on".
+  [[nodiscard]] const std::string& LoadAdmissionName() const
+  {
+    return mLoadAdmission;
+  }
   /// Whether shards that only other domains hold are gathered by a peer there
   /// or requested by this node: "near" or "direct".
   [[nodiscard]] const std::string& GatheringMode() const { return mGathering; }
@@ -151,6 +156,7 @@
   double mQuotaSlack = 0;
   Duration mGrace{ 0 };
   std::uint32_t mProcessorPower = 1;
+  std::string mLoadAdmission;
   std::string mGathering;
   std::string mPartialAnswers;
 };
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -324,7 +324,9 @@
     return;
   }
   mSettings = ValueOf(settings);
-  mEngine.SetBudgetLimits(EngineSettings(mSettings, mSelf).mBudgetLimits);
+  const ForwardSettings engineSettings = EngineSettings(mSettings, mSelf);
+  mEngine.SetBudgetLimits(engineSettings.mBudgetLimits);
+  mEngine.SetLoadAdmission(engineSettings.mLoadAdmission);
   mQuota.SetRule(QuotaRuleOf(mSettings));
   mLogger.Log(LogEvent(EventNumber::SettingsReloaded).At(Step::Settings));
 }
--- a/Services/verbenachuted/EntrySettings.cpp
+++ b/Services/verbenachuted/EntrySettings.cpp
@@ -8,6 +8,16 @@
 // reply to an earlier incarnation of this node matches no attempt of this one.
 constexpr unsigned kIncarnationShift = 20;
 
+LoadAdmissionMode
+LoadAdmissionModeOf(const Settings& aSettings)
+{
+  if (aSettings.LoadAdmissionName() == "auto") {
+    return LoadAdmissionMode::Automatic;
+  }
+  return aSettings.LoadAdmissionName() == "on" ? LoadAdmissionMode::On
+                                               : LoadAdmissionMode::Off;
+}
+
 } // namespace
 
 ForwardSettings
@@ -27,6 +37,7 @@
   settings.mGathering = aSettings.GatheringMode() == "direct"
                           ? ShardGathering::Direct
                           : ShardGathering::ViaPeer;
+  settings.mLoadAdmission = LoadAdmissionModeOf(aSettings);
   settings.mMaximumRunning = aSettings.QueryLimit();
   settings.mFirstAttempt =
     AttemptId(aSelf.mIncarnation.value() << kIncarnationShift);
--- a/Services/verbenachuted/Flags.cpp
+++ b/Services/verbenachuted/Flags.cpp
@@ -44,6 +44,7 @@
 ABSL_FLAG(std::string, processor_share, "", "see below");
 ABSL_FLAG(std::string, processor_speed, "", "see below");
 ABSL_FLAG(std::string, gather_address, "", "see below");
+ABSL_FLAG(std::string, load_admission, "", "see below");
 ABSL_FLAG(std::string, gathering, "", "see below");
 ABSL_FLAG(std::string, partial_answers, "", "see below");
 ABSL_FLAG(std::string, settings_file, "", "file with further settings");
--- a/Tests/Platform/TestRequestWire.cpp
+++ b/Tests/Platform/TestRequestWire.cpp
@@ -90,6 +90,11 @@
     ReadTargetResponse(Response(200, { stamp, { "server-load", "3,1,8" } }));
   REQUIRE(withLoad.mLoad.has_value());
   CHECK(withLoad.mLoad->mWaiting == 1);
+  CHECK(!withLoad.mLoad->mSlowdownPercent.has_value());
+  const PartReply withSlowdown = ReadTargetResponse(
+    Response(200, { stamp, { "server-load", "2,5,2,740" } }));
+  REQUIRE(withSlowdown.mLoad.has_value());
+  CHECK(withSlowdown.mLoad->mSlowdownPercent == 740U);
   CHECK(!ReadTargetResponse(Response(200, { { "Server-Load", "many" } }))
            .mLoad.has_value());
 }
