LibForward: Refuse queries past their objective while others are refused

Cause: in the closed model most late answers were those of callers that came back after their objective and met a moment without queues.

Change: such a query is refused while the node refuses others; the shortest Retry-After is 80 ms rather than 20; the wait that less urgent queries may cause is 0.35 rather than 0.5 of that of the next more urgent priority. The test compares with the peak of the whole curve, not only of the lower loads.

--- a/Libraries/LibForward/LoadAdmission.cpp
+++ b/Libraries/LibForward/LoadAdmission.cpp
@@ -21,15 +21,19 @@
 constexpr Duration kReportValidity = milliseconds(1500);
 // The slowest of the needed shards takes this multiple of the usual work.
 constexpr double kSlowestWorkFactor = 1.3;
-// Share of the wait of a priority that the next less urgent one may cause.
-constexpr double kPriorityShare = 0.5;
+// Share of the wait of a priority that the next less urgent one may cause. With
+// a half, the urgent kind lost more answers to queues of the long one.
+constexpr double kPriorityShare = 0.35;
 // Admission becomes rarer from this share of the longest wait on, and ends at
 // it, so that nodes with the same reports do not switch together.
 constexpr double kSoftShare = 0.7;
 // After a refusal the longest wait is lower by this factor.
 constexpr double kHysteresis = 0.9;
-// Bounds of the time after which a refused query may be sent again.
-constexpr Duration kShortestRetryAfter = milliseconds(20);
+// Bounds of the time after which a refused query may be sent again. With 20 ms
+// each refused query came back twice as often, for the same goodput.
+constexpr Duration kShortestRetryAfter = milliseconds(80);
+// Retry of a query that has missed its objective, while others are refused.
+constexpr Duration kLateRetryAfter = milliseconds(300);
 constexpr Duration kLongestRetryAfter = milliseconds(2000);
 constexpr double kUsualSlowdownPercent = 100;
 
@@ -168,7 +172,15 @@
   const auto slowest =
     waits.begin() + static_cast<std::ptrdiff_t>(aQuery.mMinimumShards) - 1;
   std::nth_element(waits.begin(), slowest, waits.end());
+  const bool isLate =
+    aQuery.mTimeLeft <= Scaled(WorkOf(aQuery.mRoute), kSlowestWorkFactor);
   if (*slowest == Duration(0)) {
+    if (isLate && mRefusedFrom.has_value()) {
+      // A late answer is worth little, and the slots are about to be needed by
+      // queries that can still be answered in time.
+      return kLateRetryAfter;
+    }
+    mRefusedFrom.reset();
     return std::nullopt;
   }
   const bool wasRefused =
--- a/Tests/LibForward/TestLoadFleet.cpp
+++ b/Tests/LibForward/TestLoadFleet.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <limits>
 
 // Load pattern: more queries than the targets can serve, from kinds that share
 // all shards. Without load admission the queries in progress take each other's
@@ -70,6 +71,7 @@
           "urgent kind degrades last, and refusals come at once")
 {
   double peak = 0;
+  double leastOverloaded = std::numeric_limits<double>::infinity();
   for (const double load : kLoads) {
     CAPTURE(load);
     LoadFleet off(LoadAdmissionMode::Off, Kinds(), 1);
@@ -81,12 +83,13 @@
     const auto good = static_cast<double>(fleet.Good());
     peak = std::max(peak, good);
     if (load >= 3) {
-      CHECK(good >= 0.9 * peak);
+      leastOverloaded = std::min(leastOverloaded, good);
       CHECK(off.Good() < fleet.Good() / 2);
     }
     CHECK(fleet.Of(kUrgent).GoodShare() >= fleet.Of(kLong).GoodShare());
     CHECK(fleet.mLateRefusals * 100 <= fleet.mRefusals);
   }
+  CHECK(leastOverloaded >= 0.9 * peak);
 }
 
 TEST_CASE(
