--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -348,7 +348,9 @@
     return;
   }
   mSettings = ValueOf(settings);
-  mEngine.SetBudgetLimits(EngineSettings(mSettings, mSelf).mBudgetLimits);
+  const ForwardSettings engineSettings = EngineSettings(mSettings, mSelf);
+  mEngine.SetBudgetLimits(engineSettings.mBudgetLimits);
+  mEngine.SetLoadAdmission(engineSettings.mLoadAdmission);
   mQuota.SetRule(QuotaRuleOf(mSettings));
   mRollouts.SetRule(RolloutRuleOf(mSettings));
   mLogger.Log(LogEvent(EventNumber::SettingsReloaded).At(Step::Settings));
