StoreKeys: Check the era of a transaction over several keys

Cause: the transactions of rollouts were written before the store's era was known to StoreKeys, and did not compile beside it.

Change: they go the way of all conditional writes, which discards a result of another era.

Result: the tree builds.

--- a/Services/verbenachuted/StoreKeys.cpp
+++ b/Services/verbenachuted/StoreKeys.cpp
@@ -1,6 +1,7 @@
 #include "StoreKeys.h"
 
 #include <LibCore/SocketAddressText.h>
+#include <LibCore/Verify.h>
 
 #include <platform/StoreWire.h>
 
@@ -74,11 +75,11 @@
   KeyRevision aExpected,
   SwapDone aDone)
 {
-  Call(
+  VERIFY(!aWrites.empty());
+  Write(
+    aWrites.front().first,
     platform::WriteKeysCall(mHost, aWrites, StoreRevision(aExpected.value())),
-    [this, done = std::move(aDone)](const StreamOutcome& aOutcome) {
-      done(ToSwapOutcome(aOutcome));
-    });
+    std::move(aDone));
 }
 
 void
