--- a/Libraries/LibSettings/SettingTable.cpp
+++ b/Libraries/LibSettings/SettingTable.cpp
@@ -141,7 +141,7 @@
     "0.001 to 1000",
     "speed of a core of this VM, relative to the others' cores" },
   { "load_admission",
-    "auto",
+    "off",
     "auto, off or on",
     "whether queries are refused that the queues of the targets would make "
     "late; auto: if the targets report how long work currently takes" },
--- a/Services/verbenachuted/EntrySettings.h
+++ b/Services/verbenachuted/EntrySettings.h
@@ -31,7 +31,6 @@
 [[nodiscard]] RolloutRule
 RolloutRuleOf(const Settings& aSettings);
 
-/// Limits of the port that serves callers.
 [[nodiscard]] QuotaRule
 QuotaRuleOf(const Settings& aSettings);
 
@@ -39,6 +38,7 @@
 [[nodiscard]] ResourceShares
 SharesOf(const Settings& aSettings);
 
+/// Limits of the port that serves callers.
 [[nodiscard]] ServerLimits
 LimitsOf(const CallerLimits& aLimits);
 
--- a/review/common.sh
+++ b/review/common.sh
@@ -62,6 +62,7 @@
     -e "s/{{PortRange.1}}/$((port + 35))/" -e "s/{{SeedNodes}}/$seeds/" \
     -e "s/^domains = .*/domains = zone-a=region-1,zone-b=region-1,zone-c=region-1/" \
     -e "s/{{platform.Address}}/$store_address/" \
+    -e '/Bounds\.\(Quota\|Canary\|Rollback\)/d' \
     -e "s/{{Bounds.RetryRatio}}/0.2/" -e "s/{{Bounds.RetryWindowS}}/10/" \
     -e "s/{{Bounds.RetrySlack}}/58/" -e "s/{{Bounds.GraceS}}/6/" \
     -e "s/{{Limits.MemoryMb}}/256/" -e "s/{{Limits.MaxFds}}/4096/" \
