Tests, docs: Roll back a version that turns bad 600 ms before the deadline

Cause: the case had been left out of the test after it failed with an earlier state of the rollouts, and no run had shown that a version with a tenth of bad responses is recognized.

--- a/Tests/LibRollout/TestRolloutFleet.cpp
+++ b/Tests/LibRollout/TestRolloutFleet.cpp
@@ -97,7 +97,7 @@
 // fails only then.
 TEST_CASE("A version that turns bad just before the deadline stays in bounds")
 {
-  for (const int from : { 10'000, 10'900, 11'200, 11'300 }) {
+  for (const int from : { 10'000, 10'900, 11'200, 11'300, 11'400 }) {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
       CAPTURE(from);
       CAPTURE(seed);
@@ -110,6 +110,13 @@
   }
 }
 
+// Guards against a version that fails too seldom to be recognized in canary.
+TEST_CASE("A version with a tenth of bad responses is rolled back")
+{
+  CheckEnd(
+    Options(), BadFrom(seconds(0), 0.1, kFailed), RolloutPhase::RolledBack);
+}
+
 // Guards against orders that end with their coordinator.
 TEST_CASE("A successor continues when the coordinator is killed")
 {
