LibEntry, LibQuota: Share the removal of due keys, and drop an unused function

Cause: EvacuationRetention repeated the loop of RemovalDelay, and nothing has called TokenBucket::IsFull.

Change: both call TakeDueKeys; IsFull is gone. Behavior is the same.

Result: TestLibEntry and TestLibQuota pass, verbenachuted links, the linter is clean on the changed files.

--- a/Libraries/LibEntry/EvacuationRetention.cpp
+++ b/Libraries/LibEntry/EvacuationRetention.cpp
@@ -1,5 +1,7 @@
 #include <LibEntry/EvacuationRetention.h>
 
+#include <LibEntry/DueTimes.h>
+
 namespace verbenachute {
 
 void
@@ -17,16 +19,7 @@
 std::vector<FailureDomain>
 EvacuationRetention::TakeDue(Instant aNow)
 {
-  std::vector<FailureDomain> due;
-  for (auto entry = mDueTimes.begin(); entry != mDueTimes.end();) {
-    if (entry->second > aNow) {
-      ++entry;
-      continue;
-    }
-    due.push_back(entry->first);
-    entry = mDueTimes.erase(entry);
-  }
-  return due;
+  return TakeDueKeys(&mDueTimes, aNow);
 }
 
 } // namespace verbenachute
--- a/Libraries/LibEntry/RemovalDelay.cpp
+++ b/Libraries/LibEntry/RemovalDelay.cpp
@@ -1,5 +1,7 @@
 #include <LibEntry/RemovalDelay.h>
 
+#include <LibEntry/DueTimes.h>
+
 namespace verbenachute {
 
 namespace {
@@ -36,16 +38,7 @@
 std::vector<TargetName>
 RemovalDelay::TakeDue(Instant aNow)
 {
-  std::vector<TargetName> due;
-  for (auto entry = mDueTimes.begin(); entry != mDueTimes.end();) {
-    if (entry->second > aNow) {
-      ++entry;
-      continue;
-    }
-    due.push_back(entry->first);
-    entry = mDueTimes.erase(entry);
-  }
-  return due;
+  return TakeDueKeys(&mDueTimes, aNow);
 }
 
 std::optional<Instant>
--- a/Libraries/LibQuota/TokenBucket.cpp
+++ b/Libraries/LibQuota/TokenBucket.cpp
@@ -68,10 +68,4 @@
   return std::min(reserved - aNow, kMaximumWait);
 }
 
-bool
-TokenBucket::IsFull(Instant aNow) const
-{
-  return LevelAt(aNow) >= mLimits.mDepth && mNextReservation <= aNow;
-}
-
 } // namespace verbenachute
--- a/Libraries/LibQuota/TokenBucket.h
+++ b/Libraries/LibQuota/TokenBucket.h
@@ -30,9 +30,6 @@
   /// Time until a caller that is denied now should find a token. Each call
   /// reserves a later time, up to kMaximumWait.
   [[nodiscard]] Duration ReserveWait(Instant aNow);
-  /// Whether it has all the tokens that it can have, so that a new bucket would
-  /// be no different.
-  [[nodiscard]] bool IsFull(Instant aNow) const;
 
   /// Longest time that a caller is told to wait.
   static constexpr Duration kMaximumWait = seconds(5);
