--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -279,6 +279,7 @@
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
+        writer.reader = reader
         try:
             while True:
                 call = await read_message(reader)
@@ -333,6 +334,12 @@
                 self.running -= 1
                 self.free.notify()
 
+    @staticmethod
+    def is_gone(writer):
+        """Whether the other side has closed or reset the connection."""
+        return (writer.transport.is_closing() or writer.reader.at_eof()
+                or writer.reader.exception() is not None)
+
     def on_arrival(self, call, identity):
         pass
 
