--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -68,10 +68,12 @@
     return Message(lines[0], headers, b"")
 
 
-async def read_message(reader, response=False):
+async def read_message(reader, response=False, on_head=None):
     """A whole message; None if the connection ends between messages."""
     try:
         message = await read_head(reader)
+        if on_head:
+            on_head(message)
     except asyncio.IncompleteReadError as error:
         if error.partial:
             raise
@@ -246,6 +248,7 @@
         self.born = 0
         self.server = None
         self.writers = set()
+        self.begun = set()   # ids of requests that have begun to arrive
         self.arrivals = []   # (time, id)
         self.runs = []       # (time, id, method, path, body)
         self.bodies = {}     # stamp: body
@@ -282,7 +285,8 @@
         writer.reader = reader
         try:
             while True:
-                call = await read_message(reader)
+                call = await read_message(
+                    reader, on_head=lambda head: self.begun.add(head.get("Request-Id")))
                 if call is None:
                     break
                 await self.handle(call, writer)
@@ -435,8 +439,8 @@
             Zones={zone: "sul-rs" for zone in fleet.zones},
             Listen={"Frontend": self.caller, "Ready": self.ready,
                     "Control": f"{self.ip}:8106", "directory": self.directory},
-            Limits=dict(CpuShare=0.25, Cores=1, MemoryMb=260, MaxFds=4100,
-                        LinkMbps=1000.0, DiskMb=0),
+            Limits=dict(dict(CpuShare=0.25, Cores=1, MemoryMb=260, MaxFds=4100,
+                             LinkMbps=1000.0, DiskMb=0), **fleet.limits),
             Bounds=dict(BOUNDS, **fleet.bounds),
             platform=dict(Address=fleet.store.address, form="kv", WritesPerS=400,
                           ReadsPerS=2000, HistoryS=20, MaxValueBytes=1048576,
@@ -469,7 +473,7 @@
 class Fleet:
     """Nodes of a small deployment."""
 
-    def __init__(self, store, record, zones, counts, bounds=None):
+    def __init__(self, store, record, zones, counts, bounds=None, limits=None):
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             role = tomllib.load(file)["roles"]["entry"]
         with open(os.path.join(ROOT, role["template"]), encoding="utf-8") as file:
@@ -482,6 +486,7 @@
             raise CannotRun(f"{program} is missing; run the build of deploy/system.toml")
         self.store, self.record, self.zones = store, record, zones
         self.bounds = bounds or {}
+        self.limits = limits or {}
         self.folder = tempfile.mkdtemp(prefix="verbenachute-case-")
         self.block = free_block()
         self.nodes = []
