review: End the nodes of a case that is stopped

A case that its time limit stopped left its nodes running; SIGTERM now leaves through the clauses that end them.

--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -20,6 +20,14 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
 
+def end_on_term(*_):
+    """Leaves through the finally clauses, which end the nodes."""
+    raise SystemExit(2)
+
+
+signal.signal(signal.SIGTERM, end_on_term)
+
+
 class CannotRun(Exception):
     """The case can't run here; the script ends with status 2."""
 
