--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 # command in deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - common-2/*.py {6,7,8,9,10}/case.py <<'PYTHON'
+python3 - deployment.py {6,7,8,9,10}/case.py <<'PYTHON'
 import os
 import sys
 if sys.version_info < (3, 11):
--- a/review/common-2/deployment.py
+++ b/review/deployment.py
@@ -17,7 +17,7 @@
 import time
 import tomllib
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 
 def end_on_term(*_):
