StandIns, Meta, Tests: Let crowds come at every listener

Cause: the crowds of ClientLimits came at the callers' listener only, their heads had one long field, and their queries went to few connections at once. So memory and descriptors that other requests take were never measured.

Change: new kinds with crowds and bounds that are fixed here, before the product changes: fields (heads of many short fields), queries (bodies over all shards of one node), directory-, ready-, peer- and operator-bodies, ready- and peer-half-open, frames (at the listener for delegations), targets (queries beside a lower limit of descriptors) and listeners (all of them at once while two of three nodes are killed). The kinds that stood have the crowds and bounds they had. The sockets are checked as well: of the descriptors, 200 are for files. A descriptor that closes while they are counted no longer ends a run.

--- a/Meta/client-limits.sh
+++ b/Meta/client-limits.sh
@@ -3,9 +3,13 @@
 # and descriptors than its settings allow, and that the node serves an ordinary
 # request afterwards. No times are checked.
 #   Meta/client-limits.sh KIND [--without-settings]
-# KIND: bodies, chunked, heads, pipelined, slow-readers, half-open, all, gather
-# (the crowd's queries are gathered at another node) or calm (one request of the
-# largest legal size and no crowd). --without-settings leaves out memory_mb and
+# KIND: bodies, chunked, heads, fields, pipelined, slow-readers, half-open, all,
+# queries (with bodies, over all shards), gather (the crowd's queries are gathered
+# at another node), directory-bodies, ready-bodies, peer-bodies, operator-bodies,
+# ready-half-open, peer-half-open, frames (each at the listener of that name),
+# targets (queries that need more connections to targets than there may be),
+# listeners (all of them at once, while two of three nodes are lost) or calm (one
+# request of the largest legal size and no crowd). --without-settings leaves out memory_mb and
 # descriptors, for programs that do not have them. Status: 0 passed, 1 failed,
 # 2 usage, 3 not run.
 set -euo pipefail
@@ -22,16 +26,29 @@
 descriptors=800
 bound_mb=$((memory_mb + 16))
 nodes=1
+# The listener that the crowd connects to, and the nodes that are lost meanwhile.
+port=caller
+lost=()
 # The crowds differ as the memory that one client can take does.
 case "${1:-}" in
   bodies | chunked | slow-readers | pipelined) kind=$1 clients=500 ;;
-  heads) kind=heads clients=700 ;;
+  heads | fields) kind=$1 clients=700 ;;
   half-open) kind=half-open clients=1200 ;;
+  queries) kind=queries clients=400 ;;
   all) kind=all clients=150 ;;
   gather) kind=queries clients=400 nodes=3 ;;
+  directory-bodies | ready-bodies | peer-bodies | operator-bodies)
+    kind=bodies clients=500 port=${1%-bodies}
+    ;;
+  ready-half-open | peer-half-open)
+    kind=half-open clients=1200 port=${1%-half-open}
+    ;;
+  targets) kind=short-queries clients=400 descriptors=300 ;;
+  frames) kind=frames clients=300 port=gather ;;
+  listeners) kind=all clients=50 nodes=3 lost=(node-2 node-3) ;;
   calm) kind='' clients=0 ;;
   *)
-    sed -n 5p "$0" | cut -c3- >&2
+    grep -m 1 '^#   Meta/' "$0" | cut -c3- >&2
     exit 2
     ;;
 esac
@@ -42,13 +59,17 @@
 
 domains=(caxias-a caxias-b bento-c)
 declare -A pid_of=()
+# Ports of the listeners, counted from the first port of a node.
+declare -A offset_of=([caller]=0 [peer]=1 [operator]=2 [directory]=3 [gather]=4
+  [ready]=231)
+crowd_pids=()
 deployment=
 folder=$(mktemp -d)
 
 # Ends what this script has started, by id.
 finish() {
   local status=$? pid
-  for pid in "${pid_of[@]}" $deployment; do
+  for pid in "${pid_of[@]}" "${crowd_pids[@]}" $deployment; do
     kill -KILL "$pid" 2>/dev/null || true
   done
   # Collects the processes, so that the shell reports none of them.
@@ -92,6 +113,7 @@
     "--operator_address=127.0.0.1:$((base + 2))" \
     "--directory_address=127.0.0.1:$((base + 3))" \
     "--gather_address=127.0.0.1:$((base + 4))" \
+    "--ready_address=127.0.0.1:$((first_port + 240 + number))" \
     "--platform=127.0.0.1:$first_port" --dispatch=direct \
     "--settings_file=$folder/$1.settings" >"$folder/$1.log" 2>&1 &
   pid_of[$1]=$!
@@ -127,13 +149,25 @@
 }
 
 count_descriptors() {
-  local name count
+  local name open count
   for name in "${!pid_of[@]}"; do
-    count=$(find "/proc/${pid_of[$name]}/fd" 2>/dev/null | wc -l)
+    # Some close meanwhile.
+    open=$(find "/proc/${pid_of[$name]}/fd" -printf '%l\n' 2>/dev/null) || true
+    count=$(wc -l <<<"$open")
     [ "$count" -le "$most_descriptors" ] || most_descriptors=$count
+    count=$(grep -c '^socket:' <<<"$open") || true
+    [ "$count" -le "$most_sockets" ] || most_sockets=$count
   done
 }
 
+# start_crowd KIND LISTENER: a crowd at a listener of the first node.
+start_crowd() {
+  "$crowd" "--kind=$1" "--clients=$clients" \
+    "--port=$((first_port + 10 + ${offset_of[$2]}))" \
+    >"$folder/crowd-$1-$2.log" 2>&1 &
+  crowd_pids+=("$!")
+}
+
 first_port=$(pick_ports)
 mkfifo "$folder/commands"
 "$standin" --calm --single_bytes=1048576 "--nodes=$nodes" \
@@ -151,16 +185,30 @@
 
 failed=0
 most_descriptors=0
+most_sockets=0
 if [ -n "$kind" ]; then
-  "$crowd" "--kind=$kind" "--clients=$clients" "--port=$((first_port + 10))" \
-    >"$folder/crowd.log" 2>&1 &
-  crowd_pid=$!
-  while kill -0 "$crowd_pid" 2>/dev/null; do
+  start_crowd "$kind" "$port"
+  if [ "${#lost[@]}" -gt 0 ]; then
+    start_crowd queries caller
+    for listener in directory ready peer operator; do
+      start_crowd bodies "$listener"
+    done
+    start_crowd frames gather
+  fi
+  while kill -0 "${crowd_pids[@]}" 2>/dev/null; do
     count_descriptors
     sleep 0.3
+    for name in "${lost[@]}"; do
+      kill -KILL "${pid_of[$name]}"
+      wait "${pid_of[$name]}" 2>/dev/null || true
+      unset "pid_of[$name]"
+    done
+    lost=()
+  done
+  for pid in "${crowd_pids[@]}"; do
+    wait "$pid" || exit 3
   done
-  wait "$crowd_pid" || exit 3
-  cat "$folder/crowd.log"
+  cat "$folder"/crowd-*.log
   expect_served /one/ || failed=1
 else
   expect_served /one/ 262144 || failed=1
@@ -183,4 +231,11 @@
   echo "FAILED: more than $descriptors descriptors"
   failed=1
 fi
+# The others are for files.
+sockets=$((descriptors - 200))
+echo "sockets: $most_sockets of $sockets"
+if [ "$most_sockets" -gt "$sockets" ]; then
+  echo "FAILED: more than $sockets sockets"
+  failed=1
+fi
 exit "$failed"
--- a/StandIns/ClientCrowd/CrowdClient.cpp
+++ b/StandIns/ClientCrowd/CrowdClient.cpp
@@ -20,6 +20,10 @@
 constexpr std::size_t kRequestsWithoutPause = 2'000;
 constexpr std::size_t kLongResponses = 8;
 constexpr std::size_t kSlowBytes = 100;
+// The largest frame between nodes; its header is a length of four bytes and a
+// kind.
+constexpr std::uint32_t kFrameBytes = 1'048'576;
+constexpr char kFrameKind = 4;
 
 std::string
 Head(const std::string& aMethod,
@@ -85,6 +89,31 @@
   return { WithLength("/all/") + std::string(kBodyBytes, 'q') };
 }
 
+CrowdScript
+ShortQueries()
+{
+  return { Head("GET", "/all/", "\r\n"), kRequestsWithoutPause, kSlowBytes };
+}
+
+CrowdScript
+Fields()
+{
+  std::string fields;
+  while (fields.size() < kHeaderBytes) {
+    fields += "a:\r\n";
+  }
+  return { Head("GET", "/one/", fields) };
+}
+
+CrowdScript
+Frames()
+{
+  const std::uint32_t length = htonl(kFrameBytes);
+  std::string bytes(reinterpret_cast<const char*>(&length), sizeof(length));
+  bytes += kFrameKind;
+  return { bytes + std::string(kFrameBytes - 1, 'f') };
+}
+
 } // namespace
 
 CrowdScript
@@ -98,6 +127,9 @@
     { CrowdKind::SlowReaders, &SlowReaders },
     { CrowdKind::HalfOpen, &HalfOpen },
     { CrowdKind::Queries, &Queries },
+    { CrowdKind::ShortQueries, &ShortQueries },
+    { CrowdKind::Fields, &Fields },
+    { CrowdKind::Frames, &Frames },
   };
   return std::find_if(
            std::begin(kScripts),
--- a/StandIns/ClientCrowd/CrowdClient.h
+++ b/StandIns/ClientCrowd/CrowdClient.h
@@ -23,6 +23,13 @@
   HalfOpen,
   /// Complete queries with bodies of legal size, whose responses are not read.
   Queries,
+  /// Short queries over all shards without a pause, whose responses are read
+  /// slowly.
+  ShortQueries,
+  /// A head of many short fields that stops before its end.
+  Fields,
+  /// A frame between nodes that stops one byte short.
+  Frames,
 };
 
 /// What a client sends, in the order of the stages, and how fast it reads.
