LibHttp: Count each field of a head as memory

Cause: the budget counted the bytes of names and values. A field is two strings of 64 bytes together, and a head of legal size may have thousands of them, each with one counted byte.

Change: the memory of a head is that of its table of fields and twice the size of its texts, for their spare capacity.

The new case of TestMessageReader fails without the change.

--- a/Libraries/LibHttp/MessageReader.h
+++ b/Libraries/LibHttp/MessageReader.h
@@ -69,10 +69,17 @@
   [[nodiscard]] std::string& Body() { return mBody; }
   /// Memory that the body takes, in bytes.
   [[nodiscard]] std::size_t BodyMemory() const { return mBody.capacity(); }
-  /// Memory that the message takes, in bytes.
+  /// Memory that the message takes, in bytes. A head of many short fields takes
+  /// several times its size.
   [[nodiscard]] std::size_t MessageMemory() const
   {
-    return mBody.capacity() + mHeaderBytes;
+    return mBody.capacity() + HeadMemory();
+  }
+  /// Memory that the head takes, in bytes.
+  [[nodiscard]] std::size_t HeadMemory() const
+  {
+    // Texts have spare capacity of up to their size.
+    return 2 * mHeaderBytes + mFields.All().capacity() * sizeof(HttpField);
   }
   /// Frees the memory of the message, which must not be read any more.
   void DropBody() { mBody = std::string(); }
--- a/Tests/LibHttp/TestMessageReader.cpp
+++ b/Tests/LibHttp/TestMessageReader.cpp
@@ -145,4 +145,18 @@
   }
 }
 
+// Guards against heads of legal size whose many short fields take far more
+// memory than was counted.
+TEST_CASE("The memory of a head counts each field")
+{
+  constexpr std::size_t kFields = 4000;
+  MessageReader reader(MessageKind::Requests, MessageLimits());
+  reader.Feed("GET / HTTP/1.1\r\n");
+  for (std::size_t i = 0; i < kFields; ++i) {
+    reader.Feed("a:\r\n");
+  }
+  CHECK(reader.Current() == State::InMessage);
+  CHECK(reader.MessageMemory() >= kFields * sizeof(HttpField));
+}
+
 } // namespace verbenachute
