LibHttp, platform: Send one copy of a request to all targets

Cause: each attempt serialized the whole request anew and kept the text in its exchange, copied it once more into the output of the connection, and an idle connection kept its text until the next exchange. The budget charged the body once.

Change: an exchange consists of a shared start of the head, the target's own lines, and the shared body. Texts of 1 kB or more go to the socket without a copy and are released when they have left. What is sent is the same, byte for byte (TestRequestWire). An exchange that has ended keeps nothing.

The new cases of TestHttpStreams and TestRequestWire fail without it.

--- a/Libraries/LibForward/CallerRequest.h
+++ b/Libraries/LibForward/CallerRequest.h
@@ -37,6 +37,9 @@
   /// Rank of the tenant, which replaces that of the route; empty if it has
   /// none.
   std::optional<std::uint32_t> mTenantPriority;
+  /// The part of the serialized head that is the same for all targets; null
+  /// until the request is sent for the first time.
+  mutable std::shared_ptr<const std::string> mSharedHead;
 };
 
 using CallerRequestPointer = std::shared_ptr<const CallerRequest>;
--- a/Libraries/LibHttp/HttpClientStream.cpp
+++ b/Libraries/LibHttp/HttpClientStream.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kDefaultKeepAliveTimeout = seconds(60);
 constexpr std::string_view kTimeoutKey = "timeout=";
 constexpr int kFirstFinalStatus = 200;
+// Smaller texts are cheaper to copy than to refer to.
+constexpr std::size_t kMinimumReferencedBytes = 1024;
 
 } // namespace
 
@@ -121,8 +123,35 @@
 HttpClientStream::WriteRequest()
 {
   mTransferredBytes += mExchange.mRequest.size();
+  WriteShared(std::exchange(mExchange.mSharedHead, nullptr));
   bufferevent_write(
     mStream, mExchange.mRequest.data(), mExchange.mRequest.size());
+  WriteShared(std::exchange(mExchange.mSharedBody, nullptr));
+  // The connection may stay idle for long.
+  mExchange.mRequest = std::string();
+}
+
+void
+HttpClientStream::WriteShared(const SharedText& aText)
+{
+  if (aText == nullptr || aText->empty()) {
+    return;
+  }
+  mTransferredBytes += aText->size();
+  if (aText->size() < kMinimumReferencedBytes) {
+    bufferevent_write(mStream, aText->data(), aText->size());
+    return;
+  }
+  std::unique_ptr<SharedText> owner = std::make_unique<SharedText>(aText);
+  evbuffer_add_reference(
+    bufferevent_get_output(mStream),
+    aText->data(),
+    aText->size(),
+    [](const void*, std::size_t, void* aOwner) {
+      delete static_cast<SharedText*>(aOwner);
+    },
+    owner.get());
+  static_cast<void>(owner.release());
 }
 
 std::size_t
@@ -286,6 +315,7 @@
   mTimer.Stop();
   LeaveBudget();
   mReader.DropBody();
+  mExchange = Exchange();
   mDone = nullptr;
   mBroken = true;
   bufferevent_disable(mStream, EV_READ | EV_WRITE);
@@ -310,6 +340,7 @@
 {
   mTimer.Stop();
   LeaveBudget();
+  mExchange = Exchange();
   Done done = std::exchange(mDone, nullptr);
   done(std::move(aOutcome));
 }
--- a/Libraries/LibHttp/HttpClientStream.h
+++ b/Libraries/LibHttp/HttpClientStream.h
@@ -8,6 +8,7 @@
 #include <LibTransport/Timer.h>
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <variant>
 
@@ -15,6 +16,9 @@
 
 namespace verbenachute {
 
+/// A text that several exchanges send without copies of their own.
+using SharedText = std::shared_ptr<const std::string>;
+
 struct HttpResponse
 {
   int mStatus = 0;
@@ -71,8 +75,14 @@
 
   struct Exchange
   {
-    /// The serialized request, including its body.
+    /// Bytes that precede mRequest and are shared with other exchanges; null if
+    /// there are none.
+    SharedText mSharedHead;
+    /// The serialized request, without the shared bytes.
     std::string mRequest;
+    /// Bytes that follow mRequest and are shared with other exchanges; null if
+    /// there are none.
+    SharedText mSharedBody;
     /// Whether the request is a HEAD.
     bool mIsHead = false;
     /// If the field name is empty, any response is accepted.
@@ -113,6 +123,8 @@
   void OnEvicted() override;
   void OnTimer();
   void WriteRequest();
+  /// Large texts are kept alive until they have left instead of being copied.
+  void WriteShared(const SharedText& aText);
   void ReadInput();
   /// Reports the memory of an incomplete response; none if there is none.
   void UpdateBudget();
--- a/Libraries/LibHttp/HttpText.cpp
+++ b/Libraries/LibHttp/HttpText.cpp
@@ -70,18 +70,37 @@
                  const HttpFields& aFields,
                  std::string_view aBody)
 {
-  std::string text;
+  std::string text = SerializeRequestStart(aMethod, aTarget, HttpFields());
   text.reserve(256 + aBody.size());
+  text.append(SerializeRequestEnd(aMethod, aFields, aBody.size()));
+  return text.append(aBody);
+}
+
+std::string
+SerializeRequestStart(std::string_view aMethod,
+                      std::string_view aTarget,
+                      const HttpFields& aFields)
+{
+  std::string text;
   text.append(aMethod).append(" ").append(aTarget).append(" HTTP/1.1");
   text.append(kCrLf);
   AppendFields(aFields, &text);
-  if (!aBody.empty() || (aMethod != "GET" && aMethod != "HEAD")) {
-    AppendContentLength(aBody.size(), &text);
-  }
-  text.append(kCrLf).append(aBody);
   return text;
 }
 
+std::string
+SerializeRequestEnd(std::string_view aMethod,
+                    const HttpFields& aFields,
+                    std::size_t aBodyBytes)
+{
+  std::string text;
+  AppendFields(aFields, &text);
+  if (aBodyBytes > 0 || (aMethod != "GET" && aMethod != "HEAD")) {
+    AppendContentLength(aBodyBytes, &text);
+  }
+  return text.append(kCrLf);
+}
+
 std::string
 SerializeResponse(int aStatus,
                   const HttpFields& aFields,
--- a/Libraries/LibHttp/HttpText.h
+++ b/Libraries/LibHttp/HttpText.h
@@ -15,6 +15,20 @@
                  const HttpFields& aFields,
                  std::string_view aBody);
 
+/// Serializes the start line of a request and its first fields;
+/// SerializeRequestEnd returns what has to follow.
+[[nodiscard]] std::string
+SerializeRequestStart(std::string_view aMethod,
+                      std::string_view aTarget,
+                      const HttpFields& aFields);
+
+/// Serializes the last fields of a request with a body of aBodyBytes, up to the
+/// body. Content-Length is added as for SerializeRequest.
+[[nodiscard]] std::string
+SerializeRequestEnd(std::string_view aMethod,
+                    const HttpFields& aFields,
+                    std::size_t aBodyBytes);
+
 /// Whether the connection stays open after a response.
 enum class AfterResponse
 {
--- a/Tests/LibHttp/TestHttpStreams.cpp
+++ b/Tests/LibHttp/TestHttpStreams.cpp
@@ -384,4 +384,43 @@
   CHECK(budget.Held() == 0);
 }
 
+// Guards against a body that is held once for each shard, and once more by each
+// connection that is idle afterwards.
+TEST_CASE("Exchanges share a body, which idle connections do not keep")
+{
+  // Large enough not to be copied, and small enough for one segment.
+  constexpr std::size_t kBodyBytes = 2048;
+  constexpr std::size_t kExchanges = 8;
+  std::list<CannedResponseServer> servers;
+  const std::unique_ptr<EventLoop> loop = ReleaseValue(EventLoop::Create());
+  SharedText body = std::make_shared<const std::string>(kBodyBytes, 'b');
+  const std::weak_ptr<const std::string> observer = body;
+  std::list<HttpClientStream> streams;
+  std::size_t complete = 0;
+  for (std::size_t i = 0; i < kExchanges; ++i) {
+    servers.emplace_back(Response("mine", "new"),
+                         CannedResponseServer::Ending::Wait);
+    streams.emplace_back(*loop, servers.back().Address(), PeerTimeouts());
+    HttpClientStream::Exchange exchange = ExampleExchange();
+    exchange.mSharedHead =
+      std::make_shared<const std::string>("POST / HTTP/1.1\r\n");
+    exchange.mRequest = SerializeRequestEnd("POST", HttpFields(), kBodyBytes);
+    exchange.mSharedBody = body;
+    streams.back().Send(std::move(exchange),
+                        [&](const StreamOutcome& aOutcome) {
+                          CHECK(std::holds_alternative<HttpResponse>(aOutcome));
+                          if (++complete == kExchanges) {
+                            loop->Stop();
+                          }
+                        });
+  }
+  body.reset();
+  CHECK(!observer.expired());
+  loop->Run();
+  for (const HttpClientStream& stream : streams) {
+    CHECK(stream.IsReady());
+  }
+  CHECK(observer.expired());
+}
+
 } // namespace verbenachute
--- a/Tests/Platform/TestRequestWire.cpp
+++ b/Tests/Platform/TestRequestWire.cpp
@@ -17,6 +17,13 @@
   return response;
 }
 
+/// All bytes that an exchange sends.
+std::string
+TextOf(const HttpClientStream::Exchange& aExchange)
+{
+  return *aExchange.mSharedHead + aExchange.mRequest + *aExchange.mSharedBody;
+}
+
 } // namespace
 
 TEST_CASE(
@@ -44,12 +51,28 @@
   send.mTarget = TargetName("i-1");
   send.mRequest = request;
   send.mTimeLeft = milliseconds(250);
-  CHECK(TargetExchange(send).mRequest ==
+  CHECK(TextOf(TargetExchange(send)) ==
         "POST /a/b?c=%20 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
         "X-Kept: 1\r\nDeadline-Ms: 250\r\nExpect-Instance: i-1\r\n"
         "Content-Length: 4\r\n\r\nbody");
 }
 
+// Guards against copies of a request for each of many shards.
+TEST_CASE("Attempts of a request share its body and the start of its head")
+{
+  HttpCall call;
+  call.mMethod = "POST";
+  call.mTarget = "/";
+  call.mBody = "body";
+  SendAction send;
+  send.mRequest = ReadCallerRequest(&call, Duration(0));
+  const HttpClientStream::Exchange one = TargetExchange(send);
+  const HttpClientStream::Exchange other = TargetExchange(send);
+  CHECK(one.mSharedHead == other.mSharedHead);
+  CHECK(one.mSharedBody.get() == &send.mRequest->mBody);
+  CHECK(other.mSharedBody.get() == &send.mRequest->mBody);
+}
+
 TEST_CASE("What a response says of the request")
 {
   const HttpField stamp{ "Server-Stamp", "x" };
@@ -199,7 +222,7 @@
   request->mTenant = TenantName("t");
   SendAction action;
   action.mRequest = request;
-  CHECK(TargetExchange(action).mRequest.find("Tenant-Id: t\r\n") !=
+  CHECK(TextOf(TargetExchange(action)).find("Tenant-Id: t\r\n") !=
         std::string::npos);
 }
 
