LibCore: Make MemoryBudget the account of the process

Cause: the budget charged a request until its call ended, while a connection to a target could keep the body for longer; responses of targets had a budget of their own; an answer that waited for other parts, for a repeated attempt or for the caller was in none. Parts of a query were kept whole until it ended, up to 8 MB each, although the answer has at most the records of the route.

Change: MemoryBudget moves to LibCore, and a charge follows its bytes: with the request to the engine and to the connections (WithCharge), with a reply (PartReply), with responses in reception (ReceiveBudget, whose own limit stays). A connection without any message is charged with 4 kB. The limit is the sum of both former shares. A part keeps only the records that the answer may contain, if it is larger than 4 kB, and none of its header fields. The budget is declared before the loop, whose deferred tasks may hold charges.

--- a/Libraries/LibHttp/MemoryBudget.cpp
+++ b/Libraries/LibCore/MemoryBudget.cpp
@@ -1,4 +1,4 @@
-#include <LibHttp/MemoryBudget.h>
+#include <LibCore/MemoryBudget.h>
 
 #include <algorithm>
 #include <tuple>
@@ -30,14 +30,13 @@
 
 MemoryBudget::Charge::Charge(MemoryBudget* aBudget, std::size_t aBytes)
   : mBudget(aBudget)
-  , mBytes(aBytes)
 {
-  mBudget->mCharged += mBytes;
+  Resize(aBytes);
 }
 
 MemoryBudget::Charge::Charge(Charge&& aOther) noexcept
   : mBudget(std::exchange(aOther.mBudget, nullptr))
-  , mBytes(aOther.mBytes)
+  , mBytes(std::exchange(aOther.mBytes, 0))
 {
 }
 
@@ -47,7 +46,7 @@
   if (this != &aOther) {
     Release();
     mBudget = std::exchange(aOther.mBudget, nullptr);
-    mBytes = aOther.mBytes;
+    mBytes = std::exchange(aOther.mBytes, 0);
   }
   return *this;
 }
@@ -58,14 +57,22 @@
 }
 
 void
-MemoryBudget::Charge::Release()
+MemoryBudget::Charge::Resize(std::size_t aBytes)
 {
   if (mBudget != nullptr) {
+    mBudget->mCharged += aBytes;
     mBudget->mCharged -= mBytes;
-    mBudget = nullptr;
+    mBytes = aBytes;
   }
 }
 
+void
+MemoryBudget::Charge::Release()
+{
+  Resize(0);
+  mBudget = nullptr;
+}
+
 MemoryBudget::MemoryBudget(std::size_t aLimit,
                            EvictionCallback aEvicted,
                            RefusedCallback aRefused)
@@ -177,6 +184,9 @@
 void
 MemoryBudget::Sweep(Instant aNow)
 {
+  if (Held() > mLimit) {
+    EvictLargestAndSlowest(aNow);
+  }
   if (Held() <= mLimit / 2) {
     return;
   }
--- a/Libraries/LibHttp/MemoryBudget.h
+++ b/Libraries/LibCore/MemoryBudget.h
@@ -9,9 +9,10 @@
 
 namespace verbenachute {
 
-/// Bounds the memory that the connections of all clients take together. Beyond
-/// the limit it evicts the connections that hold most for their recent
-/// progress. It has no clock and does no I/O.
+/// The account of all memory that clients cause a process to hold. What can be
+/// given up is held by connections, and beyond the limit those that hold most
+/// for their recent progress are evicted. The rest is charged, and requests are
+/// not admitted while it takes too much. It has no clock and does no I/O.
 class MemoryBudget
 {
 public:
@@ -52,16 +53,19 @@
     ~Holder() = default;
   };
 
-  /// Memory of a complete request until its response. It cannot be evicted.
+  /// Memory that cannot be evicted, from its allocation until it is freed.
   class Charge
   {
   public:
     Charge() = default;
+    /// aBudget may be null, and must outlive the charge otherwise.
     Charge(MemoryBudget* aBudget, std::size_t aBytes);
     Charge(Charge&& aOther) noexcept;
     Charge& operator=(Charge&& aOther) noexcept;
     ~Charge();
 
+    void Resize(std::size_t aBytes);
+
   private:
     void Release();
 
@@ -87,10 +91,11 @@
               std::size_t aMoved,
               Instant aNow);
   void Remove(Holder* aHolder);
-  /// Evicts the holders below the minimum progress if memory is scarce.
+  /// Evicts holders if charges have exceeded the limit, and the holders below
+  /// the minimum progress if memory is scarce.
   void Sweep(Instant aNow);
-  /// Whether a complete request of so many bytes may run. Small requests may
-  /// use more of the limit than large ones.
+  /// Whether a complete request of so many bytes may run beside what is
+  /// charged. Small requests may use more of the limit than large ones.
   [[nodiscard]] bool Admits(std::size_t aBytes) const;
   /// A complete request was refused because of the budget.
   void OnRefused() { mRefused(); }
--- a/Libraries/LibForward/CallerRequest.h
+++ b/Libraries/LibForward/CallerRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
+#include <LibCore/MemoryBudget.h>
 #include <LibCore/Time.h>
 #include <LibHttp/HttpFields.h>
 #include <LibRouting/Tenant.h>
@@ -44,4 +45,13 @@
 
 using CallerRequestPointer = std::shared_ptr<const CallerRequest>;
 
+/// Memory that the head and the body of a request take, in bytes.
+[[nodiscard]] std::size_t
+MemoryOf(const CallerRequest& aRequest);
+
+/// A pointer to the same request that keeps the charge until nobody refers to
+/// the request or its body any more.
+[[nodiscard]] CallerRequestPointer
+WithCharge(CallerRequestPointer aRequest, MemoryBudget::Charge aCharge);
+
 } // namespace verbenachute
--- a/Libraries/LibForward/ForwardEngine.cpp
+++ b/Libraries/LibForward/ForwardEngine.cpp
@@ -156,13 +156,17 @@
     if (aReply.mKind == ReplyKind::Answered) {
       mPoison.OnAnswered(request->second.mFingerprint);
       part.mReply = std::move(aReply);
+      if (request->second.mShards != nullptr) {
+        KeepTopRecords(*request->second.mShards, &*part.mReply);
+      }
       part.mState = PartState::Done;
       ++request->second.mSummary.mPartsDone;
       for (const AttemptId superseded : std::exchange(part.mRunning, {})) {
         Abandon(superseded, aNow);
       }
     } else {
-      if (aReply.mKind == ReplyKind::Failed && !aReply.mSignature.empty()) {
+      if (aReply.mKind == ReplyKind::Failed && !aReply.mSignature.empty() &&
+          request->second.mShards == nullptr) {
         part.mReply = std::move(aReply);
       }
       RetryPart(attempt.mNumber, &request->second, attempt.mPart, aNow);
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -160,7 +160,8 @@
     std::optional<Instant> mHedgeAt;
     /// Whether an attempt may have run at a target.
     bool mMayHaveRun = false;
-    /// The answer, or the last failure that a target has signed.
+    /// The answer; of a single request, or the last failure that a target has
+    /// signed.
     std::optional<PartReply> mReply;
     /// Domains whose peers have asked no target of this part.
     DomainSet mDecliningDomains;
@@ -560,6 +561,9 @@
   /// The greatest records of the parts that are done, up to the number that
   /// the caller gets.
   [[nodiscard]] static std::string MergedRecords(const Request& aRequest);
+  /// Frees what the answer to a query can not contain. A part is kept until the
+  /// query ends.
+  static void KeepTopRecords(const ShardSet& aShards, PartReply* aReply);
   /// Indexes of the parts of which a missing record might belong to the answer.
   [[nodiscard]] static std::vector<std::size_t> InexactParts(
     const Request& aRequest,
--- a/Libraries/LibForward/ForwardEngineOutcomes.cpp
+++ b/Libraries/LibForward/ForwardEngineOutcomes.cpp
@@ -16,6 +16,8 @@
 // How long an abandoned attempt may still complete, which keeps its connection
 // reusable. After that it is cancelled to spare the target the work.
 constexpr Duration kAbandonedAttemptGrace = milliseconds(300);
+// Smaller parts are kept as they are, which is cheaper than sorting them.
+constexpr std::size_t kMinimumReducedBytes = 4096;
 
 } // namespace
 
@@ -170,6 +172,20 @@
   return MergeTopRecords(parts, aRequest.mShards->mMaximumRecords);
 }
 
+void
+ForwardEngine::KeepTopRecords(const ShardSet& aShards, PartReply* aReply)
+{
+  aReply->mFields = HttpFields();
+  const std::size_t needed = aShards.mMaximumRecords * kRecordBytes;
+  if (aReply->mBody.size() > std::max(needed, kMinimumReducedBytes)) {
+    aReply->mBody = MergeTopRecords({ aReply->mBody }, aShards.mMaximumRecords);
+  }
+  if (aReply->mCharge != nullptr) {
+    aReply->mCharge->Resize(aReply->mBody.capacity() +
+                            aReply->mSignature.capacity());
+  }
+}
+
 GatheredOutcome
 ForwardEngine::MergeParts(const Request& aRequest) const
 {
--- a/Libraries/LibForward/PartReply.h
+++ b/Libraries/LibForward/PartReply.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <LibCore/MemoryBudget.h>
 #include <LibCore/Time.h>
 #include <LibHttp/HttpFields.h>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -61,6 +63,9 @@
   std::optional<Duration> mPause;
   /// Names of header fields that could not be read, separated by spaces.
   std::string mUnreadableFields;
+  /// For the memory of fields and body, shared by all copies; null if it is not
+  /// charged.
+  std::shared_ptr<MemoryBudget::Charge> mCharge;
 };
 
 /// Why an attempt ended without a response.
--- a/Libraries/LibHttp/HttpCall.h
+++ b/Libraries/LibHttp/HttpCall.h
@@ -1,14 +1,15 @@
 #pragma once
 
+#include <LibCore/MemoryBudget.h>
 #include <LibHttp/HttpFields.h>
 #include <LibHttp/HttpText.h>
-#include <LibHttp/MemoryBudget.h>
 
 #include <LibCore/Identifiers.h>
 #include <LibCore/Time.h>
 
 #include <sigc++/sigc++.h>
 #include <string>
+#include <utility>
 
 namespace verbenachute {
 
@@ -42,6 +43,9 @@
                const HttpFields& aFields,
                std::string_view aBody,
                AfterResponse aAfter = AfterResponse::KeepOpen);
+  /// The charge for the memory of the request, for whoever takes its parts. It
+  /// is released with the call otherwise.
+  [[nodiscard]] MemoryBudget::Charge TakeCharge() { return std::move(mCharge); }
   /// Emitted if the caller closes the connection before the response.
   [[nodiscard]] sigc::signal<void()>& CallerDisconnected()
   {
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -30,6 +30,9 @@
 // A response of at least this size is passed to the socket without a copy.
 constexpr std::size_t kLargeResponseBytes = 16UL * 1024;
 
+// What a connection takes without any message.
+constexpr std::size_t kConnectionBytes = 4UL * 1024;
+
 constexpr int kUnavailable = 503;
 constexpr int kBadRequest = 400;
 constexpr int kBodyTooLarge = 413;
@@ -72,6 +75,7 @@
   , mReader(MessageKind::Requests, aLimits.mMessage)
   , mTimer(aLoop, [this]() { OnTimeout(); })
   , mBudget(aBudget)
+  , mOwnCharge(aBudget, kConnectionBytes)
   , mLastInput(aLoop.Now())
 {
   mAcceptDelay = aLoop.MaximumReadDelay();
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <LibCore/MemoryBudget.h>
 #include <LibHttp/HttpCall.h>
-#include <LibHttp/MemoryBudget.h>
 #include <LibHttp/MessageReader.h>
 
 #include <LibTransport/EventLoop.h>
@@ -95,6 +95,8 @@
   bool mLingering = false;
   bool mEnding = false;
   MemoryBudget* mBudget;
+  /// For the connection itself, even if it is idle.
+  MemoryBudget::Charge mOwnCharge;
   Instant mLastInput;
   bool mEvicted = false;
 };
--- a/Libraries/LibHttp/ReceiveBudget.cpp
+++ b/Libraries/LibHttp/ReceiveBudget.cpp
@@ -17,6 +17,7 @@
   } else if (found != mHolders.end()) {
     mHolders.erase(found);
   }
+  mCharge.Resize(mHeld);
 }
 
 void
--- a/Libraries/LibHttp/ReceiveBudget.h
+++ b/Libraries/LibHttp/ReceiveBudget.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibCore/MemoryBudget.h>
+
 #include <cstddef>
 #include <unordered_map>
 
@@ -22,9 +24,11 @@
     ~Holder() = default;
   };
 
-  /// aLimit is in bytes.
-  explicit ReceiveBudget(std::size_t aLimit)
+  /// aLimit is in bytes. The messages are charged to aAccount, which may be
+  /// null and must outlive the budget otherwise.
+  explicit ReceiveBudget(std::size_t aLimit, MemoryBudget* aAccount = nullptr)
     : mLimit(aLimit)
+    , mCharge(aAccount, 0)
   {
   }
 
@@ -42,6 +46,7 @@
   std::size_t mLimit;
   std::unordered_map<Holder*, std::size_t> mHolders;
   std::size_t mHeld = 0;
+  MemoryBudget::Charge mCharge;
   std::size_t mEvictions = 0;
 };
 
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -41,15 +41,15 @@
   : mCommandLine(aCommandLine)
   , mSettings(aSettings)
   , mSelf(NewIdentity(aSettings))
-  , mLoop(std::move(aLoop))
-  , mLogger({ aSettings.Name() }, mLoop->SystemTime())
   , mShares(SharesOf(aSettings))
   , mClientMemory(
-      mShares.mClientBytes,
+      mShares.mClientBytes + mShares.mTargetBytes,
       [this](const MemoryBudget::Eviction& aEviction) {
         OnClientEvicted(aEviction);
       },
       [this]() { mMetrics.Add(Counter::RequestsOverMemory); })
+  , mLoop(std::move(aLoop))
+  , mLogger({ aSettings.Name() }, mLoop->SystemTime())
   , mEngine(EngineSettings(aSettings, mSelf))
   , mEntryState(mEngine, mLogger, aSettings.Domains(), aSettings.HomeRegion())
   , mGossip(GossipSettings(mSelf), InitialStatus(aSettings, mSelf))
@@ -58,7 +58,7 @@
       *mLoop,
       mLogger,
       mMetrics,
-      mShares.mTargetBytes,
+      { mClientMemory, mShares.mTargetBytes },
       [this](AttemptId aAttempt, PartReply aReply) {
         if (!aReply.mUnreadableFields.empty()) {
           mLogger.Log(LogEvent(EventNumber::TargetFieldUnreadable)
--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -118,11 +118,12 @@
   CommandLine mCommandLine;
   Settings mSettings;
   NodeIdentity mSelf;
+  ResourceShares mShares;
+  /// Declared before the loop, whose deferred tasks may hold charges.
+  MemoryBudget mClientMemory;
   std::unique_ptr<EventLoop> mLoop;
   BoostLogger mLogger;
   MetricsRegistry mMetrics;
-  ResourceShares mShares;
-  MemoryBudget mClientMemory;
   ForwardEngine mEngine;
   EntryState mEntryState;
   GossipTable mGossip;
--- a/Services/verbenachuted/EntryNodePorts.cpp
+++ b/Services/verbenachuted/EntryNodePorts.cpp
@@ -139,7 +139,8 @@
   const Duration connecting = 2 * ForwardSettings().mCallerOneWayDelay;
   const std::shared_ptr<CallerRequest> request =
     platform::ReadCallerRequest(aCall.get(), connecting);
-  mPendingCalls.emplace(number, PendingCall{ aCall, request });
+  const CallerRequestPointer charged = WithCharge(request, aCall->TakeCharge());
+  mPendingCalls.emplace(number, PendingCall{ aCall, charged });
   aCall->CallerDisconnected().connect([this, number]() {
     mPendingCalls.erase(number);
     mQuota.Cancel(number);
@@ -155,7 +156,7 @@
     mQuota.Request(number, request->mTenant);
     return;
   }
-  Perform(mEngine.Submit(number, request, mLoop->Now()));
+  Perform(mEngine.Submit(number, charged, mLoop->Now()));
 }
 
 QuotaService::Hooks
--- a/Services/verbenachuted/TargetConnectionPool.cpp
+++ b/Services/verbenachuted/TargetConnectionPool.cpp
@@ -44,13 +44,14 @@
 TargetConnectionPool::TargetConnectionPool(EventLoop& aLoop,
                                            Logger& aLogger,
                                            MetricsRegistry& aMetrics,
-                                           std::size_t aMaximumReceivedBytes,
+                                           const Resources& aResources,
                                            ReplyArrived aReplyArrived,
                                            AttemptFailed aAttemptFailed)
   : mLoop(aLoop)
   , mLogger(aLogger)
   , mMetrics(aMetrics)
-  , mReceiveBudget(aMaximumReceivedBytes)
+  , mResources(aResources)
+  , mReceiveBudget(aResources.mMaximumReceivedBytes, &aResources.mMemory)
   , mReplyArrived(std::move(aReplyArrived))
   , mAttemptFailed(std::move(aAttemptFailed))
 {
@@ -153,9 +154,11 @@
     mAttemptFailed(aAttempt, platform::AttemptFailureOf(*failure));
     return;
   }
-  mReplyArrived(
-    aAttempt,
-    platform::ReadTargetResponse(std::move(std::get<HttpResponse>(aOutcome))));
+  PartReply reply =
+    platform::ReadTargetResponse(std::move(std::get<HttpResponse>(aOutcome)));
+  reply.mCharge = std::make_shared<MemoryBudget::Charge>(
+    &mResources.mMemory, reply.mBody.capacity());
+  mReplyArrived(aAttempt, std::move(reply));
 }
 
 void
--- a/Services/verbenachuted/TargetConnectionPool.h
+++ b/Services/verbenachuted/TargetConnectionPool.h
@@ -22,12 +22,20 @@
   using ReplyArrived = std::function<void(AttemptId, PartReply)>;
   using AttemptFailed = std::function<void(AttemptId, AttemptFailure)>;
 
-  /// aMaximumReceivedBytes bounds all responses that are being received.
+  /// What the connections may take of the process.
+  struct Resources
+  {
+    /// The account of the responses.
+    MemoryBudget& mMemory;
+    /// Bytes of all responses that are being received.
+    std::size_t mMaximumReceivedBytes = 0;
+  };
+
   /// Bytes of attempts that cross failure domains are added to aMetrics.
   TargetConnectionPool(EventLoop& aLoop,
                        Logger& aLogger,
                        MetricsRegistry& aMetrics,
-                       std::size_t aMaximumReceivedBytes,
+                       const Resources& aResources,
                        ReplyArrived aReplyArrived,
                        AttemptFailed aAttemptFailed);
 
@@ -72,6 +80,7 @@
   EventLoop& mLoop;
   Logger& mLogger;
   MetricsRegistry& mMetrics;
+  Resources mResources;
   ReceiveBudget mReceiveBudget;
   ReplyArrived mReplyArrived;
   AttemptFailed mAttemptFailed;
--- a/Tests/LibForward/TestForwardEngine.cpp
+++ b/Tests/LibForward/TestForwardEngine.cpp
@@ -571,4 +571,55 @@
   }
 }
 
+// Guards against long parts that are kept whole until the query ends.
+TEST_CASE("A part keeps only the records that the answer may contain")
+{
+  constexpr std::size_t kRecords = 4096;
+  constexpr std::size_t kShards = 4;
+  MemoryBudget account(
+    64UL << 20U, [](const MemoryBudget::Eviction&) {}, []() {});
+  ForwardRig rig(kShards);
+  rig.ListAll();
+  const RequestNumber query = rig.Submit("/gather/1");
+  std::string records;
+  for (std::size_t i = 0; i < kRecords; ++i) {
+    std::string record = std::to_string(i);
+    record.insert(0, kRecordBytes - record.size(), '0');
+    records += record;
+  }
+  for (const SendAction& send : rig.Open()) {
+    CHECK(rig.AnswerOf(query) == nullptr);
+    PartReply reply;
+    reply.mKind = ReplyKind::Answered;
+    reply.mSignature = "signature";
+    reply.mBody = records;
+    reply.mCharge =
+      std::make_shared<MemoryBudget::Charge>(&account, records.size());
+    rig.Take(rig.mEngine.OnReply(send.mAttempt, std::move(reply), rig.mNow));
+    CHECK(account.Held() < records.size() / 4);
+  }
+  CHECK(account.Held() == 0);
+  const GatheredOutcome* outcome = rig.OutcomeOf<GatheredOutcome>(query);
+  REQUIRE(outcome != nullptr);
+  const std::string greatest = records.substr(records.size() - kRecordBytes);
+  CHECK(outcome->mRecords == greatest + greatest);
+}
+
+// Guards against a body that is freed in the books while a connection to a
+// target still sends it.
+TEST_CASE("A request is charged until nobody refers to its body")
+{
+  MemoryBudget account(
+    64UL << 20U, [](const MemoryBudget::Eviction&) {}, []() {});
+  std::shared_ptr<const std::string> body;
+  {
+    CallerRequestPointer request = std::make_shared<const CallerRequest>();
+    request = WithCharge(std::move(request), { &account, 1000 });
+    body = { request, &request->mBody };
+  }
+  CHECK(account.Held() == 1000);
+  body.reset();
+  CHECK(account.Held() == 0);
+}
+
 } // namespace verbenachute
--- a/Tests/LibHttp/TestReceiveBudget.cpp
+++ b/Tests/LibHttp/TestReceiveBudget.cpp
@@ -55,4 +55,21 @@
   CHECK(one.mEvictions + other.mEvictions == 0);
 }
 
+TEST_CASE("Messages are charged to the account of the process")
+{
+  MemoryBudget account(
+    1000, [](const MemoryBudget::Eviction&) {}, []() {});
+  ReceiveBudget budget(100, &account);
+  FakeHolder one;
+  FakeHolder other;
+  budget.Update(&one, 60);
+  budget.Update(&other, 30);
+  CHECK(account.Held() == 90);
+  // The largest is given up.
+  budget.Update(&other, 50);
+  CHECK(account.Held() == 50);
+  budget.Update(&other, 0);
+  CHECK(account.Held() == 0);
+}
+
 } // namespace verbenachute
