LibCore: Return large blocks to the system when they are freed

Cause: glibc raises its threshold for blocks that are mapped one by one to the largest block that was freed. After the first long body or answer, all of them lie in the heap between small blocks, which keep its pages in use; what the budget counts as freed stays with the process.

--- a/Services/verbenachuted/main.cpp
+++ b/Services/verbenachuted/main.cpp
@@ -2,6 +2,7 @@
 #include "EntryNode.h"
 #include "Flags.h"
 
+#include <LibCore/Allocator.h>
 #include <LibSettings/Settings.h>
 
 #include <cstdio>
@@ -29,6 +30,7 @@
 main(int aCount, char** aWords)
 {
   using namespace verbenachute;
+  ConfigureAllocator();
   const Result<CommandLine> commandLine =
     ReadCommandLine(aCount, aWords, environ);
   if (IsError(commandLine)) {
