LibTransport, GatherPort: Hold frames and delegated requests in the budget

Cause: neither incomplete frames, nor frames that wait for a peer to read, nor the requests that a peer has delegated were in the budget. 1,024 links might be open, more than some processes have descriptors.

Change: a link reports both of its buffers to the budget and closes when it is evicted; one that moves is among the last. A delegated request is charged like that of a caller, and refused if the budget does not admit it: the peer that delegated it then asks the targets itself. A quarter of the reserve of descriptors is for links of peers. At the maximum, the link that has been silent longest and has no request pending makes room for a new one.

--- a/Libraries/LibCore/MemoryBudget.cpp
+++ b/Libraries/LibCore/MemoryBudget.cpp
@@ -130,7 +130,9 @@
   // Output drains without a call of Update.
   for (auto& [holder, entry] : mHolders) {
     const std::size_t bytes = holder->HeldBytes();
-    if (entry.mUse != Use::UnreadResponse || bytes >= entry.mBytes) {
+    const bool drains =
+      entry.mUse == Use::UnreadResponse || entry.mUse == Use::PeerFrames;
+    if (!drains || bytes >= entry.mBytes) {
       continue;
     }
     entry.mMoved += entry.mBytes - bytes;
--- a/Libraries/LibCore/MemoryBudget.h
+++ b/Libraries/LibCore/MemoryBudget.h
@@ -23,6 +23,8 @@
     UnreadResponse,
     /// Input beyond a request that is in progress.
     ReadAhead,
+    /// An incomplete frame of another node, and frames that it has not read.
+    PeerFrames,
   };
 
   enum class Reason
--- a/Libraries/LibHttp/ResourceShares.cpp
+++ b/Libraries/LibHttp/ResourceShares.cpp
@@ -31,6 +31,8 @@
   shares.mDirectoryConnections = std::max(clients / 8, kMinimumConnections);
   shares.mCallerConnections =
     std::max(clients - clients / 8, kMinimumConnections);
+  const std::size_t reserve = sockets / 3;
+  shares.mGatherLinks = std::max(reserve / 4, kMinimumConnections);
   return shares;
 }
 
--- a/Libraries/LibHttp/ResourceShares.h
+++ b/Libraries/LibHttp/ResourceShares.h
@@ -13,6 +13,8 @@
   std::size_t mTargetBytes = 0;
   std::size_t mCallerConnections = 0;
   std::size_t mDirectoryConnections = 0;
+  /// Links over which peers delegate requests to this node.
+  std::size_t mGatherLinks = 0;
 };
 
 /// aMemoryBytes and aDescriptors are what the process may take in total.
--- a/Libraries/LibTransport/FrameLink.cpp
+++ b/Libraries/LibTransport/FrameLink.cpp
@@ -1,11 +1,13 @@
 #include <LibTransport/FrameLink.h>
 #include <LibTransport/SocketOptions.h>
 
+#include <algorithm>
 #include <cstring>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <netinet/in.h>
+#include <utility>
 
 namespace verbenachute {
 
@@ -18,11 +20,13 @@
 std::unique_ptr<FrameLink>
 FrameLink::Dial(EventLoop& aLoop,
                 const SocketAddress& aAddress,
-                std::uint32_t aMaximumPayloadBytes)
+                std::uint32_t aMaximumPayloadBytes,
+                MemoryBudget* aBudget)
 {
   bufferevent* stream =
     bufferevent_socket_new(aLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
-  std::unique_ptr<FrameLink> link(new FrameLink(stream, aMaximumPayloadBytes));
+  std::unique_ptr<FrameLink> link(
+    new FrameLink(aLoop, stream, aMaximumPayloadBytes, aBudget));
   link->InstallCallbacks();
   sockaddr_in address = SocketAddressOf(aAddress);
   // An immediate failure is reported through the event callback as well.
@@ -34,28 +38,67 @@
 std::unique_ptr<FrameLink>
 FrameLink::Adopt(EventLoop& aLoop,
                  int aSocket,
-                 std::uint32_t aMaximumPayloadBytes)
+                 std::uint32_t aMaximumPayloadBytes,
+                 MemoryBudget* aBudget)
 {
   evutil_make_socket_nonblocking(aSocket);
   TuneSocket(aSocket, PeerTimeouts());
   std::unique_ptr<FrameLink> link(new FrameLink(
+    aLoop,
     bufferevent_socket_new(aLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE),
-    aMaximumPayloadBytes));
+    aMaximumPayloadBytes,
+    aBudget));
   link->InstallCallbacks();
   return link;
 }
 
-FrameLink::FrameLink(bufferevent* aStream, std::uint32_t aMaximumPayloadBytes)
-  : mStream(aStream)
+FrameLink::FrameLink(EventLoop& aLoop,
+                     bufferevent* aStream,
+                     std::uint32_t aMaximumPayloadBytes,
+                     MemoryBudget* aBudget)
+  : mLoop(aLoop)
+  , mStream(aStream)
   , mMaximumPayloadBytes(aMaximumPayloadBytes)
+  , mBudget(aBudget)
+  , mEvictionTimer(aLoop, [this]() { Close(); })
 {
 }
 
 FrameLink::~FrameLink()
 {
+  if (mBudget != nullptr) {
+    mBudget->Remove(this);
+  }
   bufferevent_free(mStream);
 }
 
+std::size_t
+FrameLink::HeldBytes() const
+{
+  return evbuffer_get_length(bufferevent_get_input(mStream)) +
+         evbuffer_get_length(bufferevent_get_output(mStream));
+}
+
+void
+FrameLink::ReportMemory()
+{
+  if (mBudget == nullptr || mClosed || mEvictionTimer.IsRunning()) {
+    return;
+  }
+  const std::size_t before = std::exchange(mReportedBytes, HeldBytes());
+  // Growth is progress of the sender. The budget itself counts what drains.
+  const std::size_t moved = mReportedBytes - std::min(before, mReportedBytes);
+  mBudget->Update(
+    this, MemoryBudget::Use::PeerFrames, mReportedBytes, moved, mLoop.Now());
+}
+
+void
+FrameLink::OnEvicted()
+{
+  // From the loop, since the budget may be called while this link is in use.
+  mEvictionTimer.Start(Duration(0));
+}
+
 void
 FrameLink::Send(FrameKind aKind, const std::string& aPayload)
 {
@@ -70,6 +113,7 @@
   evbuffer* output = bufferevent_get_output(mStream);
   evbuffer_add(output, header, sizeof(header));
   evbuffer_add(output, aPayload.data(), aPayload.size());
+  ReportMemory();
 }
 
 std::size_t
@@ -104,7 +148,9 @@
     [](bufferevent*, void* aLink) {
       static_cast<FrameLink*>(aLink)->ReadFrames();
     },
-    nullptr,
+    [](bufferevent*, void* aLink) {
+      static_cast<FrameLink*>(aLink)->ReportMemory();
+    },
     [](bufferevent* aStream, short aEvents, void* aLink) {
       FrameLink* link = static_cast<FrameLink*>(aLink);
       if ((aEvents & BEV_EVENT_CONNECTED) != 0) {
@@ -135,13 +181,14 @@
       return;
     }
     if (evbuffer_get_length(input) < kHeaderBytes + length) {
-      return;
+      break;
     }
     evbuffer_drain(input, kHeaderBytes);
     std::string payload(length, '\0');
     evbuffer_remove(input, payload.data(), length);
     mFrameArrived.emit(static_cast<FrameKind>(kind), payload);
   }
+  ReportMemory();
 }
 
 void
@@ -151,6 +198,10 @@
     return;
   }
   mClosed = true;
+  mEvictionTimer.Stop();
+  if (mBudget != nullptr) {
+    mBudget->Remove(this);
+  }
   bufferevent_disable(mStream, EV_READ | EV_WRITE);
   mClosedSignal.emit();
 }
--- a/Libraries/LibTransport/FrameLink.h
+++ b/Libraries/LibTransport/FrameLink.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
+#include <LibCore/MemoryBudget.h>
 #include <LibTransport/EventLoop.h>
+#include <LibTransport/Timer.h>
 
 #include <cstdint>
 #include <memory>
@@ -29,7 +31,7 @@
 /// A TCP connection between two nodes that carries frames. A frame is the
 /// length of the payload in four bytes in network byte order, one byte of
 /// FrameKind, and the payload.
-class FrameLink
+class FrameLink final : private MemoryBudget::Holder
 {
 public:
   using FrameArrivedSignal = sigc::signal<void(FrameKind, const std::string&)>;
@@ -38,16 +40,19 @@
   /// larger one.
   static constexpr std::uint32_t kMostBytes = 16 * 1024 * 1024;
 
-  /// Starts to connect. Connected or Closed reports the result.
+  /// Starts to connect. Connected or Closed reports the result. aBudget may be
+  /// null, and must outlive the link otherwise; a link that it evicts closes.
   [[nodiscard]] static std::unique_ptr<FrameLink> Dial(
     EventLoop& aLoop,
     const SocketAddress& aAddress,
-    std::uint32_t aMaximumPayloadBytes = kMostBytes);
-  /// Takes ownership of an accepted socket.
+    std::uint32_t aMaximumPayloadBytes = kMostBytes,
+    MemoryBudget* aBudget = nullptr);
+  /// Takes ownership of an accepted socket. For aBudget see Dial.
   [[nodiscard]] static std::unique_ptr<FrameLink> Adopt(
     EventLoop& aLoop,
     int aSocket,
-    std::uint32_t aMaximumPayloadBytes = kMostBytes);
+    std::uint32_t aMaximumPayloadBytes = kMostBytes,
+    MemoryBudget* aBudget = nullptr);
   ~FrameLink();
   FrameLink(const FrameLink&) = delete;
   FrameLink& operator=(const FrameLink&) = delete;
@@ -65,13 +70,24 @@
   [[nodiscard]] sigc::signal<void()>& Closed();
 
 private:
-  FrameLink(bufferevent* aStream, std::uint32_t aMaximumPayloadBytes);
+  FrameLink(EventLoop& aLoop,
+            bufferevent* aStream,
+            std::uint32_t aMaximumPayloadBytes,
+            MemoryBudget* aBudget);
+  void OnEvicted() override;
+  [[nodiscard]] std::size_t HeldBytes() const override;
+  void ReportMemory();
   void InstallCallbacks();
   void ReadFrames();
   void Close();
 
+  EventLoop& mLoop;
   bufferevent* mStream;
   std::uint32_t mMaximumPayloadBytes;
+  MemoryBudget* mBudget;
+  /// Bytes of the last report to the budget.
+  std::size_t mReportedBytes = 0;
+  Timer mEvictionTimer;
   bool mClosed = false;
   sigc::signal<void()> mConnected;
   FrameArrivedSignal mFrameArrived;
--- a/Libraries/LibTransport/FrameListener.cpp
+++ b/Libraries/LibTransport/FrameListener.cpp
@@ -16,17 +16,18 @@
 Result<std::unique_ptr<FrameListener>>
 FrameListener::Create(EventLoop& aLoop,
                       const SocketAddress& aAddress,
-                      std::uint32_t aMaximumPayloadBytes)
+                      std::uint32_t aMaximumPayloadBytes,
+                      MemoryBudget* aBudget)
 {
   std::unique_ptr<FrameListener> listener(
-    new FrameListener(aLoop, aMaximumPayloadBytes));
+    new FrameListener(aLoop, aMaximumPayloadBytes, aBudget));
   sockaddr_in address = SocketAddressOf(aAddress);
   listener->mListener = evconnlistener_new_bind(
     aLoop.Base(),
     [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
       FrameListener* self = static_cast<FrameListener*>(aSelf);
-      self->mAccepted.emit(
-        FrameLink::Adopt(self->mLoop, aSocket, self->mMaximumPayloadBytes));
+      self->mAccepted.emit(FrameLink::Adopt(
+        self->mLoop, aSocket, self->mMaximumPayloadBytes, self->mBudget));
     },
     listener.get(),
     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
@@ -43,9 +44,11 @@
 }
 
 FrameListener::FrameListener(EventLoop& aLoop,
-                             std::uint32_t aMaximumPayloadBytes)
+                             std::uint32_t aMaximumPayloadBytes,
+                             MemoryBudget* aBudget)
   : mLoop(aLoop)
   , mMaximumPayloadBytes(aMaximumPayloadBytes)
+  , mBudget(aBudget)
 {
 }
 
--- a/Services/verbenachuted/EntryNodePorts.cpp
+++ b/Services/verbenachuted/EntryNodePorts.cpp
@@ -76,8 +76,12 @@
     }
     *port.mListener = ReleaseValue(std::move(listener));
   }
-  Result<std::unique_ptr<GatherPort>> gather = GatherPort::Create(
-    *mLoop, mMetrics, mSettings.GatherAddress(), GatherHooks());
+  Result<std::unique_ptr<GatherPort>> gather =
+    GatherPort::Create(*mLoop,
+                       mMetrics,
+                       mSettings.GatherAddress(),
+                       { mClientMemory, mShares.mGatherLinks },
+                       GatherHooks());
   if (IsError(gather)) {
     return ErrorOf(gather);
   }
@@ -107,6 +111,7 @@
     { MemoryBudget::Use::IncompleteRequest, "incomplete_request" },
     { MemoryBudget::Use::UnreadResponse, "unread_response" },
     { MemoryBudget::Use::ReadAhead, "read_ahead" },
+    { MemoryBudget::Use::PeerFrames, "peer_frames" },
   };
   const auto use =
     std::find_if(std::begin(kUses), std::end(kUses), [&](const auto& aEntry) {
--- a/Services/verbenachuted/GatherPort.cpp
+++ b/Services/verbenachuted/GatherPort.cpp
@@ -16,16 +16,19 @@
 // reported.
 constexpr Duration kSilenceTimeout = seconds(1);
 constexpr Duration kSilenceCheckInterval = milliseconds(250);
-// Exceeds the number of links that the nodes of any failure domain open.
-constexpr std::size_t kMaximumIncomingLinks = 1024;
+// An incoming link is not closed for a new one before it was silent for so
+// long.
+constexpr Duration kMinimumSilence = seconds(1);
 
 } // namespace
 
 GatherPort::GatherPort(EventLoop& aLoop,
                        MetricsRegistry& aMetrics,
+                       const Resources& aResources,
                        Hooks aHooks)
   : mLoop(aLoop)
   , mMetrics(aMetrics)
+  , mResources(aResources)
   , mHooks(std::move(aHooks))
   , mSilenceTimer(aLoop, [this]() { CloseUnresponsive(); })
 {
@@ -35,15 +38,16 @@
 GatherPort::Create(EventLoop& aLoop,
                    MetricsRegistry& aMetrics,
                    const std::optional<SocketAddress>& aAddress,
+                   const Resources& aResources,
                    Hooks aHooks)
 {
   std::unique_ptr<GatherPort> port(
-    new GatherPort(aLoop, aMetrics, std::move(aHooks)));
+    new GatherPort(aLoop, aMetrics, aResources, std::move(aHooks)));
   if (!aAddress.has_value()) {
     return port;
   }
-  Result<std::unique_ptr<FrameListener>> listener =
-    FrameListener::Create(aLoop, *aAddress, kMaximumFrameBytes);
+  Result<std::unique_ptr<FrameListener>> listener = FrameListener::Create(
+    aLoop, *aAddress, kMaximumFrameBytes, &aResources.mMemory);
   if (IsError(listener)) {
     return ErrorOf(listener);
   }
@@ -64,7 +68,8 @@
   }
   Outgoing& outgoing = mOutgoing[aAddress];
   outgoing.mLastReceived = mLoop.Now();
-  outgoing.mLink = FrameLink::Dial(mLoop, aAddress, kMaximumFrameBytes);
+  outgoing.mLink =
+    FrameLink::Dial(mLoop, aAddress, kMaximumFrameBytes, &mResources.mMemory);
   outgoing.mLink->Connected().connect(
     [this, aAddress]() { mOutgoing.at(aAddress).mConnected = true; });
   outgoing.mLink->FrameArrived().connect(
@@ -105,7 +110,10 @@
 {
   Outgoing& outgoing = FindOrDial(aAddress);
   const DelegationNumber number = aAction.mDelegation;
-  if (outgoing.mLink->Backlog() > kMaximumBacklogBytes) {
+  const bool isStalled = outgoing.mLink->Backlog() > 0;
+  if (outgoing.mLink->Backlog() > kMaximumBacklogBytes ||
+      (isStalled && !mResources.mMemory.Admits(
+                      MemoryOf(*aAction.mDelegationRequest.mRequest)))) {
     mLoop.Defer(
       [this, number]() { mHooks.mOnFailure(number, AttemptFailure::NotSent); });
     return;
@@ -215,11 +223,17 @@
 void
 GatherPort::Accept(std::shared_ptr<FrameLink> aLink)
 {
-  if (mIncoming.size() >= kMaximumIncomingLinks) {
-    return;
+  if (mIncoming.size() >= mResources.mMaximumIncoming) {
+    FrameLink* silent = LongestSilent();
+    if (silent == nullptr) {
+      return;
+    }
+    CloseIncoming(silent);
   }
   FrameLink* link = aLink.get();
-  mIncoming[link].mLink = std::move(aLink);
+  Incoming& incoming = mIncoming[link];
+  incoming.mLink = std::move(aLink);
+  incoming.mLastReceived = mLoop.Now();
   link->FrameArrived().connect(
     [this, link](FrameKind aKind, const std::string& aPayload) {
       OnRequestFrame(link, aKind, aPayload);
@@ -228,6 +242,20 @@
     [this, link]() { mLoop.Defer([this, link]() { CloseIncoming(link); }); });
 }
 
+FrameLink*
+GatherPort::LongestSilent() const
+{
+  FrameLink* silent = nullptr;
+  Instant since = mLoop.Now() - kMinimumSilence;
+  for (const auto& [link, incoming] : mIncoming) {
+    if (incoming.mPending.empty() && incoming.mLastReceived <= since) {
+      silent = link;
+      since = incoming.mLastReceived;
+    }
+  }
+  return silent;
+}
+
 void
 GatherPort::OnRequestFrame(FrameLink* aLink,
                            FrameKind aKind,
@@ -237,6 +265,7 @@
   if (incoming == mIncoming.end()) {
     return;
   }
+  incoming->second.mLastReceived = mLoop.Now();
   const Result<GatherMessage> message =
     Read(&incoming->second.mCompression, aPayload);
   if (aKind == FrameKind::Gather && !IsError(message)) {
@@ -265,6 +294,15 @@
   mRequests.emplace(number,
                     std::pair(aIncoming->mLink.get(), aRequest.mNumber));
   DelegationRequest request = aRequest.mDelegationRequest;
+  const std::size_t bytes = MemoryOf(*request.mRequest);
+  if (!mResources.mMemory.Admits(bytes)) {
+    mResources.mMemory.OnRefused();
+    Report(ReportAction{
+      number, DelegationRefusal{ RefusalReason::Overloaded }, true });
+    return;
+  }
+  request.mRequest =
+    WithCharge(std::move(request.mRequest), { &mResources.mMemory, bytes });
   request.mTimeLeft -=
     aIncoming->mTransit.ExcessDelay(aRequest.mSent, mLoop.Now());
   mHooks.mOnRequest(number, request);
--- a/Services/verbenachuted/GatherPort.h
+++ b/Services/verbenachuted/GatherPort.h
@@ -42,12 +42,22 @@
     std::function<RequestNumber()> mNextRequestNumber;
   };
 
+  /// What the links may take of the process.
+  struct Resources
+  {
+    /// The memory of frames and of delegated requests.
+    MemoryBudget& mMemory;
+    /// Links that peers open.
+    std::size_t mMaximumIncoming = 0;
+  };
+
   /// Fails with step Settings if the address cannot be bound. Without an
   /// address the node accepts no delegated requests.
   [[nodiscard]] static Result<std::unique_ptr<GatherPort>> Create(
     EventLoop& aLoop,
     MetricsRegistry& aMetrics,
     const std::optional<SocketAddress>& aAddress,
+    const Resources& aResources,
     Hooks aHooks);
 
   /// Sends a request to a peer, and connects first if there is no link. The
@@ -82,15 +92,23 @@
     Compression mCompression;
     TransitDelayEstimator mTransit;
     std::map<DelegationNumber, RequestNumber> mPending;
+    /// Time of the last frame, or of the connection.
+    Instant mLastReceived;
   };
 
   /// The limits on callers allow requests of up to 256 KiB; a report on all
   /// shards of the planned deployment size is about 100 KiB.
   static constexpr std::uint32_t kMaximumFrameBytes = 1024 * 1024;
 
-  GatherPort(EventLoop& aLoop, MetricsRegistry& aMetrics, Hooks aHooks);
+  GatherPort(EventLoop& aLoop,
+             MetricsRegistry& aMetrics,
+             const Resources& aResources,
+             Hooks aHooks);
   [[nodiscard]] Outgoing& FindOrDial(const SocketAddress& aAddress);
   void Accept(std::shared_ptr<FrameLink> aLink);
+  /// The incoming link without a pending request that has been silent longest;
+  /// null if none has been silent for a while.
+  [[nodiscard]] FrameLink* LongestSilent() const;
   void OnResponseFrame(const SocketAddress& aAddress,
                        FrameKind aKind,
                        const std::string& aPayload);
@@ -114,6 +132,7 @@
 
   EventLoop& mLoop;
   MetricsRegistry& mMetrics;
+  Resources mResources;
   Hooks mHooks;
   Timer mSilenceTimer;
   std::unique_ptr<FrameListener> mListener;
--- a/Tests/LibCore/TestMemoryBudget.cpp
+++ b/Tests/LibCore/TestMemoryBudget.cpp
@@ -160,4 +160,15 @@
   CHECK(stalled.mEvictions == 1);
 }
 
+TEST_CASE_FIXTURE(Fixture, "Frames to a peer count with what is left")
+{
+  FakeHolder link;
+  FakeHolder other;
+  Hold(&link, 600'000, Use::PeerFrames);
+  link.mBytes = 100'000;
+  Hold(&other, 500'000);
+  CHECK(mEvictions.empty());
+  CHECK(mBudget.Held() == 600'000);
+}
+
 } // namespace verbenachute
