EntryNode: Bound the listeners of peers and of readiness checks

What was seen: 500 connections that stopped one byte before the end of a body of legal size took a node to 207 MB at the listener of peers and to 206 MB at that of readiness checks, with settings for 48 MB; 1,200 connections without a byte took 1,224 descriptors where the settings allow 800 (ClientLimits-peer-bodies, ready-bodies, peer-half-open, ready-half-open).

Cause: only the listeners of callers and of the directory had the budget and a maximum of connections.

Change: both listeners get the same resources as the others, with shares of the reserve of descriptors that callers do not use.

--- a/Libraries/LibHttp/ResourceShares.cpp
+++ b/Libraries/LibHttp/ResourceShares.cpp
@@ -9,6 +9,8 @@
 // Descriptors of files, the platform's share of the limit.
 constexpr std::size_t kFileDescriptors = 200;
 constexpr std::size_t kMinimumConnections = 16;
+// Of listeners for a few clients.
+constexpr std::size_t kMinimumFewConnections = 8;
 // Responses are small; only targets that send without end come near it.
 constexpr std::size_t kMaximumTargetBytes = 24UL * 1024 * 1024;
 // The largest response of a target must fit.
@@ -33,6 +35,8 @@
     std::max(clients - clients / 8, kMinimumConnections);
   const std::size_t reserve = sockets / 3;
   shares.mGatherLinks = std::max(reserve / 4, kMinimumConnections);
+  shares.mPeerConnections = std::max(reserve / 8, kMinimumConnections);
+  shares.mReadyConnections = std::max(reserve / 32, kMinimumFewConnections);
   return shares;
 }
 
--- a/Libraries/LibHttp/ResourceShares.h
+++ b/Libraries/LibHttp/ResourceShares.h
@@ -15,6 +15,10 @@
   std::size_t mDirectoryConnections = 0;
   /// Links over which peers delegate requests to this node.
   std::size_t mGatherLinks = 0;
+  /// Connections of peers that read the store's state or metrics.
+  std::size_t mPeerConnections = 0;
+  /// Connections for readiness checks.
+  std::size_t mReadyConnections = 0;
 };
 
 /// aMemoryBytes and aDescriptors are what the process may take in total.
--- a/Services/verbenachuted/EntryNodePorts.cpp
+++ b/Services/verbenachuted/EntryNodePorts.cpp
@@ -56,8 +56,14 @@
       &mDirectoryListener,
       &Parts::OnDirectoryCall,
       ResourcesFor(mShares.mDirectoryConnections) },
-    { mSettings.ReadyAddress(), &mReadyListener, &Parts::OnReadyCall, {} },
-    { mSettings.PeerAddress(), &mPeerListener, &Parts::OnPeerCall, {} },
+    { mSettings.ReadyAddress(),
+      &mReadyListener,
+      &Parts::OnReadyCall,
+      ResourcesFor(mShares.mReadyConnections) },
+    { mSettings.PeerAddress(),
+      &mPeerListener,
+      &Parts::OnPeerCall,
+      ResourcesFor(mShares.mPeerConnections) },
   };
   for (const Port& port : ports) {
     if (!port.mAddress.has_value()) {
