TargetConnectionPool: Bound the connections to all targets

What was seen: beside a crowd of short queries, a node with 300 descriptors, of which 100 are for sockets, opened 246 sockets (ClientLimits-targets).

Cause: the connections to one target were limited, those to all targets together were not, so that they took what was set aside for peers and the store.

Change: half of the reserve is for connections to targets, 445 of 2,870 descriptors. At the maximum, the connection that has been idle longest is closed for a new one; if none is idle, the attempt fails as not sent.

--- a/Libraries/LibHttp/ResourceShares.cpp
+++ b/Libraries/LibHttp/ResourceShares.cpp
@@ -34,6 +34,7 @@
   shares.mCallerConnections =
     std::max(clients - clients / 8, kMinimumConnections);
   const std::size_t reserve = sockets / 3;
+  shares.mTargetConnections = std::max(reserve / 2, kMinimumConnections);
   shares.mGatherLinks = std::max(reserve / 4, kMinimumConnections);
   shares.mPeerConnections = std::max(reserve / 8, kMinimumConnections);
   shares.mReadyConnections = std::max(reserve / 32, kMinimumFewConnections);
--- a/Libraries/LibHttp/ResourceShares.h
+++ b/Libraries/LibHttp/ResourceShares.h
@@ -13,6 +13,8 @@
   std::size_t mTargetBytes = 0;
   std::size_t mCallerConnections = 0;
   std::size_t mDirectoryConnections = 0;
+  /// Connections to targets.
+  std::size_t mTargetConnections = 0;
   /// Links over which peers delegate requests to this node.
   std::size_t mGatherLinks = 0;
   /// Connections of peers that read the store's state or metrics.
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -58,7 +58,7 @@
       *mLoop,
       mLogger,
       mMetrics,
-      { mClientMemory, mShares.mTargetBytes },
+      { mClientMemory, mShares.mTargetBytes, mShares.mTargetConnections },
       [this](AttemptId aAttempt, PartReply aReply) {
         if (!aReply.mUnreadableFields.empty()) {
           mLogger.Log(LogEvent(EventNumber::TargetFieldUnreadable)
--- a/Services/verbenachuted/TargetConnectionPool.cpp
+++ b/Services/verbenachuted/TargetConnectionPool.cpp
@@ -98,13 +98,40 @@
     }
     Drop(aAction.mAddress, *idle);
   }
+  if (!MakeRoom()) {
+    return nullptr;
+  }
   std::shared_ptr<Connection> created = std::make_shared<Connection>();
   created->mStream = std::make_unique<HttpClientStream>(
     mLoop, aAction.mAddress, PeerTimeouts(), &mReceiveBudget);
   mConnections[aAction.mAddress].push_back(created);
+  ++mConnectionCount;
   return created;
 }
 
+bool
+TargetConnectionPool::MakeRoom()
+{
+  if (mConnectionCount < mResources.mMaximumConnections) {
+    return true;
+  }
+  std::optional<std::pair<SocketAddress, std::shared_ptr<Connection>>> longest;
+  for (const auto& [address, connections] : mConnections) {
+    for (const std::shared_ptr<Connection>& connection : connections) {
+      if (!connection->mAttempt.has_value() &&
+          (!longest.has_value() || connection->mStream->IdleSince() <
+                                     longest->second->mStream->IdleSince())) {
+        longest.emplace(address, connection);
+      }
+    }
+  }
+  if (!longest.has_value()) {
+    return false;
+  }
+  Drop(longest->first, longest->second);
+  return true;
+}
+
 void
 TargetConnectionPool::Send(const SendAction& aAction)
 {
@@ -181,7 +208,7 @@
   // A copy, since aConnection may refer to the element that is erased.
   // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
   const std::shared_ptr<Connection> owned = aConnection;
-  std::erase(found->second, owned);
+  mConnectionCount -= std::erase(found->second, owned);
   if (found->second.empty()) {
     mConnections.erase(found);
   }
@@ -246,14 +273,4 @@
   }
 }
 
-std::size_t
-TargetConnectionPool::ConnectionCount() const
-{
-  std::size_t count = 0;
-  for (const auto& entry : mConnections) {
-    count += entry.second.size();
-  }
-  return count;
-}
-
 } // namespace verbenachute
--- a/Services/verbenachuted/TargetConnectionPool.h
+++ b/Services/verbenachuted/TargetConnectionPool.h
@@ -29,6 +29,7 @@
     MemoryBudget& mMemory;
     /// Bytes of all responses that are being received.
     std::size_t mMaximumReceivedBytes = 0;
+    std::size_t mMaximumConnections = 0;
   };
 
   /// Bytes of attempts that cross failure domains are added to aMetrics.
@@ -40,7 +41,8 @@
                        AttemptFailed aAttemptFailed);
 
   /// Sends on an idle connection, or on a new one if there are fewer than the
-  /// action allows; otherwise the attempt fails as NotSent. The result is
+  /// action and the resources allow; otherwise the attempt fails as NotSent. A
+  /// connection that is idle at another target makes room. The result is
   /// reported by one of the callbacks, never from within this call.
   void Send(const SendAction& aAction);
   /// Closes the connection of the attempt, whose result is then not reported.
@@ -54,7 +56,7 @@
   void CloseIdle();
 
   /// Busy and idle connections to all targets.
-  [[nodiscard]] std::size_t ConnectionCount() const;
+  [[nodiscard]] std::size_t ConnectionCount() const { return mConnectionCount; }
 
 private:
   struct Connection
@@ -73,6 +75,9 @@
               const SocketAddress& aAddress,
               AttemptId aAttempt,
               StreamOutcome aOutcome);
+  /// Closes the connection that has been idle longest if there are as many as
+  /// the resources allow. Returns whether there is room for another one.
+  [[nodiscard]] bool MakeRoom();
   void CountTraffic(Connection& aConnection);
   void Drop(const SocketAddress& aAddress,
             const std::shared_ptr<Connection>& aConnection);
@@ -85,6 +90,7 @@
   ReplyArrived mReplyArrived;
   AttemptFailed mAttemptFailed;
   std::map<SocketAddress, Connections> mConnections;
+  std::size_t mConnectionCount = 0;
   std::unordered_map<AttemptId,
                      std::pair<SocketAddress, std::shared_ptr<Connection>>>
     mAttempts;
