LibHttp: Serve operators from a listener with a budget

Cause: evhttp has neither a maximum of connections nor a way to see what they hold, so the port was in no budget.

Change: HttpServer and HttpExchange move to LibHttp and stand on HttpListener, like the other ports; paths and parameters are decoded as before, by the same functions. The operators' port gets the budget and a share of the descriptors.

TestResourceShares checks that all shares together leave the descriptors of files.

--- a/Libraries/LibTransport/HttpExchange.h
+++ b/Libraries/LibHttp/HttpExchange.h
@@ -1,11 +1,9 @@
 #pragma once
 
+#include <LibHttp/HttpCall.h>
 #include <LibTransport/HttpMessage.h>
 
-#include <sigc++/sigc++.h>
-
-struct evhttp_request;
-struct evhttp_connection;
+#include <memory>
 
 namespace verbenachute {
 
@@ -14,24 +12,24 @@
 class HttpExchange
 {
 public:
-  HttpExchange(evhttp_request* aRaw, HttpRequest aRequest);
+  HttpExchange(std::shared_ptr<HttpCall> aCall, HttpRequest aRequest);
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
 
-  [[nodiscard]] const HttpRequest& Request() const;
+  [[nodiscard]] const HttpRequest& Request() const { return mRequest; }
   /// Sends the reply. It must not be called twice.
   void Reply(const HttpReply& aReply);
   /// Emitted if the caller disconnects before the reply.
-  [[nodiscard]] sigc::signal<void()>& CallerDisconnected();
+  [[nodiscard]] sigc::signal<void()>& CallerDisconnected()
+  {
+    return mCall->CallerDisconnected();
+  }
 
 private:
-  static void OnClosed(evhttp_connection* aConnection, void* aExchange);
-
-  evhttp_request* mRaw;
+  std::shared_ptr<HttpCall> mCall;
   HttpRequest mRequest;
   bool mReplied = false;
-  sigc::signal<void()> mCallerDisconnected;
 };
 
 } // namespace verbenachute
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -1,17 +1,16 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
+#include <LibHttp/HttpExchange.h>
+#include <LibHttp/HttpListener.h>
 #include <LibTransport/EventLoop.h>
-#include <LibTransport/HttpExchange.h>
 
 #include <memory>
 
-struct evhttp;
-
 namespace verbenachute {
 
-/// Limits of the requests that a server reads; evhttp itself answers larger
-/// ones.
+/// Limits of the requests that a server reads; larger ones are refused before
+/// they are passed on.
 struct HttpLimits
 {
   std::size_t mHeaderBytes = 8UL * 1024;
@@ -20,7 +19,8 @@
   seconds mIdleTimeout{ 60 };
 };
 
-/// An HTTP server on one address.
+/// An HTTP server on one address whose requests have decoded paths and
+/// parameters.
 class HttpServer
 {
 public:
@@ -32,8 +32,8 @@
   [[nodiscard]] static Result<std::unique_ptr<HttpServer>> Create(
     EventLoop& aLoop,
     const SocketAddress& aAddress,
-    const HttpLimits& aLimits);
-  ~HttpServer();
+    const HttpLimits& aLimits,
+    const ClientResources& aResources = ClientResources());
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
@@ -41,10 +41,10 @@
 
 private:
   HttpServer() = default;
-  void Handle(evhttp_request* aRaw);
+  void Handle(const std::shared_ptr<HttpCall>& aCall);
 
-  evhttp* mServer = nullptr;
   RequestArrivedSignal mRequestArrived;
+  std::unique_ptr<HttpListener> mListener;
 };
 
 } // namespace verbenachute
--- a/Libraries/LibHttp/ResourceShares.cpp
+++ b/Libraries/LibHttp/ResourceShares.cpp
@@ -38,6 +38,8 @@
   shares.mGatherLinks = std::max(reserve / 4, kMinimumConnections);
   shares.mPeerConnections = std::max(reserve / 8, kMinimumConnections);
   shares.mReadyConnections = std::max(reserve / 32, kMinimumFewConnections);
+  shares.mOperatorConnections = std::max(reserve / 32, kMinimumFewConnections);
+  // The rest is for links to peers and the store.
   return shares;
 }
 
--- a/Libraries/LibHttp/ResourceShares.h
+++ b/Libraries/LibHttp/ResourceShares.h
@@ -21,6 +21,7 @@
   std::size_t mPeerConnections = 0;
   /// Connections for readiness checks.
   std::size_t mReadyConnections = 0;
+  std::size_t mOperatorConnections = 0;
 };
 
 /// aMemoryBytes and aDescriptors are what the process may take in total.
--- a/Services/verbenachuted/CallerPort.h
+++ b/Services/verbenachuted/CallerPort.h
@@ -4,7 +4,7 @@
 #include "QueryService.h"
 #include "ServingMode.h"
 
-#include <LibTransport/HttpServer.h>
+#include <LibHttp/HttpServer.h>
 
 #include <functional>
 #include <set>
--- a/Services/verbenachuted/Daemon.cpp
+++ b/Services/verbenachuted/Daemon.cpp
@@ -237,8 +237,10 @@
 Result<Success>
 Daemon::Parts::OpenOperatorPort()
 {
-  Result<std::unique_ptr<OperatorPort>> port = OperatorPort::Create(
-    mSelf, mSettings.OperatorAddress(), { *mLoop, mPlatform, mOperatorState });
+  Result<std::unique_ptr<OperatorPort>> port =
+    OperatorPort::Create(mSelf,
+                         mSettings.OperatorAddress(),
+                         { *mLoop, mPlatform, mOperatorState, {} });
   if (IsError(port)) {
     return ErrorOf(port);
   }
--- a/Services/verbenachuted/EntryNodePorts.cpp
+++ b/Services/verbenachuted/EntryNodePorts.cpp
@@ -92,8 +92,13 @@
     return ErrorOf(gather);
   }
   mGatherPort = ReleaseValue(std::move(gather));
-  Result<std::unique_ptr<OperatorPort>> operators = OperatorPort::Create(
-    mSelf, mSettings.OperatorAddress(), { *mLoop, mStoreKeys, mOperatorState });
+  Result<std::unique_ptr<OperatorPort>> operators =
+    OperatorPort::Create(mSelf,
+                         mSettings.OperatorAddress(),
+                         { *mLoop,
+                           mStoreKeys,
+                           mOperatorState,
+                           ResourcesFor(mShares.mOperatorConnections) });
   if (IsError(operators)) {
     return ErrorOf(operators);
   }
--- a/Services/verbenachuted/OperatorPort.cpp
+++ b/Services/verbenachuted/OperatorPort.cpp
@@ -34,12 +34,13 @@
   HttpLimits limits;
   // Twice the largest change, so that the parser can report what is too large.
   limits.mBodyBytes = 2 * OperatorRequestParser::kChangeBytes;
-  Result<std::unique_ptr<HttpServer>> server =
-    HttpServer::Create(aDependencies.mLoop, aAddress, limits);
+  Result<std::unique_ptr<HttpServer>> server = HttpServer::Create(
+    aDependencies.mLoop, aAddress, limits, aDependencies.mResources);
   if (IsError(server)) {
     return ErrorOf(server);
   }
-  std::unique_ptr<OperatorPort> port(new OperatorPort(aSelf, aDependencies));
+  std::unique_ptr<OperatorPort> port(
+    new OperatorPort(aSelf, std::move(aDependencies)));
   port->mServer = ReleaseValue(std::move(server));
   OperatorPort* self = port.get();
   self->mServer->RequestArrived().connect(
@@ -51,7 +52,7 @@
 OperatorPort::OperatorPort(const NodeIdentity& aSelf,
                            Dependencies aDependencies)
   : mSelf(aSelf)
-  , mDependencies(aDependencies)
+  , mDependencies(std::move(aDependencies))
 {
 }
 
--- a/Services/verbenachuted/OperatorPort.h
+++ b/Services/verbenachuted/OperatorPort.h
@@ -4,8 +4,8 @@
 
 #include <LibConfiguration/OperatorAnswers.h>
 #include <LibConfiguration/OperatorRequestParser.h>
+#include <LibHttp/HttpServer.h>
 #include <LibOperator/WriteRunner.h>
-#include <LibTransport/HttpServer.h>
 
 #include <deque>
 #include <list>
@@ -23,6 +23,8 @@
     EventLoop& mLoop;
     KeyValueStore& mStore;
     OperatorStateSource& mSource;
+    /// What the operators' connections may take.
+    ClientResources mResources;
   };
 
   /// Fails with step Settings and code Unavailable if the address can not be
--- a/Tests/LibHttp/TestResourceShares.cpp
+++ b/Tests/LibHttp/TestResourceShares.cpp
@@ -15,4 +15,21 @@
   CHECK(shares.mDirectoryConnections == 222);
 }
 
+// Guards against a listener or a pool that no share bounds.
+TEST_CASE("All connections together leave the descriptors of files")
+{
+  constexpr std::size_t kFileDescriptors = 200;
+  constexpr std::size_t kLimits[] = { 800, 2'870, 8'192, 1'048'576 };
+  for (const std::size_t descriptors : kLimits) {
+    CAPTURE(descriptors);
+    const ResourceShares shares = DivideResources(512UL << 20U, descriptors);
+    const std::size_t all = shares.mCallerConnections +
+                            shares.mDirectoryConnections +
+                            shares.mTargetConnections + shares.mGatherLinks +
+                            shares.mPeerConnections + shares.mReadyConnections +
+                            shares.mOperatorConnections;
+    CHECK(all <= descriptors - kFileDescriptors);
+  }
+}
+
 } // namespace verbenachute
--- a/Tests/LibTransport/TestHttpClientConnection.cpp
+++ b/Tests/LibTransport/TestHttpClientConnection.cpp
@@ -1,5 +1,4 @@
 #include <LibTransport/HttpClientConnection.h>
-#include <LibTransport/HttpServer.h>
 
 #include <doctest/doctest.h>
 #include <event2/buffer.h>
