LibHttp, platform: Pass the body of an answer on without copies

Cause: the body of a relayed answer, up to 8 MB, was copied into a response and once more into its serialized text, so that three copies existed for a moment; none of the two was in the account.

What is sent is the same.

The existing cases of TestHttpText and TestRequestWire hold unchanged.

--- a/Libraries/LibHttp/HttpCall.h
+++ b/Libraries/LibHttp/HttpCall.h
@@ -41,7 +41,7 @@
   /// Sends the response. It must not be called twice.
   void Respond(int aStatus,
                const HttpFields& aFields,
-               std::string_view aBody,
+               std::string aBody,
                AfterResponse aAfter = AfterResponse::KeepOpen);
   /// The charge for the memory of the request, for whoever takes its parts. It
   /// is released with the call otherwise.
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -282,7 +282,7 @@
 void
 HttpServerConnection::Respond(int aStatus,
                               const HttpFields& aFields,
-                              std::string_view aBody,
+                              std::string aBody,
                               AfterResponse aAfter)
 {
   VERIFY(mCall != nullptr);
@@ -292,13 +292,16 @@
     return;
   }
   const bool close = mCloseAfterResponse || aAfter == AfterResponse::Close;
-  std::string text =
-    SerializeResponse(aStatus,
-                      aFields,
-                      aBody,
-                      close ? AfterResponse::Close : AfterResponse::KeepOpen);
   mLingering = close;
-  Write(mStream, std::move(text));
+  Write(mStream,
+        SerializeResponseHead(aStatus,
+                              aFields,
+                              aBody.size(),
+                              close ? AfterResponse::Close
+                                    : AfterResponse::KeepOpen));
+  if (!HasNoBody(aStatus)) {
+    Write(mStream, std::move(aBody));
+  }
   if (mBudget != nullptr) {
     bufferevent_setwatermark(mStream, EV_READ, 0, kReadAheadBytes);
   }
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -67,7 +67,7 @@
   void OnDrained();
   void Respond(int aStatus,
                const HttpFields& aFields,
-               std::string_view aBody,
+               std::string aBody,
                AfterResponse aAfter);
   void ReadInput();
   void OnReadable();
--- a/Libraries/LibHttp/HttpText.cpp
+++ b/Libraries/LibHttp/HttpText.cpp
@@ -106,23 +106,32 @@
                   const HttpFields& aFields,
                   std::string_view aBody,
                   AfterResponse aAfter)
+{
+  std::string text =
+    SerializeResponseHead(aStatus, aFields, aBody.size(), aAfter);
+  if (!HasNoBody(aStatus)) {
+    text.append(aBody);
+  }
+  return text;
+}
+
+std::string
+SerializeResponseHead(int aStatus,
+                      const HttpFields& aFields,
+                      std::size_t aBodyBytes,
+                      AfterResponse aAfter)
 {
   std::string text;
-  text.reserve(256 + aBody.size());
   text.append("HTTP/1.1 ").append(std::to_string(aStatus)).append(" ");
   text.append(ReasonPhrase(aStatus)).append(kCrLf);
   AppendFields(aFields, &text);
   if (!HasNoBody(aStatus)) {
-    AppendContentLength(aBody.size(), &text);
+    AppendContentLength(aBodyBytes, &text);
   }
   if (aAfter == AfterResponse::Close) {
     text.append("Connection: close").append(kCrLf);
   }
-  text.append(kCrLf);
-  if (!HasNoBody(aStatus)) {
-    text.append(aBody);
-  }
-  return text;
+  return text.append(kCrLf);
 }
 
 const char*
--- a/Libraries/LibHttp/HttpText.h
+++ b/Libraries/LibHttp/HttpText.h
@@ -49,6 +49,14 @@
                   std::string_view aBody,
                   AfterResponse aAfter);
 
+/// Serializes the part of a response that precedes a body of aBodyBytes. Fields
+/// are added as for SerializeResponse.
+[[nodiscard]] std::string
+SerializeResponseHead(int aStatus,
+                      const HttpFields& aFields,
+                      std::size_t aBodyBytes,
+                      AfterResponse aAfter);
+
 /// The reason phrase of a status, such as "Service Unavailable" for 503;
 /// "Status" if it has none.
 [[nodiscard]] const char*
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -401,7 +401,7 @@
           mPool.Send(aSend);
         },
         [this](const CancelAction& aCancel) { mPool.Cancel(aCancel.mAttempt); },
-        [this](const AnswerAction& aAnswer) { Answer(aAnswer); },
+        [this](AnswerAction& aAnswer) { Answer(std::move(aAnswer)); },
         [this](const DelegateAction& aDelegate) { Delegate(aDelegate); },
         [this](const CancelDelegationAction& aCancellation) {
           mGatherPort->CancelDelegation(aCancellation);
--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -96,7 +96,7 @@
   void OnShutdownTick();
   void Perform(ForwardActions aActions);
   void LogPoisonNotices();
-  void Answer(const AnswerAction& aAction);
+  void Answer(AnswerAction aAction);
   void Delegate(const DelegateAction& aAction);
   void ScheduleEngine();
   /// Determines which nodes are advertised to callers, and from this the peers
--- a/Services/verbenachuted/EntryNodePorts.cpp
+++ b/Services/verbenachuted/EntryNodePorts.cpp
@@ -221,7 +221,7 @@
   answer.mSummary.mPlan = mEngine.Plan()->Version();
   answer.mSummary.mElapsed =
     mLoop->Now() - found->second.mRequest->mArrivalTime;
-  Answer(answer);
+  Answer(std::move(answer));
 }
 
 PlanKnowledge
@@ -262,7 +262,7 @@
     }
     answer.mSummary.mPlan = plan.Version();
     answer.mSummary.mElapsed = mLoop->Now() - aRequest->mArrivalTime;
-    Answer(answer);
+    Answer(std::move(answer));
     return false;
   }
   if (authenticated->mTenant != nullptr) {
@@ -383,7 +383,7 @@
 }
 
 void
-EntryNode::Parts::Answer(const AnswerAction& aAction)
+EntryNode::Parts::Answer(AnswerAction aAction)
 {
   const auto found = mPendingCalls.find(aAction.mNumber);
   if (found == mPendingCalls.end()) {
@@ -399,7 +399,7 @@
   CountOutcome(aAction, pending.mRequest->mCaller, &mMetrics);
   platform::RespondToCaller(pending.mCall.get(),
                             *pending.mRequest,
-                            aAction.mOutcome,
+                            std::move(aAction.mOutcome),
                             ConnectionAfterResponse());
 }
 
