--- a/Libraries/LibHttp/MessageReader.cpp
+++ b/Libraries/LibHttp/MessageReader.cpp
@@ -139,6 +139,15 @@
   mBody.clear();
 }
 
+void
+MessageReader::DropMessage()
+{
+  DropBody();
+  mFields = HttpFields();
+  mTarget = std::string();
+  mHeaderBytes = 0;
+}
+
 std::string_view
 MessageReader::Method() const
 {
--- a/Libraries/LibHttp/MessageReader.h
+++ b/Libraries/LibHttp/MessageReader.h
@@ -83,6 +83,8 @@
   }
   /// Frees the memory of the message, which must not be read any more.
   void DropBody() { mBody = std::string(); }
+  /// The same for the message with its head. Nothing may be fed any more.
+  void DropMessage();
   /// Whether the connection may carry another message after the last complete
   /// one.
   [[nodiscard]] bool KeepsAlive() const { return mKeepsAlive; }
--- a/Tests/LibHttp/TestMessageReader.cpp
+++ b/Tests/LibHttp/TestMessageReader.cpp
@@ -157,6 +157,8 @@
   }
   CHECK(reader.Current() == State::InMessage);
   CHECK(reader.MessageMemory() >= kFields * sizeof(HttpField));
+  reader.DropMessage();
+  CHECK(reader.MessageMemory() < sizeof(HttpField));
 }
 
 } // namespace verbenachute
