LibCore, EntryNode: Return the pages of small blocks after evictions

Cause: buffers of 4 to 64 kB lie in the heap. When the connections that hold them are evicted, single small blocks keep the heap from shrinking, and the next bodies come on top in blocks of their own.

Tests: smallest-fields, smallest-listeners and usual-listeners have the memory and the descriptors of a whole machine, which is the bound.

--- a/Libraries/LibCore/Allocator.cpp
+++ b/Libraries/LibCore/Allocator.cpp
@@ -20,4 +20,10 @@
   mallopt(M_TRIM_THRESHOLD, kKeptBytes);
 }
 
+void
+ReturnFreeMemory()
+{
+  malloc_trim(kKeptBytes);
+}
+
 } // namespace verbenachute
--- a/Meta/client-limits.sh
+++ b/Meta/client-limits.sh
@@ -8,8 +8,9 @@
 # at another node), directory-bodies, ready-bodies, peer-bodies, operator-bodies,
 # ready-half-open, peer-half-open, frames (each at the listener of that name),
 # targets (queries that need more connections to targets than there may be),
-# listeners (all of them at once, while two of three nodes are lost) or calm (one
-# request of the largest legal size and no crowd). --without-settings leaves out memory_mb and
+# listeners (all of them at once, while two of three nodes are lost), smallest-fields,
+# smallest-listeners, usual-listeners (with the memory and the descriptors of a whole
+# machine) or calm (one request of the largest legal size and no crowd). --without-settings leaves out memory_mb and
 # descriptors, for programs that do not have them. Status: 0 passed, 1 failed,
 # 2 usage, 3 not run.
 set -euo pipefail
@@ -46,12 +47,21 @@
   targets) kind=short-queries clients=400 descriptors=300 ;;
   frames) kind=frames clients=300 port=gather ;;
   listeners) kind=all clients=50 nodes=3 lost=(node-2 node-3) ;;
+  smallest-fields) kind=fields clients=1500 ;;
+  smallest-listeners | usual-listeners)
+    kind=all clients=300 nodes=3 lost=(node-2 node-3)
+    ;;
   calm) kind='' clients=0 ;;
   *)
     grep -m 1 '^#   Meta/' "$0" | cut -c3- >&2
     exit 2
     ;;
 esac
+# Whole machines: the process must stay within their memory.
+case "$1" in
+  smallest-*) memory_mb=112 descriptors=2870 bound_mb=112 ;;
+  usual-*) memory_mb=260 descriptors=4100 bound_mb=260 ;;
+esac
 settings=$'retry_ratio = 0.2\n'
 if [ "${2:-}" != --without-settings ]; then
   settings+="memory_mb = $memory_mb"$'\n'"descriptors = $descriptors"$'\n'
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -5,6 +5,7 @@
 
 #include <platform/KeyWire.h>
 
+#include <LibCore/Allocator.h>
 #include <LibCore/Overloaded.h>
 #include <LibCore/SocketAddressText.h>
 #include <LibCore/Verify.h>
@@ -122,6 +123,7 @@
                  mIdleTimer.Start(kIdleCheckInterval);
                })
   , mOperatorTimer(*mLoop, [this]() { OnOperatorTick(); })
+  , mTrimTimer(*mLoop, []() { ReturnFreeMemory(); })
 {
   mStartTime = mLoop->Now();
   mEngine.SetDepartureCheck(
--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -154,6 +154,7 @@
   Timer mShutdownTimer;
   Timer mIdleTimer;
   Timer mOperatorTimer;
+  Timer mTrimTimer;
   std::unique_ptr<HttpListener> mCallerListener;
   std::unique_ptr<HttpListener> mDirectoryListener;
   std::unique_ptr<HttpListener> mReadyListener;
--- a/Services/verbenachuted/EntryNodePorts.cpp
+++ b/Services/verbenachuted/EntryNodePorts.cpp
@@ -26,6 +26,8 @@
 constexpr int kUnavailable = 503;
 // Addresses in one response of the directory.
 constexpr std::size_t kMaximumAddresses = 64;
+// Evictions within this time are followed by one return of free memory.
+constexpr Duration kTrimDelay = milliseconds(100);
 
 /// The number that a parameter of a request has; 0 if it is absent.
 std::uint64_t
@@ -129,6 +131,9 @@
       return aEntry.first == aEviction.mUse;
     });
   mMetrics.Add(Counter::ClientsEvicted);
+  if (!mTrimTimer.IsRunning()) {
+    mTrimTimer.Start(kTrimDelay);
+  }
   mLogger.Log(LogEvent(EventNumber::ClientEvicted)
                 .With("held_for", use->second)
                 .With("reason",
--- a/Tests/LibCore/TestAllocator.cpp
+++ b/Tests/LibCore/TestAllocator.cpp
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 #include <malloc.h>
+#include <unistd.h>
 
+#include <fstream>
 #include <memory>
 #include <vector>
 
@@ -18,6 +20,17 @@
   return state.arena + state.hblkhd;
 }
 
+/// Memory of the process that is in use by the system's account.
+std::size_t
+ResidentBytes()
+{
+  std::ifstream file("/proc/self/statm");
+  std::size_t size = 0;
+  std::size_t resident = 0;
+  file >> size >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 /// Whether the program uses the allocator that is configured; sanitizers
 /// replace it.
 bool
@@ -38,7 +51,7 @@
     return;
   }
   constexpr std::size_t kBlocks = 64;
-  constexpr std::size_t kBlockBytes = 4 * kReturnedBlockBytes;
+  constexpr std::size_t kBlockBytes = 16 * kReturnedBlockBytes;
   constexpr std::size_t kSmallBytes = 1024;
   ConfigureAllocator();
   // By default, this makes the allocator keep all blocks of up to this size.
@@ -55,4 +68,28 @@
   CHECK(ReservedBytes() < before + kBlocks * kBlockBytes / 4);
 }
 
+// Guards against buffers of a few kilobytes whose pages stay with the process
+// after a crowd has left.
+TEST_CASE("Pages of small blocks go back to the system on request")
+{
+  if (!UsesSystemAllocator()) {
+    return;
+  }
+  constexpr std::size_t kBlocks = 8192;
+  constexpr std::size_t kBlockBytes = 8UL * 1024;
+  constexpr std::size_t kPinEvery = 64;
+  std::vector<std::unique_ptr<char[]>> blocks;
+  std::vector<std::unique_ptr<char[]>> pins;
+  for (std::size_t i = 0; i < kBlocks; ++i) {
+    blocks.push_back(std::make_unique<char[]>(kBlockBytes));
+    if (i % kPinEvery == 0) {
+      pins.push_back(std::make_unique<char[]>(1));
+    }
+  }
+  const std::size_t full = ResidentBytes();
+  blocks.clear();
+  ReturnFreeMemory();
+  CHECK(ResidentBytes() + kBlocks * kBlockBytes * 3 / 4 < full);
+}
+
 } // namespace verbenachute
