--- a/Libraries/LibObservation/MetricCatalogue.cpp
+++ b/Libraries/LibObservation/MetricCatalogue.cpp
@@ -84,7 +84,7 @@
     { "verbenachute_configuration_revision",
       "Revision of the configuration in force on this node." },
     { "verbenachute_client_memory_bytes",
-      "Memory that connections and requests of clients take." },
+      "Memory that clients cause the node to hold." },
   } };
 
 constexpr std::array<const char*,
