LibTransport, GatherPort: Share how an evicted stream is emptied

The connection of a client and the link of a peer emptied their buffers by the same lines; DiscardBuffers does it for both. The condition under which a request is not queued for a peer has a name and its reason. No behaviour changes; TestFrameLink and TestHttpStreams hold.

--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -159,11 +159,7 @@
 {
   mEvicted = true;
   // Many connections may be read before the deferred task runs.
-  bufferevent_disable(mStream, EV_READ | EV_WRITE);
-  for (evbuffer* buffer :
-       { bufferevent_get_input(mStream), bufferevent_get_output(mStream) }) {
-    evbuffer_drain(buffer, evbuffer_get_length(buffer));
-  }
+  DiscardBuffers(mStream);
   mReader.DropMessage();
   // Deferred, since the budget may be called from within a callback of this
   // connection or of another one.
--- a/Libraries/LibTransport/FrameLink.cpp
+++ b/Libraries/LibTransport/FrameLink.cpp
@@ -96,11 +96,7 @@
 FrameLink::OnEvicted()
 {
   // Many links may be read before the timer expires.
-  bufferevent_disable(mStream, EV_READ | EV_WRITE);
-  for (evbuffer* buffer :
-       { bufferevent_get_input(mStream), bufferevent_get_output(mStream) }) {
-    evbuffer_drain(buffer, evbuffer_get_length(buffer));
-  }
+  DiscardBuffers(mStream);
   // From the loop, since the budget may be called while this link is in use.
   mEvictionTimer.Start(Duration(0));
 }
--- a/Libraries/LibTransport/SocketOptions.cpp
+++ b/Libraries/LibTransport/SocketOptions.cpp
@@ -1,7 +1,9 @@
 #include <LibTransport/SocketOptions.h>
 
 #include <arpa/inet.h>
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -61,4 +63,14 @@
   return static_cast<int>(bufferevent_getfd(aStream));
 }
 
+void
+DiscardBuffers(bufferevent* aStream)
+{
+  bufferevent_disable(aStream, EV_READ | EV_WRITE);
+  for (evbuffer* buffer :
+       { bufferevent_get_input(aStream), bufferevent_get_output(aStream) }) {
+    evbuffer_drain(buffer, evbuffer_get_length(buffer));
+  }
+}
+
 } // namespace verbenachute
--- a/Libraries/LibTransport/SocketOptions.h
+++ b/Libraries/LibTransport/SocketOptions.h
@@ -38,4 +38,9 @@
 [[nodiscard]] int
 SocketOf(bufferevent* aStream);
 
+/// Stops reading and writing, and frees what is buffered in both directions.
+/// The stream is of no use afterwards.
+void
+DiscardBuffers(bufferevent* aStream);
+
 } // namespace verbenachute
--- a/Meta/client-limits.sh
+++ b/Meta/client-limits.sh
@@ -8,11 +8,11 @@
 # at another node), directory-bodies, ready-bodies, peer-bodies, operator-bodies,
 # ready-half-open, peer-half-open, frames (each at the listener of that name),
 # targets (queries that need more connections to targets than there may be),
-# listeners (all of them at once, while two of three nodes are lost), smallest-fields,
-# smallest-listeners, usual-listeners (with the memory and the descriptors of a whole
-# machine) or calm (one request of the largest legal size and no crowd). --without-settings leaves out memory_mb and
-# descriptors, for programs that do not have them. Status: 0 passed, 1 failed,
-# 2 usage, 3 not run.
+# listeners (all of them at once, while two of three nodes are lost),
+# smallest-fields, smallest-listeners, usual-listeners (with the memory and the
+# descriptors of a whole machine) or calm (one request of the largest legal size
+# and no crowd). --without-settings leaves out memory_mb and descriptors, for
+# programs that do not have them. Status: 0 passed, 1 failed, 2 usage, 3 not run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
--- a/Services/verbenachuted/GatherPort.cpp
+++ b/Services/verbenachuted/GatherPort.cpp
@@ -110,10 +110,12 @@
 {
   Outgoing& outgoing = FindOrDial(aAddress);
   const DelegationNumber number = aAction.mDelegation;
-  const bool isStalled = outgoing.mLink->Backlog() > 0;
-  if (outgoing.mLink->Backlog() > kMaximumBacklogBytes ||
-      (isStalled && !mResources.mMemory.Admits(
-                      MemoryOf(*aAction.mDelegationRequest.mRequest)))) {
+  const std::size_t backlog = outgoing.mLink->Backlog();
+  // A link without a backlog is expected to write the request at once.
+  const bool fits =
+    backlog == 0 ||
+    mResources.mMemory.Admits(MemoryOf(*aAction.mDelegationRequest.mRequest));
+  if (backlog > kMaximumBacklogBytes || !fits) {
     mLoop.Defer(
       [this, number]() { mHooks.mOnFailure(number, AttemptFailure::NotSent); });
     return;
