ResourceShares: Bound connections by memory as well as by descriptors

Cause: a connection is charged with 4 kB even if it is idle. On a machine with little memory and many descriptors, connections without a byte could fill the account, so that ordinary requests were refused while they stayed. By reading; no deployment of the users has such a machine.

Change: idle connections take at most a quarter of the account, which is 3,584 connections with 112 MB; the sites' smallest machines have 2,870 descriptors.

Measured: the new case of TestResourceShares fails without the change.

--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/HttpServerConnection.h>
 
 #include <LibCore/Verify.h>
+#include <LibHttp/ResourceShares.h>
 #include <LibTransport/SocketOptions.h>
 
 #include <event2/buffer.h>
@@ -30,9 +31,6 @@
 // A response of at least this size is passed to the socket without a copy.
 constexpr std::size_t kLargeResponseBytes = 16UL * 1024;
 
-// What a connection takes without any message.
-constexpr std::size_t kConnectionBytes = 4UL * 1024;
-
 constexpr int kUnavailable = 503;
 constexpr int kBadRequest = 400;
 constexpr int kBodyTooLarge = 413;
--- a/Libraries/LibHttp/ResourceShares.cpp
+++ b/Libraries/LibHttp/ResourceShares.cpp
@@ -26,8 +26,10 @@
   shares.mClientBytes = aMemoryBytes / 8 * 3;
   shares.mTargetBytes =
     std::clamp(aMemoryBytes / 8, kMinimumTargetBytes, kMaximumTargetBytes);
-  const std::size_t sockets =
-    aDescriptors - std::min(aDescriptors, kFileDescriptors);
+  const std::size_t affordable =
+    (shares.mClientBytes + shares.mTargetBytes) / 4 / kConnectionBytes;
+  const std::size_t sockets = std::min(
+    aDescriptors - std::min(aDescriptors, kFileDescriptors), affordable);
   // A third is reserved for peers, the store and targets.
   const std::size_t clients = sockets - sockets / 3;
   shares.mDirectoryConnections = std::max(clients / 8, kMinimumConnections);
--- a/Libraries/LibHttp/ResourceShares.h
+++ b/Libraries/LibHttp/ResourceShares.h
@@ -4,6 +4,9 @@
 
 namespace verbenachute {
 
+/// Bytes that a connection of a client takes without any message.
+inline constexpr std::size_t kConnectionBytes = 4UL * 1024;
+
 /// How the memory and the descriptors of a process are divided.
 struct ResourceShares
 {
@@ -24,7 +27,9 @@
   std::size_t mOperatorConnections = 0;
 };
 
-/// aMemoryBytes and aDescriptors are what the process may take in total.
+/// aMemoryBytes and aDescriptors are what the process may take in total. There
+/// are fewer connections than descriptors if idle ones would take more than a
+/// quarter of the account of clients' memory.
 [[nodiscard]] ResourceShares
 DivideResources(std::size_t aMemoryBytes, std::size_t aDescriptors);
 
--- a/Tests/LibHttp/TestResourceShares.cpp
+++ b/Tests/LibHttp/TestResourceShares.cpp
@@ -32,4 +32,20 @@
   }
 }
 
+// Guards against idle connections whose charges leave no room for requests, on
+// a machine with little memory and many descriptors.
+TEST_CASE("Idle connections take a part of the account only")
+{
+  const ResourceShares shares = DivideResources(112UL << 20U, 1'048'576);
+  const std::size_t account = shares.mClientBytes + shares.mTargetBytes;
+  const std::size_t clients =
+    shares.mCallerConnections + shares.mDirectoryConnections +
+    shares.mPeerConnections + shares.mReadyConnections +
+    shares.mOperatorConnections;
+  CHECK(clients * kConnectionBytes <= account / 4);
+  // The sites' machines have fewer descriptors than that.
+  CHECK(shares.mCallerConnections >
+        DivideResources(112UL << 20U, 2'870).mCallerConnections);
+}
+
 } // namespace verbenachute
