LibHttp, LibForward, Meta: Tidy what the account of memory left behind

SharedText stands with the serializers and is used wherever it is meant. Three comments say what the code does: which reply of a part is kept, that a reply's charge is for its body, and why an exchange drops its text.

--- a/Libraries/LibForward/CallerRequest.h
+++ b/Libraries/LibForward/CallerRequest.h
@@ -4,6 +4,7 @@
 #include <LibCore/MemoryBudget.h>
 #include <LibCore/Time.h>
 #include <LibHttp/HttpFields.h>
+#include <LibHttp/HttpText.h>
 #include <LibRouting/Tenant.h>
 
 #include <memory>
@@ -40,7 +41,7 @@
   std::optional<std::uint32_t> mTenantPriority;
   /// The part of the serialized head that is the same for all targets; null
   /// until the request is sent for the first time.
-  mutable std::shared_ptr<const std::string> mSharedHead;
+  mutable SharedText mSharedHead;
 };
 
 using CallerRequestPointer = std::shared_ptr<const CallerRequest>;
--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -160,8 +160,8 @@
     std::optional<Instant> mHedgeAt;
     /// Whether an attempt may have run at a target.
     bool mMayHaveRun = false;
-    /// The answer; of a single request, or the last failure that a target has
-    /// signed.
+    /// The answer. Without one, and only for a request to a single target, the
+    /// last failure that a target has signed.
     std::optional<PartReply> mReply;
     /// Domains whose peers have asked no target of this part.
     DomainSet mDecliningDomains;
--- a/Libraries/LibForward/PartReply.h
+++ b/Libraries/LibForward/PartReply.h
@@ -63,8 +63,8 @@
   std::optional<Duration> mPause;
   /// Names of header fields that could not be read, separated by spaces.
   std::string mUnreadableFields;
-  /// For the memory of fields and body, shared by all copies; null if it is not
-  /// charged.
+  /// For the memory of the body, shared by all copies of the reply; null if it
+  /// is not charged.
   std::shared_ptr<MemoryBudget::Charge> mCharge;
 };
 
--- a/Libraries/LibHttp/HttpClientStream.cpp
+++ b/Libraries/LibHttp/HttpClientStream.cpp
@@ -127,7 +127,7 @@
   bufferevent_write(
     mStream, mExchange.mRequest.data(), mExchange.mRequest.size());
   WriteShared(std::exchange(mExchange.mSharedBody, nullptr));
-  // The connection may stay idle for long.
+  // What is not sent yet is in the buffer of the stream now.
   mExchange.mRequest = std::string();
 }
 
--- a/Libraries/LibHttp/HttpClientStream.h
+++ b/Libraries/LibHttp/HttpClientStream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
+#include <LibHttp/HttpText.h>
 #include <LibHttp/MessageReader.h>
 #include <LibHttp/ReceiveBudget.h>
 #include <LibTransport/EventLoop.h>
@@ -8,7 +9,6 @@
 #include <LibTransport/Timer.h>
 
 #include <functional>
-#include <memory>
 #include <string>
 #include <variant>
 
@@ -16,9 +16,6 @@
 
 namespace verbenachute {
 
-/// A text that several exchanges send without copies of their own.
-using SharedText = std::shared_ptr<const std::string>;
-
 struct HttpResponse
 {
   int mStatus = 0;
--- a/Libraries/LibHttp/HttpText.h
+++ b/Libraries/LibHttp/HttpText.h
@@ -2,11 +2,15 @@
 
 #include <LibHttp/HttpFields.h>
 
+#include <memory>
 #include <string>
 #include <string_view>
 
 namespace verbenachute {
 
+/// A text that several messages contain without copies of their own.
+using SharedText = std::shared_ptr<const std::string>;
+
 /// Serializes a request. Content-Length is added unless the body is empty and
 /// the method is GET or HEAD; it must not be in aFields.
 [[nodiscard]] std::string
--- a/Libraries/LibHttp/MessageReader.h
+++ b/Libraries/LibHttp/MessageReader.h
@@ -73,13 +73,9 @@
   /// several times its size.
   [[nodiscard]] std::size_t MessageMemory() const
   {
-    return mBody.capacity() + HeadMemory();
-  }
-  /// Memory that the head takes, in bytes.
-  [[nodiscard]] std::size_t HeadMemory() const
-  {
-    // Texts have spare capacity of up to their size.
-    return 2 * mHeaderBytes + mFields.All().capacity() * sizeof(HttpField);
+    // The texts of the head have spare capacity of up to their size.
+    return mBody.capacity() + 2 * mHeaderBytes +
+           mFields.All().capacity() * sizeof(HttpField);
   }
   /// Frees the memory of the message, which must not be read any more.
   void DropBody() { mBody = std::string(); }
--- a/Meta/client-limits.sh
+++ b/Meta/client-limits.sh
@@ -27,8 +27,10 @@
 descriptors=800
 bound_mb=$((memory_mb + 16))
 nodes=1
-# The listener that the crowd connects to, and the nodes that are lost meanwhile.
+# The listener that the crowd connects to, whether further crowds connect to the
+# others, and the nodes that are lost meanwhile.
 port=caller
+other_listeners=no
 lost=()
 # The crowds differ as the memory that one client can take does.
 case "${1:-}" in
@@ -46,10 +48,12 @@
     ;;
   targets) kind=short-queries clients=400 descriptors=300 ;;
   frames) kind=frames clients=300 port=gather ;;
-  listeners) kind=all clients=50 nodes=3 lost=(node-2 node-3) ;;
+  listeners)
+    kind=all clients=50 nodes=3 other_listeners=yes lost=(node-2 node-3)
+    ;;
   smallest-fields) kind=fields clients=1500 ;;
   smallest-listeners | usual-listeners)
-    kind=all clients=300 nodes=3 lost=(node-2 node-3)
+    kind=all clients=300 nodes=3 other_listeners=yes lost=(node-2 node-3)
     ;;
   calm) kind='' clients=0 ;;
   *)
@@ -198,7 +202,7 @@
 most_sockets=0
 if [ -n "$kind" ]; then
   start_crowd "$kind" "$port"
-  if [ "${#lost[@]}" -gt 0 ]; then
+  if [ "$other_listeners" = yes ]; then
     start_crowd queries caller
     for listener in directory ready peer operator; do
       start_crowd bodies "$listener"
--- a/Services/verbenachuted/TargetConnectionPool.h
+++ b/Services/verbenachuted/TargetConnectionPool.h
@@ -55,9 +55,6 @@
   /// ones.
   void CloseIdle();
 
-  /// Busy and idle connections to all targets.
-  [[nodiscard]] std::size_t ConnectionCount() const { return mConnectionCount; }
-
 private:
   struct Connection
   {
@@ -90,6 +87,7 @@
   ReplyArrived mReplyArrived;
   AttemptFailed mAttemptFailed;
   std::map<SocketAddress, Connections> mConnections;
+  /// Busy and idle connections to all targets.
   std::size_t mConnectionCount = 0;
   std::unordered_map<AttemptId,
                      std::pair<SocketAddress, std::shared_ptr<Connection>>>
