LibGossip: Count silence from the issue of a relayed status

Cause: GossipTable took the arrival of a status for the time of the heartbeat. Nodes relay what they know of a silent node for 120 s. A node that has never heard of it, or has forgotten it, took such a status for a sign of life; so did all nodes where a paused one passed on a last count that no other had seen.

Change: a relayed status carries its age, in a field that earlier releases skip, and silence counts from the time of issue. What goes by this instant follows: directory, shared limits, quotas, roll-outs, the store's age, the nodes to send to, and forgetting. After a second without a round, messages count as old as that round until the next round but one, since they may have waited. A status without age, from an earlier release, proves nothing until the count advances.

Ruled out: taking a first relayed status for silent until its count advances. Two nodes that relay different last counts look like an advance.

--- a/Libraries/LibGossip/GossipCodec.cpp
+++ b/Libraries/LibGossip/GossipCodec.cpp
@@ -13,12 +13,30 @@
 // A datagram holds a few dozen entries at most.
 constexpr std::size_t kMaximumEntries = 256;
 
+/// Whose status an entry of a message is.
+enum class StatusOrigin
+{
+  Sender,
+  Relayed,
+};
+
+StatusOrigin
+OriginOf(std::size_t aPosition)
+{
+  return aPosition == 0 ? StatusOrigin::Sender : StatusOrigin::Relayed;
+}
+
 void
-WriteStatus(const NodeStatus& aStatus, FieldWriter* aWriter)
+WriteStatus(const NodeStatus& aStatus,
+            StatusOrigin aOrigin,
+            FieldWriter* aWriter)
 {
-  // Era 0 is left out, as in the messages of earlier releases.
-  const bool hasEra = aStatus.mStoreEra != StoreEra();
-  aWriter->Array(kStatusFields + (hasEra ? 1 : 0));
+  // Earlier releases know neither field. Era 0 is left out where no age
+  // follows it.
+  const bool hasAge =
+    aOrigin == StatusOrigin::Relayed && aStatus.mAgeMs.has_value();
+  const bool hasEra = hasAge || aStatus.mStoreEra != StoreEra();
+  aWriter->Array(kStatusFields + (hasEra ? 1 : 0) + (hasAge ? 1 : 0));
   aWriter->Id(aStatus.mIdentity.mName);
   aWriter->Id(aStatus.mIdentity.mIncarnation);
   aWriter->Number(aStatus.mHeartbeatCount);
@@ -38,10 +56,13 @@
   if (hasEra) {
     aWriter->Id(aStatus.mStoreEra);
   }
+  if (hasAge) {
+    aWriter->Number(*aStatus.mAgeMs);
+  }
 }
 
 NodeStatus
-ReadStatus(FieldReader aReader)
+ReadStatus(FieldReader aReader, StatusOrigin aOrigin)
 {
   NodeStatus status;
   status.mIdentity.mName = aReader.Id<NodeName>();
@@ -68,6 +89,11 @@
   if (aReader.Remaining() > 0) {
     status.mStoreEra = aReader.Id<StoreEra>();
   }
+  if (aReader.Remaining() > 0) {
+    status.mAgeMs = aReader.Number<std::uint32_t>();
+  } else if (aOrigin == StatusOrigin::Relayed) {
+    status.mAgeMs.reset();
+  }
   return status;
 }
 
@@ -85,8 +111,8 @@
 WriteMessage(const GossipMessage& aMessage, FieldWriter* aWriter)
 {
   aWriter->Number(aMessage.mStatuses.size());
-  for (const NodeStatus& status : aMessage.mStatuses) {
-    WriteStatus(status, aWriter);
+  for (std::size_t i = 0; i < aMessage.mStatuses.size(); ++i) {
+    WriteStatus(aMessage.mStatuses[i], OriginOf(i), aWriter);
   }
   aWriter->Number(aMessage.mPoisonObservations.size() +
                   aMessage.mPoisonConvictions.size());
@@ -112,7 +138,7 @@
   GossipMessage message;
   const std::size_t statusCount = ReadEntryCount(aReader);
   for (std::size_t i = 0; i < statusCount; ++i) {
-    message.mStatuses.push_back(ReadStatus(aReader->Array()));
+    message.mStatuses.push_back(ReadStatus(aReader->Array(), OriginOf(i)));
   }
   const std::size_t reportCount = ReadEntryCount(aReader);
   for (std::size_t i = 0; i < reportCount; ++i) {
--- a/Libraries/LibGossip/GossipTable.cpp
+++ b/Libraries/LibGossip/GossipTable.cpp
@@ -16,6 +16,12 @@
 constexpr Duration kRelayAllowance = milliseconds(500);
 // Silence after which a node is removed from the table.
 constexpr Duration kForgetTimeout = seconds(120);
+// Assumed for a status of unknown age: too old for any conclusion, but kept, so
+// that a later status of the node is seen to follow it.
+constexpr Duration kUnknownAge = seconds(60);
+// A longer time between two rounds is a pause of this process, in which
+// messages wait to be read.
+constexpr Duration kPauseTimeout = milliseconds(1000);
 // Intervals of a relayed node that may pass without a status: messages lost in
 // a row, and one interval for the relay.
 constexpr int kMissedIntervals = 3;
@@ -31,6 +37,13 @@
 constexpr std::size_t kMaximumPoisonObservationsSent = 64;
 constexpr std::size_t kMaximumPoisonConvictionsSent = 32;
 
+std::uint32_t
+AgeInMilliseconds(Duration aAge)
+{
+  return static_cast<std::uint32_t>(std::clamp<milliseconds::rep>(
+    std::chrono::ceil<milliseconds>(aAge).count(), 0, kMaximumAgeMs));
+}
+
 } // namespace
 
 GossipTable::GossipTable(const Settings& aSettings, NodeStatus aSelf)
@@ -64,9 +77,7 @@
   mSelf.mStoreEra = aStorePosition.mEra;
   mSelf.mStoreAgeMs.reset();
   if (aStoreAge.has_value()) {
-    mSelf.mStoreAgeMs = static_cast<std::uint32_t>(std::min<milliseconds::rep>(
-      std::chrono::duration_cast<milliseconds>(*aStoreAge).count(),
-      kMaximumAgeMs));
+    mSelf.mStoreAgeMs = AgeInMilliseconds(*aStoreAge);
   }
   mSelf.mPlanVersion = aPlanVersion;
   mSelf.mConfigurationRevision = aConfigurationRevision;
@@ -189,7 +200,7 @@
 bool
 GossipTable::IsPeerAlive(const Peer& aPeer, Instant aNow) const
 {
-  return aNow - aPeer.mLastUpdate <= SilenceTimeout(aPeer);
+  return aNow - aPeer.mIssuedAt <= SilenceTimeout(aPeer);
 }
 
 bool
@@ -242,7 +253,8 @@
     if (messages.back().mStatuses.size() > mSettings.mMaximumEntries) {
       messages.emplace_back().mStatuses.push_back(mSelf);
     }
-    messages.back().mStatuses.push_back(peer->mStatus);
+    NodeStatus& relayed = messages.back().mStatuses.emplace_back(peer->mStatus);
+    relayed.mAgeMs = AgeInMilliseconds(aNow - peer->mIssuedAt);
     peer->*aRelay = false;
   }
   return messages;
@@ -277,8 +289,13 @@
 GossipTable::Round(Instant aNow)
 {
   ++mSelf.mHeartbeatCount;
+  mQueuedSince.reset();
+  if (EarliestArrival(aNow) != aNow) {
+    mQueuedSince = mLastRound;
+  }
+  mLastRound = aNow;
   std::erase_if(mPeers, [&](const auto& aEntry) {
-    return aNow - aEntry.second.mLastUpdate > kForgetTimeout;
+    return aNow - aEntry.second.mIssuedAt > kForgetTimeout;
   });
   ++mRoundCount;
   const bool skipsRound = mSelf.mGossipRole == GossipRole::Relayed &&
@@ -314,6 +331,26 @@
   return { datagram };
 }
 
+Instant
+GossipTable::EarliestArrival(Instant aNow) const
+{
+  if (mQueuedSince.has_value()) {
+    return *mQueuedSince;
+  }
+  const bool wasPaused =
+    mLastRound.has_value() && aNow - *mLastRound > kPauseTimeout;
+  return wasPaused ? *mLastRound : aNow;
+}
+
+std::optional<Instant>
+GossipTable::IssueTime(const NodeStatus& aStatus, Instant aNow) const
+{
+  if (!aStatus.mAgeMs.has_value()) {
+    return std::nullopt;
+  }
+  return EarliestArrival(aNow) - milliseconds(*aStatus.mAgeMs);
+}
+
 void
 GossipTable::SupersedeIncarnation(Incarnation aKnown)
 {
@@ -335,6 +372,11 @@
     SupersedeIncarnation(aStatus.mIdentity.mIncarnation);
     return;
   }
+  const std::optional<Instant> issueTime = IssueTime(aStatus, aNow);
+  if (!mPeers.contains(name) && issueTime.has_value() &&
+      aNow - *issueTime > kForgetTimeout) {
+    return;
+  }
   const auto [found, added] = mPeers.try_emplace(name);
   Peer& peer = found->second;
   const NodeStatus& known = peer.mStatus;
@@ -355,8 +397,13 @@
                           aStatus.mGossipRole != known.mGossipRole;
   const bool isFirstHandRelayed =
     aIsFirstHand && aStatus.mGossipRole == GossipRole::Relayed;
+  // Where the age is unknown, the only sign of life is that the count has
+  // advanced since an earlier status.
+  const bool isSuccessor = !added && aStatus.mIdentity == known.mIdentity;
+  const Instant assumedTime = isSuccessor ? aNow : aNow - kUnknownAge;
+  const Instant issuedAt = issueTime.value_or(assumedTime);
+  peer.mIssuedAt = added ? issuedAt : std::max(peer.mIssuedAt, issuedAt);
   peer.mStatus = aStatus;
-  peer.mLastUpdate = aNow;
   peer.mLastChange = hasChanged ? aNow : peer.mLastChange;
   // In a small fleet every node sends to all others.
   const bool needsRelay = !IsSmallFleet();
@@ -435,7 +482,7 @@
     const Peer& peer = entry.second;
     if (!IsInOwnDomain(peer) &&
         peer.mStatus.mServingState == ServingState::Serving &&
-        aNow - peer.mLastUpdate <= kOtherDomainRetention) {
+        aNow - peer.mIssuedAt <= kOtherDomainRetention) {
       nodes.push_back(peer.mStatus);
     }
   }
@@ -447,7 +494,7 @@
 {
   std::vector<NodeName> names{ mSelf.mIdentity.mName };
   for (const auto& entry : mPeers) {
-    if (aNow - entry.second.mLastUpdate <= kPossiblyAliveTime) {
+    if (aNow - entry.second.mIssuedAt <= kPossiblyAliveTime) {
       names.push_back(entry.first);
     }
   }
@@ -487,7 +534,7 @@
       continue;
     }
     const Duration age = milliseconds(*entry.second.mStatus.mStoreAgeMs) +
-                         (aNow - entry.second.mLastUpdate);
+                         (aNow - entry.second.mIssuedAt);
     minimumAge = std::min(minimumAge.value_or(age), age);
   }
   return minimumAge;
--- a/Libraries/LibGossip/GossipTable.h
+++ b/Libraries/LibGossip/GossipTable.h
@@ -3,6 +3,7 @@
 #include <LibGossip/NodeStatus.h>
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <vector>
@@ -25,6 +26,9 @@
 /// heartbeat count and sends it, with the counts of others, to some nodes. A
 /// node whose count does not increase is no longer advertised to callers.
 ///
+/// A relayed status carries its age, so that no node takes an old status for a
+/// sign of life when it first hears of a node or has forgotten it.
+///
 /// In a large fleet the direct nodes, which are those that are advertised to
 /// callers, send to each other and to the nodes of their own failure domain, so
 /// that little traffic crosses domains. They relay what comes from another
@@ -97,7 +101,8 @@
   }
 
   /// Executes one round and returns its datagrams. Call it once in each
-  /// Settings::mPeriod.
+  /// Settings::mPeriod, and before the first message is received: a pause is
+  /// recognised by the time since the last round.
   [[nodiscard]] std::vector<Datagram> Round(Instant aNow);
   /// Returns datagrams that report a change of this node's status without
   /// waiting for the next round.
@@ -148,8 +153,9 @@
   struct Peer
   {
     NodeStatus mStatus;
-    /// When a newer status arrived last.
-    Instant mLastUpdate;
+    /// When the node issued mStatus, as far as this node can tell. Silence
+    /// counts from here, however late a status arrives through others.
+    Instant mIssuedAt;
     /// When its incarnation, serving state or role changed last.
     Instant mLastChange;
     /// The status is to be relayed within this node's domain.
@@ -177,6 +183,12 @@
   void StorePoisonObservation(const PoisonObservation& aObservation,
                               bool aIsOwn,
                               Instant aNow);
+  /// The earliest time at which a message that is read now can have arrived.
+  [[nodiscard]] Instant EarliestArrival(Instant aNow) const;
+  /// When the node issued a status that is read now. Empty if it cannot be
+  /// told, since an earlier release relayed the status.
+  [[nodiscard]] std::optional<Instant> IssueTime(const NodeStatus& aStatus,
+                                                 Instant aNow) const;
   /// Raises this node's incarnation above that which others know.
   void SupersedeIncarnation(Incarnation aKnown);
   /// Messages with this node's status, those that changed recently and those
@@ -220,6 +232,10 @@
   std::map<PoisonObservation, KnownObservation> mPoisonObservations;
   std::vector<PoisonConviction> mPoisonConvictions;
   unsigned mRoundCount = 0;
+  std::optional<Instant> mLastRound;
+  /// Last round before a pause of this process, until the round after the next
+  /// one: messages that have waited since then may still be read.
+  std::optional<Instant> mQueuedSince;
   std::minstd_rand mRandom;
 };
 
--- a/Libraries/LibGossip/GossipTableReceivers.cpp
+++ b/Libraries/LibGossip/GossipTableReceivers.cpp
@@ -21,7 +21,7 @@
   std::set<SocketAddress> probed = mSeeds;
   for (const auto& entry : mPeers) {
     const SocketAddress& address = entry.second.mStatus.mPeerAddress;
-    if (aNow - entry.second.mLastUpdate < kKeepSendingTime) {
+    if (aNow - entry.second.mIssuedAt < kKeepSendingTime) {
       probed.erase(address);
     } else {
       probed.insert(address);
@@ -51,7 +51,7 @@
   for (const auto& entry : mPeers) {
     if (directNodesBefore < kUncoveredDomainSenders &&
         !coveredDomains.contains(entry.second.mStatus.mDomain) &&
-        aNow - entry.second.mLastUpdate < kKeepSendingTime) {
+        aNow - entry.second.mIssuedAt < kKeepSendingTime) {
       uncovered.push_back(entry.second.mStatus.mPeerAddress);
     }
   }
@@ -64,7 +64,7 @@
   Receivers receivers;
   for (const auto& entry : mPeers) {
     const NodeStatus& status = entry.second.mStatus;
-    if (aNow - entry.second.mLastUpdate >= kKeepSendingTime) {
+    if (aNow - entry.second.mIssuedAt >= kKeepSendingTime) {
       continue;
     }
     if (IsInOwnDomain(entry.second)) {
@@ -101,7 +101,7 @@
   std::vector<SocketAddress> known;
   for (const auto& entry : mPeers) {
     const NodeStatus& status = entry.second.mStatus;
-    if (aNow - entry.second.mLastUpdate >= kKeepSendingTime) {
+    if (aNow - entry.second.mIssuedAt >= kKeepSendingTime) {
       continue;
     }
     known.push_back(status.mPeerAddress);
--- a/Libraries/LibGossip/NodeStatus.h
+++ b/Libraries/LibGossip/NodeStatus.h
@@ -56,6 +56,9 @@
   PlanVersion mPlanVersion;
   /// Revision of the operators' configuration that is in force on the node.
   Revision mConfigurationRevision;
+  /// Milliseconds since the node issued this status, when a peer relays it.
+  /// Empty if the peer runs an earlier release, which does not tell.
+  std::optional<std::uint32_t> mAgeMs = 0;
   /// CPU capacity that the node may use, in thousandths of a core.
   std::uint32_t mCpuMillicores = 0;
   /// CPU usage of the node, in thousandths of a core.
--- a/Tests/LibGossip/TestGossipTable.cpp
+++ b/Tests/LibGossip/TestGossipTable.cpp
@@ -441,4 +441,44 @@
   CHECK(fleet.At(0).PeerWithNewerStore(laterEra, fleet.mNow) == nullptr);
 }
 
+// Guards against ages that are lost on the way, and against bytes that earlier
+// releases do not expect.
+TEST_CASE("The age of a relayed status is reported, that of the own is not")
+{
+  GossipMessage sent;
+  sent.mStatuses = { StatusOf(1) };
+  const std::size_t bytesOfOwn = EncodeGossip(sent).size();
+  sent.mStatuses[0].mAgeMs = 700;
+  CHECK(EncodeGossip(sent).size() == bytesOfOwn);
+  for (const std::optional<std::uint32_t> age :
+       { std::optional<std::uint32_t>(),
+         std::optional<std::uint32_t>(0),
+         std::optional<std::uint32_t>(119'000) }) {
+    sent.mStatuses = { StatusOf(1), StatusOf(2) };
+    sent.mStatuses[1].mAgeMs = age;
+    const Result<GossipMessage> received = DecodeGossip(EncodeGossip(sent));
+    REQUIRE(!IsError(received));
+    REQUIRE(ValueOf(received).mStatuses.size() == 2);
+    CHECK(ValueOf(received).mStatuses[0].mAgeMs == 0U);
+    CHECK(ValueOf(received).mStatuses[1].mAgeMs == age);
+  }
+}
+
+// Guards against a store that seems to have responded lately, because the node
+// that says so has only now been heard of.
+TEST_CASE("The age of a relayed status counts for the age of the store")
+{
+  const Instant now(seconds(1));
+  GossipTable table(GossipTable::Settings(), StatusOf(0));
+  GossipMessage message;
+  message.mStatuses = { StatusOf(1), StatusOf(2) };
+  message.mStatuses[1].mStoreAgeMs = 100;
+  message.mStatuses[1].mAgeMs = 40'000;
+  table.Receive(message, now);
+  CHECK(table.StoreAge(now) == milliseconds(40'100));
+  CHECK(table.IsAlive(NodeName("n1"), now));
+  CHECK(!table.IsAlive(NodeName("n2"), now));
+  CHECK(table.PossiblyAlive(now).size() == 2);
+}
+
 } // namespace verbenachute
