ForwardEngine: Tell requests apart by their caller

Cause: the fingerprint was made of method, path and body. An answer to one tenant erased what was known of the other's request, at each node that answered, and a conviction held for both.

Change: the fingerprint covers method, host, path, tenant and body. The body is hashed without a copy.

Weighed: checking the old fingerprint too while a roll-out lasts. It stands for all callers, so it would keep the fault.

--- a/Libraries/LibForward/ForwardEngine.h
+++ b/Libraries/LibForward/ForwardEngine.h
@@ -307,6 +307,7 @@
   [[nodiscard]] std::optional<RefusedOutcome> CoverageRefusal(
     Request* aRequest,
     Instant aNow) const;
+  /// Fingerprint of the request and of who sends it; the same on all nodes.
   [[nodiscard]] static Fingerprint FingerprintOfRequest(
     const CallerRequest& aRequest);
   /// Rank of the request; 0 is served first.
--- a/Libraries/LibForward/ForwardEngineAdmission.cpp
+++ b/Libraries/LibForward/ForwardEngineAdmission.cpp
@@ -26,8 +26,10 @@
 Fingerprint
 ForwardEngine::FingerprintOfRequest(const CallerRequest& aRequest)
 {
-  return FingerprintOf(ServiceName(aRequest.mMethod),
-                       aRequest.mTarget + '\n' + aRequest.mBody);
+  // Without the caller, answers to one would clear what another one sends.
+  const std::string head = aRequest.mMethod + '\n' + aRequest.mHost + '\n' +
+                           aRequest.mTarget + '\n' + aRequest.mTenant.value();
+  return FingerprintOf(ServiceName(head), aRequest.mBody);
 }
 
 std::uint32_t
--- a/Tests/LibForward/ForwardRig.cpp
+++ b/Tests/LibForward/ForwardRig.cpp
@@ -119,7 +119,8 @@
   request.mId = RequestId("r" + std::to_string(number.value()));
   request.mMethod = "GET";
   request.mTarget = aPath;
-  request.mHost = kHost;
+  request.mHost = mHost;
+  request.mTenant = mTenant;
   request.mTimeLimit = aTimeout;
   request.mConnectTime = aConnectTime;
   request.mArrivalTime = mNow;
--- a/Tests/LibForward/ForwardRig.h
+++ b/Tests/LibForward/ForwardRig.h
@@ -59,6 +59,10 @@
                              : std::get_if<Outcome>(&answer->mOutcome);
   }
 
+  /// Tenant of the requests that are submitted next; empty for none.
+  TenantName mTenant;
+  /// Host of the requests that are submitted next.
+  std::string mHost = "h.example";
   ServingPlan::Content mContent;
   ForwardEngine mEngine;
   Instant mNow{ seconds(1000) };
--- a/Tests/LibForward/PoisonFleet.cpp
+++ b/Tests/LibForward/PoisonFleet.cpp
@@ -11,7 +11,9 @@
 
 constexpr Duration kStep = milliseconds(10);
 constexpr Duration kTimeToRestart = seconds(3);
-constexpr const char* kDeadlyPath = "/single/deadly";
+constexpr const char* kPath = "/single/page";
+constexpr const char* kHarmlessTenant = "harmless";
+constexpr Duration kTimeToAnswer = milliseconds(20);
 constexpr std::size_t kDirectNodes = 8;
 
 NodeStatus
@@ -106,9 +108,24 @@
 }
 
 void
-PoisonFleet::Ask(std::size_t aNode)
+PoisonFleet::Ask(std::size_t aNode, const TenantName& aTenant)
 {
-  RigOf(aNode).Submit(kDeadlyPath);
+  mDeadly.try_emplace(aTenant);
+  RigOf(aNode).mTenant = aTenant;
+  static_cast<void>(RigOf(aNode).Submit(kPath));
+  Collect(aNode);
+}
+
+void
+PoisonFleet::AskHarmless(std::size_t aNode)
+{
+  RigOf(aNode).mTenant = TenantName(kHarmlessTenant);
+  const RequestNumber number = RigOf(aNode).Submit(kPath);
+  const RefusedOutcome* refused =
+    RigOf(aNode).OutcomeOf<RefusedOutcome>(number);
+  if (refused != nullptr && refused->mReason == RefusalReason::Poisonous) {
+    ++mRefused;
+  }
   Collect(aNode);
 }
 
@@ -126,7 +143,7 @@
 {
   for (std::size_t i = 0; i < aRequests; ++i) {
     mNodes[aNode].mGossip->AddPoisonObservation(
-      PoisonObservation{ Fingerprint(mNextHarmless++), TargetName("t0") },
+      PoisonObservation{ Fingerprint(mNextFingerprint++), TargetName("t0") },
       mNow);
   }
 }
@@ -140,9 +157,11 @@
   for (const SendAction& send : node.mRig->Open()) {
     const bool isNew =
       mArrivals.emplace(std::pair(aNode, send.mAttempt), mNow).second;
-    if (isNew && inTouch && mCrashes.size() >= 3 &&
-        mNow > mCrashes[2] + kContact) {
-      mLateRetries.emplace(aNode, send.mRequest->mId.value());
+    const auto deadly = mDeadly.find(send.mRequest->mTenant);
+    if (isNew && inTouch && deadly != mDeadly.end() &&
+        deadly->second.mCrashes.size() >= 3 &&
+        mNow > deadly->second.mCrashes[2] + kContact) {
+      deadly->second.mLateRetries.emplace(aNode, send.mRequest->mId.value());
     }
   }
   for (const PoisonObservation& observation :
@@ -152,9 +171,9 @@
 }
 
 void
-PoisonFleet::Crash(Target* aTarget)
+PoisonFleet::Crash(Target* aTarget, const TenantName& aTenant)
 {
-  mCrashes.push_back(mNow);
+  mDeadly.at(aTenant).mCrashes.push_back(mNow);
   aTarget->mIsDown = true;
   aTarget->mUpFrom = mNow + kTimeToRestart;
   const TargetName name = aTarget->mListed.mName;
@@ -170,7 +189,7 @@
 }
 
 void
-PoisonFleet::CrashTargets()
+PoisonFleet::EndAttempts()
 {
   for (std::size_t i = 0; i < mNodes.size(); ++i) {
     for (const SendAction& send : RigOf(i).Open()) {
@@ -185,9 +204,17 @@
           RigOf(i).Break(send.mAttempt, AttemptFailure::NotSent);
           Collect(i);
         }
-      } else if (arrival != mArrivals.end() &&
-                 mNow - arrival->second >= mTimeToCrash) {
-        Crash(&*target);
+      } else if (arrival == mArrivals.end()) {
+        continue;
+      } else if (mDeadly.contains(send.mRequest->mTenant)) {
+        if (mNow - arrival->second >= mTimeToCrash) {
+          Crash(&*target, send.mRequest->mTenant);
+        }
+      } else if (mNow - arrival->second >= kTimeToAnswer) {
+        mArrivals.erase(arrival);
+        ++mAnswered;
+        RigOf(i).Answer(send.mAttempt);
+        Collect(i);
       }
     }
   }
@@ -241,7 +268,8 @@
         const bool isReceiver = std::find(datagram.mReceivers.begin(),
                                           datagram.mReceivers.end(),
                                           address) != datagram.mReceivers.end();
-        if (!isReceiver || node.mIsCut || mNodes[to].mIsCut) {
+        if (!isReceiver || node.mIsCut || mNodes[to].mIsCut ||
+            (mLossPercent > 0 && mRandom() % 100 < mLossPercent)) {
           continue;
         }
         for (const PoisonObservation& observation :
@@ -266,10 +294,61 @@
       RigOf(i).Pass(mNow - RigOf(i).mNow);
       Collect(i);
     }
-    CrashTargets();
+    if (mHarmlessInterval.has_value() && mNow >= mNextHarmless) {
+      mNextHarmless = mNow + *mHarmlessInterval;
+      AskHarmless(mRandom() % std::min(mNodes.size(), kDirectNodes));
+    }
+    EndAttempts();
     BringTargetsBack();
     Gossip();
   }
 }
 
+PoisonFleet
+RunDrawnDisturbances(std::uint32_t aSeed,
+                     const std::vector<TenantName>& aTenants)
+{
+  std::mt19937 random(aSeed);
+  const std::size_t nodes = 3 + random() % 6;
+  const std::size_t targets = 4 + random() % 9;
+  const PoisonFleet::Comeback comeback = random() % 2 == 0
+                                           ? PoisonFleet::Comeback::NewName
+                                           : PoisonFleet::Comeback::SameName;
+  PoisonFleet fleet(nodes, targets, comeback);
+  fleet.SetHarmlessInterval(milliseconds(10 + random() % 40));
+  for (const TenantName& tenant : aTenants) {
+    fleet.Ask(random() % nodes, tenant);
+  }
+  for (Duration passed(0); passed < seconds(45);) {
+    const std::size_t node = random() % nodes;
+    switch (random() % 12) {
+      case 0:
+        fleet.Restart(node);
+        break;
+      case 1:
+        if (fleet.IsCut(node)) {
+          fleet.Heal(node);
+        } else {
+          fleet.Cut(node);
+        }
+        break;
+      case 2:
+        fleet.mLossPercent = random() % 3 * 15;
+        break;
+      case 3:
+        fleet.LoseConnections(node, 30);
+        break;
+      case 4:
+        fleet.mTimeToCrash = milliseconds(5 + random() % 2 * 145);
+        break;
+      default:
+        fleet.Ask(node, aTenants[random() % aTenants.size()]);
+    }
+    const Duration pause = milliseconds(random() % 500);
+    fleet.Pass(pause);
+    passed += pause;
+  }
+  return fleet;
+}
+
 } // namespace verbenachute
--- a/Tests/LibForward/TestForwardEngine.cpp
+++ b/Tests/LibForward/TestForwardEngine.cpp
@@ -489,6 +489,28 @@
   }
 }
 
+// Guards against a conviction that reaches callers whose requests are harmless,
+// and against their answers clearing it.
+TEST_CASE("A request that crashes targets is told apart by its caller")
+{
+  ForwardRig rig(1, 1.0);
+  for (const char* name : { "s0-0", "s0-1", "s0-2", "s0-3" }) {
+    rig.ListTarget(name, "s0");
+  }
+  rig.mTenant = TenantName("alpha");
+  LoseTargetsOfDeadlyQuery(&rig);
+  rig.mTenant = TenantName("beta");
+  const RequestNumber harmless = rig.Submit("/gather/deadly");
+  REQUIRE(rig.AnswerOf(harmless) == nullptr);
+  rig.Answer(rig.Open().front().mAttempt);
+  CHECK(rig.OutcomeOf<GatheredOutcome>(harmless) != nullptr);
+  rig.mTenant = TenantName("alpha");
+  const RequestNumber deadly = rig.Submit("/gather/deadly");
+  REQUIRE(rig.OutcomeOf<RefusedOutcome>(deadly) != nullptr);
+  CHECK(rig.OutcomeOf<RefusedOutcome>(deadly)->mReason ==
+        RefusalReason::Poisonous);
+}
+
 TEST_CASE("More nodes than connections: no target is over its cap, every "
           "node reaches every shard")
 {
--- a/Tests/LibForward/TestPoisonFleet.cpp
+++ b/Tests/LibForward/TestPoisonFleet.cpp
@@ -82,6 +82,41 @@
   CHECK(fleet.LateRetries() <= PoisonFleet::kAllowedLateRetries);
 }
 
+// Guards against answers to another tenant that asks for the same path, which
+// clear a request that crashes targets, and against refusing that tenant.
+TEST_CASE("A request that crashes targets, beside the same path of a tenant "
+          "whose requests are answered")
+{
+  for (const Duration interval : { milliseconds(40), milliseconds(400) }) {
+    CAPTURE(interval.count());
+    PoisonFleet fleet(3, 12, PoisonFleet::Comeback::NewName);
+    fleet.SetHarmlessInterval(interval);
+    fleet.AskAnywhere(seconds(30), seconds(1));
+    CHECK(fleet.Crashes() >= 3);
+    CHECK(fleet.LateRetries() <= PoisonFleet::kAllowedLateRetries);
+    CHECK(fleet.HarmlessAnswered() > 60);
+    CHECK(fleet.HarmlessRefused() == 0);
+  }
+}
+
+// Guards against any order of events after which nodes let a request through
+// that has crashed three targets.
+TEST_CASE("Two requests that crash targets, under drawn disturbances")
+{
+  const std::vector<TenantName> tenants{ TenantName("one"), TenantName("two") };
+  std::size_t crashedThree = 0;
+  for (std::uint32_t seed = 1; seed <= 70; ++seed) {
+    CAPTURE(seed);
+    const PoisonFleet fleet = RunDrawnDisturbances(seed, tenants);
+    for (const TenantName& tenant : tenants) {
+      CAPTURE(tenant.value());
+      crashedThree += fleet.Crashes(tenant) >= 3 ? 1 : 0;
+      CHECK(fleet.LateRetries(tenant) <= PoisonFleet::kAllowedLateRetries);
+    }
+  }
+  CHECK(crashedThree > 120);
+}
+
 } // namespace
 
 } // namespace verbenachute
