TestForwardEngine: Tell requests apart by their host too

"is told apart by its caller" covered the tenant only; the rig's host was never set. The host of the routes stands once, in the rig.

--- a/Tests/LibForward/ForwardRig.cpp
+++ b/Tests/LibForward/ForwardRig.cpp
@@ -8,14 +8,12 @@
 
 namespace {
 
-constexpr const char* kHost = "h.example";
-
 Route
 RouteTo(const std::string& aName, RepeatPolicy aRepeatPolicy)
 {
   Route route;
   route.mName = aName;
-  route.mHost = kHost;
+  route.mHost = ForwardRig::kHost;
   route.mPathPrefix = "/" + aName + "/";
   route.mRepeatPolicy = aRepeatPolicy;
   route.mDeadline = milliseconds(1500);
--- a/Tests/LibForward/ForwardRig.h
+++ b/Tests/LibForward/ForwardRig.h
@@ -16,6 +16,9 @@
 class ForwardRig
 {
 public:
+  /// Host of the routes.
+  static constexpr const char* kHost = "h.example";
+
   explicit ForwardRig(std::size_t aShards = 4,
                       double aMinimumCoverage = 0.5,
                       ForwardSettings aSettings = Defaults());
@@ -62,7 +65,7 @@
   /// Tenant of the requests that are submitted next; empty for none.
   TenantName mTenant;
   /// Host of the requests that are submitted next.
-  std::string mHost = "h.example";
+  std::string mHost = kHost;
   ServingPlan::Content mContent;
   ForwardEngine mEngine;
   Instant mNow{ seconds(1000) };
--- a/Tests/LibForward/TestForwardEngine.cpp
+++ b/Tests/LibForward/TestForwardEngine.cpp
@@ -497,14 +497,28 @@
   for (const char* name : { "s0-0", "s0-1", "s0-2", "s0-3" }) {
     rig.ListTarget(name, "s0");
   }
+  Route otherHost = rig.mContent.mRoutes.front();
+  otherHost.mName = "gather-of-other";
+  otherHost.mHost = "other.example";
+  rig.mContent.mRoutes.push_back(otherHost);
+  rig.mContent.mVersion = PlanVersion(2);
+  rig.mEngine.SetPlan(std::make_shared<const ServingPlan>(rig.mContent));
   rig.mTenant = TenantName("alpha");
   LoseTargetsOfDeadlyQuery(&rig);
-  rig.mTenant = TenantName("beta");
+  SUBCASE("another tenant")
+  {
+    rig.mTenant = TenantName("beta");
+  }
+  SUBCASE("another host")
+  {
+    rig.mHost = otherHost.mHost;
+  }
   const RequestNumber harmless = rig.Submit("/gather/deadly");
   REQUIRE(rig.AnswerOf(harmless) == nullptr);
   rig.Answer(rig.Open().front().mAttempt);
   CHECK(rig.OutcomeOf<GatheredOutcome>(harmless) != nullptr);
   rig.mTenant = TenantName("alpha");
+  rig.mHost = ForwardRig::kHost;
   const RequestNumber deadly = rig.Submit("/gather/deadly");
   REQUIRE(rig.OutcomeOf<RefusedOutcome>(deadly) != nullptr);
   CHECK(rig.OutcomeOf<RefusedOutcome>(deadly)->mReason ==
