Tests: Share the status of a simulated node

GossipSimulation, PoisonFleet and TestGossipTable each made the same status. SimulatedNodeStatus serves all three.

--- a/Tests/LibForward/PoisonFleet.cpp
+++ b/Tests/LibForward/PoisonFleet.cpp
@@ -1,5 +1,7 @@
 #include "PoisonFleet.h"
 
+#include "../LibGossip/SimulatedNode.h"
+
 #include <LibGossip/GossipCodec.h>
 
 #include <algorithm>
@@ -15,19 +17,12 @@
 constexpr const char* kHarmlessTenant = "harmless";
 constexpr Duration kTimeToAnswer = milliseconds(20);
 constexpr std::size_t kDirectNodes = 8;
+constexpr std::size_t kDomains = 4;
 
 NodeStatus
 StatusOf(std::size_t aNode, std::uint64_t aIncarnation)
 {
-  NodeStatus status;
-  status.mIdentity = { NodeName("n" + std::to_string(aNode)),
-                       Incarnation(aIncarnation) };
-  const std::uint16_t port = static_cast<std::uint16_t>(7000 + aNode);
-  status.mCallerAddress = { "10.0.0.1", port };
-  status.mPeerAddress = { "10.0.0.1", static_cast<std::uint16_t>(port + 1000) };
-  status.mServingState = ServingState::Serving;
-  status.mDomain = FailureDomain("d" + std::to_string(aNode % 4));
-  return status;
+  return SimulatedNodeStatus(aNode, aIncarnation, kDomains);
 }
 
 } // namespace
--- a/Tests/LibGossip/GossipSimulation.cpp
+++ b/Tests/LibGossip/GossipSimulation.cpp
@@ -1,4 +1,5 @@
 #include "GossipSimulation.h"
+#include "SimulatedNode.h"
 
 #include <LibGossip/GossipCodec.h>
 
@@ -13,19 +14,12 @@
 constexpr Duration kStep = milliseconds(10);
 // Datagrams that the socket of a process keeps while it does not read.
 constexpr std::size_t kSocketCapacity = 250;
+constexpr std::size_t kDomains = 3;
 
 NodeStatus
 StatusOf(std::size_t aNode, std::uint64_t aIncarnation)
 {
-  NodeStatus status;
-  status.mIdentity = { NodeName("n" + std::to_string(aNode)),
-                       Incarnation(aIncarnation) };
-  const std::uint16_t port = static_cast<std::uint16_t>(7000 + aNode);
-  status.mCallerAddress = { "10.0.0.1", port };
-  status.mPeerAddress = { "10.0.0.1", static_cast<std::uint16_t>(port + 1000) };
-  status.mServingState = ServingState::Serving;
-  status.mDomain = FailureDomain("d" + std::to_string(aNode % 3));
-  return status;
+  return SimulatedNodeStatus(aNode, aIncarnation, kDomains);
 }
 
 } // namespace
--- a/Tests/LibGossip/TestGossipTable.cpp
+++ b/Tests/LibGossip/TestGossipTable.cpp
@@ -1,3 +1,5 @@
+#include "SimulatedNode.h"
+
 #include <LibGossip/GossipCodec.h>
 #include <LibGossip/GossipTable.h>
 
@@ -14,15 +16,8 @@
 NodeStatus
 StatusOf(int aNumber, std::uint64_t aIncarnation = 100)
 {
-  NodeStatus status;
-  status.mIdentity = { NodeName("n" + std::to_string(aNumber)),
-                       Incarnation(aIncarnation) };
-  const std::uint16_t port = static_cast<std::uint16_t>(7000 + aNumber);
-  status.mCallerAddress = { "10.0.0.1", port };
-  status.mPeerAddress = { "10.0.0.1", static_cast<std::uint16_t>(port + 1000) };
-  status.mServingState = ServingState::Serving;
-  status.mDomain = FailureDomain("d" + std::to_string(aNumber % 4));
-  return status;
+  return SimulatedNodeStatus(
+    static_cast<std::size_t>(aNumber), aIncarnation, 4);
 }
 
 /// Nodes that gossip over a simulated network, without loss by default.
