--- a/review/15/run.py
+++ b/review/15/run.py
@@ -10,7 +10,8 @@
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "third"))
+sys.path.insert(0, str(HERE.parent))
+sys.dont_write_bytecode = True
 import standin  # noqa: E402
 
 HOST = "pupu15.example"
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
 # Builds what the scripts of review/11 to 15 start beside the daemon of the
 # deploy file. Their stand-ins are Python without other packages, in
-# review/third; there is nothing to compile.
+# review/standin.py; there is nothing to compile.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - third/standin.py 1[1-5]/run.py <<'END'
+python3 - standin.py 1[1-5]/run.py <<'END'
 import ast
 import pathlib
 import sys
--- a/review/third/standin.py
+++ b/review/standin.py
@@ -19,7 +19,7 @@
 import time
 import tomllib
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 REGION = "sul-rs"
 ZONES = ["caxias-a", "caxias-b", "bento-c"]
 BOUNDS = {
@@ -512,7 +512,7 @@
 class Deployment:
     def __init__(self, record_path, node_count=3, bounds=None):
         self.record = Record(record_path)
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-third-"))
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-standin-"))
         self.bounds = bounds or {}
         ips = [f"127.0.7.{i + 1}" for i in range(node_count)]
         self.port = free_port(ips, 16)
