StoreLink: Log outages that probes notice

An outage that a probe noticed first, or whose end it heard first, left no line in the log: store_unavailable and store_restored were written by reads and watches only.

Both events are now written for each call that begins or ends an outage, and store_restored names the call.

--- a/Services/verbenachuted/StoreLink.cpp
+++ b/Services/verbenachuted/StoreLink.cpp
@@ -237,14 +237,29 @@
   const Instant now = mDependencies.mLoop.Now();
   mFollower.OnEra(aEra, now);
   mDependencies.mMetrics.Add(Counter::StoreFailures);
+  LogFailure(aFailure, aCall);
+  mFollower.OnFailure(aFailure, now);
+  Advance();
+}
+
+void
+StoreLink::LogFailure(StoreFailure aFailure, const char* aCall)
+{
   if (!mFollower.FailingSince().has_value()) {
     mDependencies.mLogger.Log(LogEvent(EventNumber::StoreUnavailable)
                                 .At(Step::Store)
                                 .With("call", aCall)
                                 .With("cause", CauseName(aFailure)));
   }
-  mFollower.OnFailure(aFailure, now);
-  Advance();
+}
+
+void
+StoreLink::LogResponse(const char* aCall)
+{
+  if (mFollower.FailingSince().has_value()) {
+    mDependencies.mLogger.Log(
+      LogEvent(EventNumber::StoreRestored).With("call", aCall));
+  }
 }
 
 void
@@ -261,9 +276,7 @@
                 OnCallFailure(*failure, "read", aEra);
                 return;
               }
-              if (mFollower.FailingSince().has_value()) {
-                mDependencies.mLogger.Log(LogEvent(EventNumber::StoreRestored));
-              }
+              LogResponse("read");
               StorePage& page = std::get<StorePage>(result);
               page.mEra = aEra;
               const StoreMirror::Changes changes =
@@ -289,9 +302,7 @@
         OnCallFailure(*failure, "watch", aEra);
         return;
       }
-      if (mFollower.FailingSince().has_value()) {
-        mDependencies.mLogger.Log(LogEvent(EventNumber::StoreRestored));
-      }
+      LogResponse("watch");
       StoreChanges& reported = std::get<StoreChanges>(result);
       reported.mEra = aEra;
       const StoreMirror::Changes changes =
@@ -321,8 +332,10 @@
                 platform::ProbeResult(aOutcome);
               if (const StoreRevision* revision =
                     std::get_if<StoreRevision>(&result)) {
+                LogResponse("probe");
                 mFollower.OnProbe({ aEra, *revision }, now);
               } else {
+                LogFailure(std::get<StoreFailure>(result), "probe");
                 mFollower.OnEra(aEra, now);
                 mFollower.OnProbeFailure(now);
               }
