StoreFollower: Confirm a watch that follows a failure

Cause: when a watch was cut during the silence, the next one was asked while the store was still silent. The store never answers it, and its time limit is 21.5 s. A probe that heard of the return dropped a watch only if the first failure of the outage was later than the watch, so this one was kept. Later probes may read a state that is seconds old, and told of the change only then. For the same reason a watch was kept that was lost after an earlier call had been refused.

Now a watch that follows a failure waits 0.1 s at most, and counts as failed 1.5 s later. The store's response to it shows that watches reach the store again, and only then they wait for 20 s. A watch that is pending when a probe fails is asked anew at the next response to a probe, whatever failed first.

Neither depends on which call hears of the return first, which a watch asked anew at every such probe would: if that one is lost, it is as deaf. It would also give up healthy watches at a store that refuses calls now and then.

--- a/Libraries/LibStore/StoreFollower.cpp
+++ b/Libraries/LibStore/StoreFollower.cpp
@@ -19,7 +19,7 @@
 {
   mCallPending = false;
   mLastAnswer = aNow;
-  mWatchPredatesOutage = false;
+  mIsConfirmed = true;
   mBackoff.OnSuccess();
   if (mFailingSince.has_value()) {
     mFailingSince.reset();
@@ -134,7 +134,6 @@
 {
   mCallPending = false;
   mDiscardPage = false;
-  mWatchPredatesOutage = false;
   if (aFailure == StoreFailure::HistoryCompacted) {
     BeginLoading();
     mNextCall = aNow;
@@ -152,6 +151,7 @@
     mLastReload = mNextCall;
     return;
   }
+  mIsConfirmed = false;
   if (!mFailingSince.has_value()) {
     mFailingSince = aNow;
   }
@@ -172,8 +172,8 @@
     mLatestProbed = { aPosition, mProbeStart };
     UpdateKnownAsOf();
   }
+  mIsWatchLost = mIsWatchSuspect;
   if (mFailingSince.has_value()) {
-    mWatchPredatesOutage = *mFailingSince >= mWatchStart;
     mFailingSince.reset();
     mRestoredAt = aNow;
   }
@@ -192,6 +192,8 @@
 StoreFollower::OnProbeFailure(Instant aNow)
 {
   mProbePending = false;
+  mIsConfirmed = false;
+  mIsWatchSuspect = IsWatching();
   if (!mFailingSince.has_value()) {
     mFailingSince = aNow;
   }
@@ -327,21 +329,25 @@
     mLastReload = aNow;
     mCallPending = false;
     mNextCall = aNow;
-  } else if (mWatchPredatesOutage && IsWatching()) {
+  } else if (mIsWatchLost && IsWatching()) {
     mCallPending = false;
     mNextCall = aNow;
   }
-  mWatchPredatesOutage = false;
+  mIsWatchLost = false;
   if (!mCallPending && aNow >= mNextCall && MayCallStore(aNow)) {
     mCallPending = true;
+    mIsWatchSuspect = false;
     mLastProbe = aNow;
     if (mPhase == Phase::Loading) {
       calls.emplace_back(ReadPageAction{
         mAfter, mHasCopy ? mSettings.mReadTimeout : mReadTimeout });
     } else {
       mWatchStart = aNow;
-      calls.emplace_back(
-        WatchAction{ mMirror.CurrentRevision(), mSettings.mWatchTimeout });
+      const Duration wait = mIsConfirmed ? mSettings.mWatchTimeout
+                                         : std::min(mSettings.mWatchTimeout,
+                                                    mSettings.mConfirmingWait);
+      calls.emplace_back(WatchAction{
+        mMirror.CurrentRevision(), wait, wait + mSettings.mWatchGrace });
     }
   }
   const std::optional<Instant> latestProbe = NextLatestProbe();
--- a/Libraries/LibStore/StoreFollower.h
+++ b/Libraries/LibStore/StoreFollower.h
@@ -35,11 +35,13 @@
   Duration mTimeout{ 0 };
 };
 
-/// Wait up to mWait for changes after a revision.
+/// Wait up to mWait for changes after a revision. The watch fails as
+/// Unreachable if it is not answered within mTimeout.
 struct WatchAction
 {
   StoreRevision mAfter;
   Duration mWait{ 0 };
+  Duration mTimeout{ 0 };
 };
 
 enum class ReadConsistency
@@ -91,6 +93,11 @@
     NodeName mSelf;
     /// Maximum wait of one watch.
     Duration mWatchTimeout = seconds(20);
+    /// Maximum wait of a watch after a failure. The store may have lost the
+    /// call, so it has to respond before a longer watch is trusted.
+    Duration mConfirmingWait = milliseconds(100);
+    /// Time beyond its maximum wait after which a watch counts as lost.
+    Duration mWatchGrace = milliseconds(1500);
     /// Pause after each change, so that changes in quick succession need only
     /// one call.
     Duration mBatchDelay = milliseconds(500);
@@ -244,8 +251,14 @@
   /// The latest revision at the time of a probe that found newer changes than
   /// the mirror contains; empty if there is none.
   std::optional<std::pair<StorePosition, Instant>> mLatestProbed;
-  /// The pending watch began before an outage that probes have noticed.
-  bool mWatchPredatesOutage = false;
+  /// The store has responded to the last watch or read, so that it also
+  /// receives the next one.
+  bool mIsConfirmed = false;
+  /// A probe has failed while the watch was pending, so that the store may have
+  /// lost the watch.
+  bool mIsWatchSuspect = false;
+  /// The store has responded to a probe since then.
+  bool mIsWatchLost = false;
   StorePosition mProbedPosition;
   /// Since when others have known changes that the mirror lacks; empty if they
   /// know none.
--- a/Services/verbenachuted/StoreLink.cpp
+++ b/Services/verbenachuted/StoreLink.cpp
@@ -16,8 +16,6 @@
 
 constexpr int kOk = 200;
 constexpr Duration kCallTimeout = milliseconds(1500);
-// Time beyond its own wait after which a watch without a response is aborted.
-constexpr Duration kWatchGrace = milliseconds(1500);
 constexpr Duration kPeerTimeout = milliseconds(700);
 // The maximum lease duration of the store. The key of a stopped node is removed
 // after it.
@@ -294,7 +292,7 @@
   CallStore(
     &mReadStream,
     platform::WatchCall(mHost, aAction),
-    aAction.mWait + kWatchGrace,
+    aAction.mTimeout,
     [this](const StreamOutcome& aOutcome, StoreEra aEra) {
       platform::StoreResult<StoreChanges> result =
         platform::WatchResult(aOutcome);
--- a/Tests/LibStore/TestStoreFollower.cpp
+++ b/Tests/LibStore/TestStoreFollower.cpp
@@ -377,6 +377,52 @@
   CHECK(follower.TakeDueCalls(now + seconds(1)).empty());
 }
 
+// Guards against nodes that stay on an old configuration: the store has lost a
+// watch that was asked during the outage, and never answers it (review/13).
+TEST_CASE("A watch that follows a failure is short until the store responds")
+{
+  for (const StoreFailure failure :
+       { StoreFailure::Unreachable, StoreFailure::Refused }) {
+    StoreFollower follower = WatchingFollower();
+    follower.SetSource(UpdateSource::Store, kStart);
+    follower.OnFailure(failure, kStart);
+    Instant now = kStart + seconds(1);
+    std::vector<FollowerCall> calls = follower.TakeDueCalls(now);
+    const WatchAction* watch = FindAction<WatchAction>(calls);
+    REQUIRE(watch != nullptr);
+    CHECK(watch->mWait <= milliseconds(100));
+    CHECK(watch->mTimeout <= milliseconds(1600));
+    now += watch->mWait;
+    static_cast<void>(follower.OnChanges({ {}, StoreRevision(10) }, now));
+    calls = follower.TakeDueCalls(now);
+    watch = FindAction<WatchAction>(calls);
+    REQUIRE(watch != nullptr);
+    CHECK(watch->mWait == StoreFollower::Settings().mWatchTimeout);
+  }
+}
+
+// Guards against a lost watch that is kept since the outage had begun before
+// it, with calls that were refused.
+TEST_CASE("A watch is asked anew if probes have failed meanwhile")
+{
+  StoreFollower follower = WatchingFollower();
+  follower.SetSource(UpdateSource::Store, kStart);
+  follower.OnFailure(StoreFailure::Refused, kStart);
+  Instant now = kStart + seconds(1);
+  REQUIRE(FindAction<WatchAction>(follower.TakeDueCalls(now)) != nullptr);
+  for (int failures = 0; failures < 2; ++failures) {
+    now += seconds(3);
+    REQUIRE(FindAction<ProbeAction>(follower.TakeDueCalls(now)) != nullptr);
+    follower.OnProbeFailure(now);
+  }
+  now += seconds(3);
+  REQUIRE(FindAction<ProbeAction>(follower.TakeDueCalls(now)) != nullptr);
+  follower.OnProbe(At(10), now);
+  const std::vector<FollowerCall> calls = follower.TakeDueCalls(now);
+  REQUIRE(FindAction<WatchAction>(calls) != nullptr);
+  CHECK(FindAction<WatchAction>(calls)->mWait <= milliseconds(100));
+}
+
 // Guards against a list that counts as current although changes are under way.
 TEST_CASE(
   "The mirror is known as of a time only once it has what a read of the "
