StoreFollower: Notice watches that short outages and stale reads hide

- An outage shorter than the interval of the probes, 2.5 s, lost the watch between two probes.
The nodes watch the same changes and so probe at nearly the same time: such an outage made all of them deaf at once.
- A watch whose answer was lost was not noticed while probes were answered from a state that was seconds old.

Probes now come each 1.2 s. A probe whose response is behind the mirror can not show whether the watch misses changes, so it is followed by one of the latest revision.

What stays: an outage below 1.2 s that no probe of any node meets, while reads are seconds old and nothing else changes.

--- a/Libraries/LibStore/StoreFollower.cpp
+++ b/Libraries/LibStore/StoreFollower.cpp
@@ -167,10 +167,13 @@
   OnEra(aPosition.mEra, aNow);
   mProbedPosition = std::max(mProbedPosition, aPosition);
   // A store that lacks the probed key reports no revision.
-  if (mProbeConsistency == ReadConsistency::Latest && aPosition.mEra == mEra &&
-      aPosition.mRevision != StoreRevision()) {
+  const bool hasPosition =
+    aPosition.mEra == mEra && aPosition.mRevision != StoreRevision();
+  if (mProbeConsistency == ReadConsistency::Latest && hasPosition) {
     mLatestProbed = { aPosition, mProbeStart };
     UpdateKnownAsOf();
+  } else if (hasPosition && aPosition < mMirror.Position()) {
+    mStaleProbe = mProbeStart;
   }
   mIsWatchLost = mIsWatchSuspect;
   if (mFailingSince.has_value()) {
@@ -194,6 +197,7 @@
   mProbePending = false;
   mIsConfirmed = false;
   mIsWatchSuspect = IsWatching();
+  mStaleProbe.reset();
   if (!mFailingSince.has_value()) {
     mFailingSince = aNow;
   }
@@ -230,10 +234,12 @@
   const bool mayProbe = mPhase == Phase::Watching &&
                         mSource == UpdateSource::Store && !mProbePending &&
                         !mLatestProbed.has_value();
-  if (!mayProbe || !mWantedAsOf.has_value() || mKnownAsOf >= *mWantedAsOf) {
+  // An empty time is less than any other.
+  const std::optional<Instant> wanted = std::max(mWantedAsOf, mStaleProbe);
+  if (!mayProbe || !wanted.has_value() || mKnownAsOf >= *wanted) {
     return std::nullopt;
   }
-  return std::max(*mWantedAsOf, mProbeStart + mSettings.mLatestProbeInterval);
+  return std::max(*wanted, mProbeStart + mSettings.mLatestProbeInterval);
 }
 
 std::optional<Instant>
--- a/Libraries/LibStore/StoreFollower.h
+++ b/Libraries/LibStore/StoreFollower.h
@@ -116,9 +116,9 @@
     Duration mFirstCopyTimeout = milliseconds(2000);
     /// Minimum time from the response or failure of a peer to the next request.
     Duration mPeerInterval = milliseconds(300);
-    /// Interval of the probes while a watch is pending. A change has to reach
-    /// all nodes within 3 s.
-    Duration mProbeInterval = milliseconds(2500);
+    /// Interval of the probes while a watch is pending. The store may lose the
+    /// watch in any shorter outage, which goes unnoticed.
+    Duration mProbeInterval = milliseconds(1200);
     /// Time in which a watch has to report a revision that a probe or a peer
     /// has reported; a slow store needs about half of it.
     Duration mWatchReportTimeout = milliseconds(800);
@@ -247,6 +247,9 @@
   Instant mProbeStart;
   ReadConsistency mProbeConsistency = ReadConsistency::MayBeStale;
   std::optional<Instant> mWantedAsOf;
+  /// Start of the last probe whose response was older than the mirror, so that
+  /// it can not show whether the watch misses changes.
+  std::optional<Instant> mStaleProbe;
   Instant mKnownAsOf;
   /// The latest revision at the time of a probe that found newer changes than
   /// the mirror contains; empty if there is none.
--- a/Tests/LibStore/TestStoreFollower.cpp
+++ b/Tests/LibStore/TestStoreFollower.cpp
@@ -423,6 +423,34 @@
   CHECK(FindAction<WatchAction>(calls)->mWait <= milliseconds(100));
 }
 
+// Guards against a lost watch that no probe reveals since reads of the store
+// are seconds old.
+TEST_CASE("The latest revision is probed if a probe lags behind the mirror")
+{
+  StoreFollower follower = WatchingFollower();
+  follower.SetSource(UpdateSource::Store, kStart);
+  Instant now = kStart + seconds(3);
+  REQUIRE(FindAction<ProbeAction>(follower.TakeDueCalls(now)) != nullptr);
+  follower.OnProbe(At(9), now);
+  now += milliseconds(250);
+  const std::vector<FollowerCall> calls = follower.TakeDueCalls(now);
+  const ProbeAction* probe = FindAction<ProbeAction>(calls);
+  REQUIRE(probe != nullptr);
+  CHECK(probe->mConsistency == ReadConsistency::Latest);
+  SUBCASE("the mirror has all changes")
+  {
+    follower.OnProbe(At(10), now);
+    CHECK(follower.TakeDueCalls(now + seconds(1)).empty());
+  }
+  SUBCASE("the watch has missed one")
+  {
+    follower.OnProbe(At(11), now);
+    static_cast<void>(follower.TakeDueCalls(now));
+    CHECK(FindAction<ReadPageAction>(
+            follower.TakeDueCalls(now + milliseconds(800))) != nullptr);
+  }
+}
+
 // Guards against a list that counts as current although changes are under way.
 TEST_CASE(
   "The mirror is known as of a time only once it has what a read of the "
