StoreFollower: Tell a closed watch from an outage

The store had closed a watch just before the removal, as it may at any time, and answered each call.

Cause: a watch that is closed counted as the begin of an outage, and the response to the next one as its end. RemovalDelay then held the removal back until 2.5 s later, as if the target might register again. With up to 0.23 s until the next watch and 0.5 s between two looks at what is due, that is more than 3 s.

Now the store's closing of a connection is a failure of its own. If it meets a watch that was confirmed, and the store has responded within the last 2 s, the next watch is asked at once, and waits for 0.1 s at most. Only if that one fails does an outage begin, as of the close. A silence of 2 s before the close still counts, since the close may be the end of an outage that no probe has met. A store that closes each long watch gets two calls in half a second.

Roll-outs took such a close for an outage as well, and an order that followed it for one of unknown age.

The log tells both apart: store_unavailable is an outage, store_call_repeated a call without a result at a store that counts as available.

--- a/Libraries/LibObservation/EventCatalogue.cpp
+++ b/Libraries/LibObservation/EventCatalogue.cpp
@@ -161,6 +161,11 @@
                     Info,
                     "The operators' configuration in force was written again "
                     "to the restored store." },
+  EventDescription{ StoreCallRepeated,
+                    "store_call_repeated",
+                    Info,
+                    "A call to the platform's store had no result and is "
+                    "repeated; the store counts as available." },
   EventDescription{ QueryRefused,
                     "query_refused",
                     Info,
--- a/Libraries/LibObservation/EventNumber.h
+++ b/Libraries/LibObservation/EventNumber.h
@@ -46,6 +46,7 @@
   EvacuationRetained = 415,
   PlanFromPeer = 416,
   ConfigurationRewritten = 417,
+  StoreCallRepeated = 418,
 
   QueryRefused = 500,
   QueryPartial = 501,
--- a/Libraries/LibStore/StoreFollower.cpp
+++ b/Libraries/LibStore/StoreFollower.cpp
@@ -20,6 +20,7 @@
   mCallPending = false;
   mLastAnswer = aNow;
   mIsConfirmed = true;
+  mClosedAt.reset();
   mBackoff.OnSuccess();
   if (mFailingSince.has_value()) {
     mFailingSince.reset();
@@ -151,14 +152,38 @@
     mLastReload = mNextCall;
     return;
   }
-  mIsConfirmed = false;
-  if (!mFailingSince.has_value()) {
-    mFailingSince = aNow;
+  if (EndsWatchOnly(aFailure, aNow)) {
+    mIsConfirmed = false;
+    mClosedAt = aNow;
+    mNextCall = std::max(aNow, mWatchStart + mSettings.mBatchDelay);
+    return;
   }
+  mIsConfirmed = false;
+  BeginOutage(aNow);
   mNextCall = aNow + mBackoff.OnFailure();
   mReadTimeout = std::min(2 * mReadTimeout, mSettings.mReadTimeout);
 }
 
+bool
+StoreFollower::EndsWatchOnly(StoreFailure aFailure, Instant aNow) const
+{
+  // An outage that no probe has met yet may end with the close.
+  const Duration longestSilence =
+    mSettings.mProbeInterval + mSettings.mWatchReportTimeout;
+  return aFailure == StoreFailure::ConnectionClosed &&
+         mPhase == Phase::Watching && mIsConfirmed &&
+         !mFailingSince.has_value() && mLastAnswer.has_value() &&
+         aNow - *mLastAnswer <= longestSilence;
+}
+
+void
+StoreFollower::BeginOutage(Instant aNow)
+{
+  if (!mFailingSince.has_value()) {
+    mFailingSince = mClosedAt.value_or(aNow);
+  }
+}
+
 void
 StoreFollower::OnProbe(StorePosition aPosition, Instant aNow)
 {
@@ -198,9 +223,7 @@
   mIsConfirmed = false;
   mIsWatchSuspect = IsWatching();
   mStaleProbe.reset();
-  if (!mFailingSince.has_value()) {
-    mFailingSince = aNow;
-  }
+  BeginOutage(aNow);
 }
 
 bool
--- a/Libraries/LibStore/StoreFollower.h
+++ b/Libraries/LibStore/StoreFollower.h
@@ -17,6 +17,9 @@
 {
   /// The store did not respond.
   Unreachable,
+  /// The store closed the connection instead of responding, as it may do to a
+  /// watch at any time.
+  ConnectionClosed,
   /// The response is larger than this node accepts.
   ResponseTooLarge,
   /// The response could not be decoded.
@@ -99,7 +102,7 @@
     /// Time beyond its maximum wait after which a watch counts as lost.
     Duration mWatchGrace = milliseconds(1500);
     /// Pause after each change, so that changes in quick succession need only
-    /// one call.
+    /// one call; also from one watch to the next if the store closes it.
     Duration mBatchDelay = milliseconds(500);
     Duration mReadTimeout = milliseconds(1500);
     /// Time limit of the first read of a node without a copy, which serves
@@ -190,7 +193,8 @@
   /// Whether a complete copy has been read, from the store or from a peer.
   [[nodiscard]] bool HasCopy() const { return mHasCopy; }
   /// Start of the present outage: when the first call failed or was refused;
-  /// empty while the store responds.
+  /// empty while the store responds. A watch that the store closes counts only
+  /// if the next one fails as well.
   [[nodiscard]] std::optional<Instant> FailingSince() const
   {
     return mFailingSince;
@@ -222,6 +226,10 @@
   /// Whether the mirror has caught up with the revision of the last probe of
   /// the latest one.
   void UpdateKnownAsOf();
+  /// Whether a failure is only the end of a watch, and no outage unless the
+  /// next watch fails as well.
+  [[nodiscard]] bool EndsWatchOnly(StoreFailure aFailure, Instant aNow) const;
+  void BeginOutage(Instant aNow);
   /// When the pending watch counts as lost, since others know newer changes;
   /// empty if they do not.
   [[nodiscard]] std::optional<Instant> WatchDeadline() const;
@@ -278,6 +286,8 @@
   bool mDiscardPage = false;
   std::string mAfter;
   StorePosition mPeerPosition;
+  /// When the store closed a watch, until it responds again.
+  std::optional<Instant> mClosedAt;
   std::optional<Instant> mFailingSince;
   std::optional<Instant> mRestoredAt;
 };
--- a/Services/verbenachuted/StoreKeys.cpp
+++ b/Services/verbenachuted/StoreKeys.cpp
@@ -179,6 +179,7 @@
       // The store changed nothing, as if it had not been reached.
       return MakeError(ErrorCode::Unreachable);
     case StoreFailure::Unreachable:
+    case StoreFailure::ConnectionClosed:
     case StoreFailure::ResponseTooLarge:
     case StoreFailure::ResponseInvalid:
       break;
--- a/Services/verbenachuted/StoreLink.cpp
+++ b/Services/verbenachuted/StoreLink.cpp
@@ -37,6 +37,8 @@
   switch (aFailure) {
     case StoreFailure::Unreachable:
       return "unreachable";
+    case StoreFailure::ConnectionClosed:
+      return "connection closed";
     case StoreFailure::ResponseTooLarge:
       return "response too large";
     case StoreFailure::ResponseInvalid:
@@ -235,20 +237,24 @@
   const Instant now = mDependencies.mLoop.Now();
   mFollower.OnEra(aEra, now);
   mDependencies.mMetrics.Add(Counter::StoreFailures);
-  LogFailure(aFailure, aCall);
+  const bool wasFailing = mFollower.FailingSince().has_value();
   mFollower.OnFailure(aFailure, now);
+  if (!wasFailing) {
+    LogFailure(aFailure, aCall);
+  }
   Advance();
 }
 
 void
 StoreLink::LogFailure(StoreFailure aFailure, const char* aCall)
 {
-  if (!mFollower.FailingSince().has_value()) {
-    mDependencies.mLogger.Log(LogEvent(EventNumber::StoreUnavailable)
-                                .At(Step::Store)
-                                .With("call", aCall)
-                                .With("cause", CauseName(aFailure)));
-  }
+  const EventNumber event = mFollower.FailingSince().has_value()
+                              ? EventNumber::StoreUnavailable
+                              : EventNumber::StoreCallRepeated;
+  mDependencies.mLogger.Log(LogEvent(event)
+                              .At(Step::Store)
+                              .With("call", aCall)
+                              .With("cause", CauseName(aFailure)));
 }
 
 void
@@ -333,9 +339,12 @@
                 LogResponse("probe");
                 mFollower.OnProbe({ aEra, *revision }, now);
               } else {
-                LogFailure(std::get<StoreFailure>(result), "probe");
+                const bool wasFailing = mFollower.FailingSince().has_value();
                 mFollower.OnEra(aEra, now);
                 mFollower.OnProbeFailure(now);
+                if (!wasFailing) {
+                  LogFailure(std::get<StoreFailure>(result), "probe");
+                }
               }
               Advance();
             });
--- a/Services/verbenachuted/StoreLink.h
+++ b/Services/verbenachuted/StoreLink.h
@@ -88,9 +88,10 @@
   /// of an earlier one.
   void NoticeEra();
   void OnCallFailure(StoreFailure aFailure, const char* aCall, StoreEra aEra);
-  /// Log the start and the end of an outage; both go before the report to the
-  /// follower.
+  /// Logs a call that failed while the store had been available, after its
+  /// report to the follower.
   void LogFailure(StoreFailure aFailure, const char* aCall);
+  /// Logs the end of an outage, before the report to the follower.
   void LogResponse(const char* aCall);
   void Register();
   void Renew();
--- a/Tests/LibEntry/StoreSimulation.cpp
+++ b/Tests/LibEntry/StoreSimulation.cpp
@@ -240,7 +240,7 @@
     return true;
   }
   if (aCall->mIsClosed) {
-    Fail(aNode, *aCall, StoreFailure::Unreachable);
+    Fail(aNode, *aCall, StoreFailure::ConnectionClosed);
     return true;
   }
   if (mNow >= aCall->mDeadline) {
--- a/Tests/LibStore/TestStoreFollower.cpp
+++ b/Tests/LibStore/TestStoreFollower.cpp
@@ -451,6 +451,76 @@
   }
 }
 
+// Guards against removals that are held back as in an outage, although the
+// store has only closed a watch, as it may at any time (review/15).
+TEST_CASE("A watch that the store closes is asked anew at once, without outage")
+{
+  StoreFollower follower = WatchingFollower();
+  follower.SetSource(UpdateSource::Store, kStart);
+  const Instant now = kStart + seconds(1);
+  follower.OnFailure(StoreFailure::ConnectionClosed, now);
+  CHECK(!follower.FailingSince().has_value());
+  const std::vector<FollowerCall> calls = follower.TakeDueCalls(now);
+  const WatchAction* watch = FindAction<WatchAction>(calls);
+  REQUIRE(watch != nullptr);
+  CHECK(watch->mWait <= milliseconds(100));
+  SUBCASE("the store responds")
+  {
+    static_cast<void>(follower.OnChanges({ {}, StoreRevision(10) }, now));
+    CHECK(!follower.FailingSince().has_value());
+    CHECK(!follower.RestoredAt().has_value());
+  }
+  SUBCASE("an outage has begun with the close")
+  {
+    follower.OnFailure(StoreFailure::Unreachable, now + watch->mTimeout);
+    CHECK(follower.FailingSince() == now);
+  }
+  SUBCASE("the store closes the next watch as well")
+  {
+    follower.OnFailure(StoreFailure::ConnectionClosed, now);
+    CHECK(follower.FailingSince() == now);
+    CHECK(follower.TakeDueCalls(now).empty());
+  }
+}
+
+TEST_CASE("A store that closes each long watch gets few calls")
+{
+  StoreFollower follower = WatchingFollower();
+  follower.SetSource(UpdateSource::Store, kStart);
+  follower.OnFailure(StoreFailure::ConnectionClosed, kStart);
+  int calls = 0;
+  for (Instant now = kStart; now < kStart + seconds(10);
+       now += milliseconds(10)) {
+    for (const FollowerCall& call : follower.TakeDueCalls(now)) {
+      ++calls;
+      const WatchAction* watch = std::get_if<WatchAction>(&call);
+      if (watch == nullptr) {
+        follower.OnProbe(At(10), now);
+      } else if (watch->mWait > seconds(1)) {
+        follower.OnFailure(StoreFailure::ConnectionClosed, now);
+      } else {
+        static_cast<void>(follower.OnChanges({ {}, StoreRevision(10) }, now));
+      }
+    }
+    REQUIRE(!follower.FailingSince().has_value());
+  }
+  CHECK(calls >= 20);
+  CHECK(calls <= 45);
+}
+
+// Guards against targets that are lost since the end of an outage that no probe
+// has met yet counts as the end of a watch.
+TEST_CASE("A watch that closes after a silence of the store counts as outage")
+{
+  StoreFollower follower = WatchingFollower();
+  follower.SetSource(UpdateSource::Store, kStart);
+  Instant now = kStart + seconds(2);
+  REQUIRE(FindAction<ProbeAction>(follower.TakeDueCalls(now)) != nullptr);
+  now += milliseconds(1400);
+  follower.OnFailure(StoreFailure::ConnectionClosed, now);
+  CHECK(follower.FailingSince() == now);
+}
+
 // Guards against a list that counts as current although changes are under way.
 TEST_CASE(
   "The mirror is known as of a time only once it has what a read of the "
--- a/Tests/Platform/TestStoreWire.cpp
+++ b/Tests/Platform/TestStoreWire.cpp
@@ -66,6 +66,13 @@
   }
   CHECK(std::get<StoreFailure>(WatchResult(StreamFailure::TimedOut)) ==
         StoreFailure::Unreachable);
+  CHECK(
+    std::get<StoreFailure>(WatchResult(StreamFailure::ClosedBeforeResponse)) ==
+    StoreFailure::ConnectionClosed);
+  CHECK(std::get<StoreFailure>(WatchResult(
+          StreamFailure::ClosedDuringResponse)) == StoreFailure::Unreachable);
+  CHECK(std::get<StoreFailure>(WatchResult(StreamFailure::NotConnected)) ==
+        StoreFailure::Unreachable);
   CHECK(std::get<StoreFailure>(WatchResult(StreamFailure::TooLarge)) ==
         StoreFailure::ResponseTooLarge);
   for (const char* body : { "[]", "{}", R"({"AtRev":3})", "no JSON" }) {
