EntryNode: Remove delayed targets when their delay ends

A removal that is held back after an outage is due after 2.5 s, but the node looked at what was due each 500 ms only, so that it took up to 3 s.

EntryState tells when the next removal is due, and a timer of its own goes off then. "The owner is told when a delayed removal is due" (TestEntryState) guards the time; the timer itself has no test without the daemon.

--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -56,6 +56,11 @@
   /// Removes the targets whose removal delay is over, and lets domains back in
   /// whose evacuation a restored store lacks.
   void OnTime(Instant aNow);
+  /// When the next removal delay is over; empty if no target is held.
+  [[nodiscard]] std::optional<Instant> NextRemoval() const
+  {
+    return mRemovalDelay.NextDue();
+  }
 
   /// Keys that this product writes to the store, with their values.
   [[nodiscard]] const OperatorConfiguration::Keys& OwnKeys() const
--- a/Services/verbenachuted/EntryNode.cpp
+++ b/Services/verbenachuted/EntryNode.cpp
@@ -106,6 +106,7 @@
                          aCommandLine.mSettingsFile,
                          [this]() { OnSettingsChanged(); })
   , mEngineTimer(*mLoop, [this]() { Perform(mEngine.OnTime(mLoop->Now())); })
+  , mRemovalTimer(*mLoop, [this]() { RemoveDueTargets(); })
   , mGossipTimer(*mLoop, [this]() { OnGossipTick(); })
   , mAnnounceTimer(*mLoop,
                    [this]() {
@@ -117,7 +118,7 @@
                [this]() {
                  mPool.CloseIdle();
                  mClientMemory.Sweep(mLoop->Now());
-                 mEntryState.OnTime(mLoop->Now());
+                 RemoveDueTargets();
                  mStoreUpdateCache.OnTime(mLoop->Now());
                  mLogger.ReportSuppressed();
                  mIdleTimer.Start(kIdleCheckInterval);
@@ -296,6 +297,7 @@
   const Revision before = mEntryState.Intent().RevisionInForce();
   mRollouts.OnStoreChanges(aChanges, mStore.Follower().RestoredAt());
   mEntryState.Apply(aChanges, mStore.Follower(), mLoop->Now());
+  ScheduleRemoval();
   const std::string nodes = platform::OwnKeyText("nodes/");
   std::vector<NodeName> registered;
   for (auto ownKey = mEntryState.OwnKeys().lower_bound(nodes);
@@ -333,6 +335,24 @@
   ScheduleEngine();
 }
 
+void
+EntryNode::Parts::RemoveDueTargets()
+{
+  mEntryState.OnTime(mLoop->Now());
+  ScheduleRemoval();
+}
+
+void
+EntryNode::Parts::ScheduleRemoval()
+{
+  const std::optional<Instant> next = mEntryState.NextRemoval();
+  if (next.has_value()) {
+    mRemovalTimer.Start(*next - mLoop->Now());
+  } else {
+    mRemovalTimer.Stop();
+  }
+}
+
 void
 EntryNode::Parts::OnOperatorTick()
 {
--- a/Services/verbenachuted/EntryNodeParts.h
+++ b/Services/verbenachuted/EntryNodeParts.h
@@ -76,6 +76,9 @@
   void OnDelegationRequest(RequestNumber aNumber,
                            const DelegationRequest& aRequest);
   void OnStoreChanges(const StoreMirror::Changes& aChanges);
+  /// Removes the targets whose removal delay is over.
+  void RemoveDueTargets();
+  void ScheduleRemoval();
   void OnOperatorTick();
   void OnClientEvicted(const MemoryBudget::Eviction& aEviction);
   /// What the clients of a listener may take.
@@ -149,6 +152,7 @@
   GracefulShutdown mShutdown;
   SettingsFileWatcher mSettingsFileWatcher;
   Timer mEngineTimer;
+  Timer mRemovalTimer;
   Timer mGossipTimer;
   Timer mAnnounceTimer;
   Timer mShutdownTimer;
--- a/Tests/LibEntry/TestEntryState.cpp
+++ b/Tests/LibEntry/TestEntryState.cpp
@@ -194,4 +194,21 @@
   CHECK(isSent());
 }
 
+// Guards against targets that get requests until the owner looks again.
+TEST_CASE("The owner is told when a delayed removal is due")
+{
+  Rig rig;
+  rig.Apply("servers/t", Entry("ready", "a"));
+  CHECK(!rig.mEntryState.NextRemoval().has_value());
+  static_cast<void>(rig.mFollower.TakeDueCalls(kNow));
+  rig.mFollower.OnFailure(StoreFailure::Unreachable, kNow);
+  rig.Apply("servers/t", std::nullopt);
+  REQUIRE(rig.mEntryState.NextRemoval() == kNow + milliseconds(2500));
+  rig.mEntryState.OnTime(kNow + milliseconds(2499));
+  CHECK(rig.mEngine.Targets().Find(TargetName("t")) != nullptr);
+  rig.mEntryState.OnTime(kNow + milliseconds(2500));
+  CHECK(rig.mEngine.Targets().Find(TargetName("t")) == nullptr);
+  CHECK(!rig.mEntryState.NextRemoval().has_value());
+}
+
 } // namespace verbenachute
