StoreFollower: Notice the end of an outage within 1.5 s

A removal that the node hears of after the outage is held for 2.5 s from the time at which the node notices the end, and that took up to 3.4 s: the time limit of a lost call, 1.6 s, and then a pause of up to 1.8 s.

The pause now counts from the start of the call, since a call that timed out was a pause as well, and is 1.35 s at most. A watch that follows a failure counts as lost after 1.3 s, a probe after 1.2 s.

What stays: in a large fleet watchers do not probe, and a watch that is lost there counts as lost after 3 s.

--- a/Libraries/LibStore/StoreFollower.cpp
+++ b/Libraries/LibStore/StoreFollower.cpp
@@ -125,7 +125,7 @@
   }
   mNextCall = aChanges.mChanges.empty() ? aNow : aNow + mSettings.mBatchDelay;
   StoreMirror::Changes changes = mMirror.Apply(aChanges);
-  mKnownAsOf = std::max(mKnownAsOf, mWatchStart);
+  mKnownAsOf = std::max(mKnownAsOf, mCallStart);
   UpdateKnownAsOf();
   return changes;
 }
@@ -155,12 +155,13 @@
   if (EndsWatchOnly(aFailure, aNow)) {
     mIsConfirmed = false;
     mClosedAt = aNow;
-    mNextCall = std::max(aNow, mWatchStart + mSettings.mBatchDelay);
+    mNextCall = std::max(aNow, mCallStart + mSettings.mBatchDelay);
     return;
   }
   mIsConfirmed = false;
   BeginOutage(aNow);
-  mNextCall = aNow + mBackoff.OnFailure();
+  // From the start of the call, as a call that timed out was a pause as well.
+  mNextCall = std::max(aNow, mCallStart + mBackoff.OnFailure());
   mReadTimeout = std::min(2 * mReadTimeout, mSettings.mReadTimeout);
 }
 
@@ -272,7 +273,7 @@
     return std::nullopt;
   }
   const Instant due =
-    std::max(*mBehindSince, mWatchStart) + mSettings.mWatchReportTimeout;
+    std::max(*mBehindSince, mCallStart) + mSettings.mWatchReportTimeout;
   return mLastReload.has_value()
            ? std::max(due, *mLastReload + mSettings.mReloadInterval)
            : due;
@@ -365,18 +366,14 @@
   mIsWatchLost = false;
   if (!mCallPending && aNow >= mNextCall && MayCallStore(aNow)) {
     mCallPending = true;
+    mCallStart = aNow;
     mIsWatchSuspect = false;
     mLastProbe = aNow;
     if (mPhase == Phase::Loading) {
       calls.emplace_back(ReadPageAction{
         mAfter, mHasCopy ? mSettings.mReadTimeout : mReadTimeout });
     } else {
-      mWatchStart = aNow;
-      const Duration wait = mIsConfirmed ? mSettings.mWatchTimeout
-                                         : std::min(mSettings.mWatchTimeout,
-                                                    mSettings.mConfirmingWait);
-      calls.emplace_back(WatchAction{
-        mMirror.CurrentRevision(), wait, wait + mSettings.mWatchGrace });
+      calls.emplace_back(NextWatch());
     }
   }
   const std::optional<Instant> latestProbe = NextLatestProbe();
@@ -397,6 +394,18 @@
   return calls;
 }
 
+WatchAction
+StoreFollower::NextWatch() const
+{
+  const Duration wait = mSettings.mWatchTimeout;
+  if (mIsConfirmed) {
+    return { mMirror.CurrentRevision(), wait, wait + mSettings.mWatchGrace };
+  }
+  return { mMirror.CurrentRevision(),
+           std::min(wait, mSettings.mConfirmingWait),
+           mSettings.mConfirmingTimeout };
+}
+
 bool
 StoreFollower::MayFetchFromPeer() const
 {
--- a/Libraries/LibStore/StoreFollower.h
+++ b/Libraries/LibStore/StoreFollower.h
@@ -99,7 +99,10 @@
     /// Maximum wait of a watch after a failure. The store may have lost the
     /// call, so it has to respond before a longer watch is trusted.
     Duration mConfirmingWait = milliseconds(100);
-    /// Time beyond its maximum wait after which a watch counts as lost.
+    /// Time limit of that watch. Together with mMaximumBackoff it bounds the
+    /// time in which the end of an outage is noticed.
+    Duration mConfirmingTimeout = milliseconds(1300);
+    /// Time beyond its maximum wait after which a longer watch counts as lost.
     Duration mWatchGrace = milliseconds(1500);
     /// Pause after each change, so that changes in quick succession need only
     /// one call; also from one watch to the next if the store closes it.
@@ -109,7 +112,7 @@
     /// nobody meanwhile. It doubles with each failure, up to mReadTimeout.
     Duration mFirstReadTimeout = milliseconds(300);
     Duration mInitialBackoff = milliseconds(150);
-    Duration mMaximumBackoff = milliseconds(1200);
+    Duration mMaximumBackoff = milliseconds(900);
     /// Pages that a node reads while its source is undecided, and the maximum
     /// time that it then waits for the decision.
     std::size_t mFirstPages = 4;
@@ -235,6 +238,7 @@
   [[nodiscard]] std::optional<Instant> WatchDeadline() const;
   [[nodiscard]] bool IsWatching() const;
   void UpdateBehind(Instant aNow);
+  [[nodiscard]] WatchAction NextWatch() const;
 
   Settings mSettings;
   BackoffSchedule mBackoff;
@@ -248,7 +252,8 @@
   std::optional<Instant> mLastAnswer;
   bool mHasCopy = false;
   bool mCallPending = false;
-  Instant mWatchStart;
+  /// Start of the last watch or read.
+  Instant mCallStart;
   bool mProbePending = false;
   /// Start of the last probe, or of a later call that made it needless.
   Instant mLastProbe;
--- a/Services/verbenachuted/StoreLink.cpp
+++ b/Services/verbenachuted/StoreLink.cpp
@@ -16,6 +16,8 @@
 
 constexpr int kOk = 200;
 constexpr Duration kCallTimeout = milliseconds(1500);
+// The first probe that is answered after an outage ends it.
+constexpr Duration kProbeTimeout = milliseconds(1200);
 constexpr Duration kPeerTimeout = milliseconds(700);
 // The maximum lease duration of the store. The key of a stopped node is removed
 // after it.
@@ -329,7 +331,7 @@
 {
   CallStore(&mProbeStream,
             platform::ProbeCall(mHost, mOwnKey, aAction),
-            kCallTimeout,
+            kProbeTimeout,
             [this](const StreamOutcome& aOutcome, StoreEra aEra) {
               const Instant now = mDependencies.mLoop.Now();
               const platform::StoreResult<StoreRevision> result =
--- a/Tests/LibEntry/StoreSimulation.cpp
+++ b/Tests/LibEntry/StoreSimulation.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Duration kTick = milliseconds(5);
-constexpr Duration kProbeTimeout = milliseconds(1500);
+constexpr Duration kProbeTimeout = milliseconds(1200);
 // From a change of a node's position until its peers know.
 constexpr Duration kAnnounceDelay = milliseconds(300);
 constexpr const char* kConfiguration = "configuration";
--- a/Tests/LibEntry/TestStoreRuns.cpp
+++ b/Tests/LibEntry/TestStoreRuns.cpp
@@ -153,6 +153,10 @@
       mStore.Pass(milliseconds(Draw(40)));
     }
     mStore.Remove(leaving);
+    if (Draw(4) == 0) {
+      mStore.Pass(milliseconds(Draw(300)));
+      Outage();
+    }
   }
 
   std::mt19937 mRandom;
--- a/Tests/LibStore/TestStoreFollower.cpp
+++ b/Tests/LibStore/TestStoreFollower.cpp
@@ -521,6 +521,39 @@
   CHECK(follower.FailingSince() == now);
 }
 
+// Guards against removals that are held back too long since the end of an
+// outage was noticed late.
+TEST_CASE("The end of an outage is noticed within 1.5 s")
+{
+  constexpr Duration kStep = milliseconds(5);
+  for (Duration length = seconds(2); length < seconds(8);
+       length += milliseconds(50)) {
+    CAPTURE(length.count());
+    StoreFollower follower = WatchingFollower();
+    follower.SetSource(UpdateSource::Store, kStart);
+    follower.OnFailure(StoreFailure::ConnectionClosed, kStart);
+    const Instant end = kStart + length;
+    std::optional<Instant> fails;
+    std::optional<Instant> responds;
+    for (Instant now = kStart; !follower.RestoredAt().has_value();
+         now += kStep) {
+      REQUIRE(now < end + milliseconds(1500));
+      if (fails.has_value() && *fails <= now) {
+        fails.reset();
+        follower.OnFailure(StoreFailure::Unreachable, now);
+      }
+      if (responds.has_value() && *responds <= now) {
+        static_cast<void>(follower.OnChanges({ {}, StoreRevision(10) }, now));
+      }
+      const std::vector<FollowerCall> calls = follower.TakeDueCalls(now);
+      if (const WatchAction* watch = FindAction<WatchAction>(calls)) {
+        (now < end ? fails : responds) =
+          now + (now < end ? watch->mTimeout : watch->mWait);
+      }
+    }
+  }
+}
+
 // Guards against a list that counts as current although changes are under way.
 TEST_CASE(
   "The mirror is known as of a time only once it has what a read of the "
