MessageReader: Refuse lines that are not of the protocol

Callers got answers of a target in trouble as complete ones although the name of a field held a blank or a control byte, or a line was no field.

Cause: http-parser, as Debian builds it, accepts blanks in names and before the colon, folded lines, bare line feeds, blanks after the size of a chunk and any two bytes after its data; it reports fields after a chunked body as if they stood in the head. MessageReader took all of it.

MessageSyntax now checks the same bytes beside the parser: names are tokens, each line has a colon, none is folded, lines end with CR LF, and chunks are framed as the protocol says. Fields after a chunked body are dropped. Since MessageReader reads all HTTP, the same holds for requests, the store's responses and peers.

--- a/Libraries/LibHttp/MessageReader.cpp
+++ b/Libraries/LibHttp/MessageReader.cpp
@@ -61,6 +61,10 @@
   const std::size_t used =
     http_parser_execute(&mParser, &settings, aBytes.data(), aBytes.size());
   const http_errno problem = HTTP_PARSER_ERRNO(&mParser);
+  const BodyFraming framing = (mParser.flags & F_CHUNKED) != 0
+                                ? BodyFraming::Chunked
+                                : BodyFraming::Plain;
+  const bool isValid = mSyntax.Check(aBytes.substr(0, used), framing);
   if (mParser.upgrade != 0 && mState == State::Complete) {
     // Only HTTP/1.1 is supported, so the bytes after an upgrade can not be
     // parsed.
@@ -74,6 +78,8 @@
     } else if (!limit) {
       mState = State::Malformed;
     }
+  } else if (!isValid) {
+    mState = State::Malformed;
   }
   return used;
 }
@@ -131,6 +137,7 @@
   mReadingValue = false;
   mHeaderBytes = 0;
   mStatusLine.clear();
+  mSyntax = MessageSyntax();
   mTarget.clear();
   mFields = HttpFields();
   if (mBody.capacity() > kKeptCapacity) {
@@ -187,6 +194,9 @@
                            std::size_t aSize)
 {
   MessageReader* self = Self(aParser);
+  if (self->mHeadComplete) {
+    return self->CountHeaderBytes(aSize);
+  }
   std::vector<HttpField>& fields = self->mFields.All();
   if (self->mReadingValue || fields.empty()) {
     fields.emplace_back();
@@ -202,6 +212,9 @@
                             std::size_t aSize)
 {
   MessageReader* self = Self(aParser);
+  if (self->mHeadComplete) {
+    return self->CountHeaderBytes(aSize);
+  }
   self->mReadingValue = true;
   self->mFields.All().back().mValue.append(aAt, aSize);
   return self->CountHeaderBytes(aSize);
--- a/Libraries/LibHttp/MessageReader.h
+++ b/Libraries/LibHttp/MessageReader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibHttp/HttpFields.h>
+#include <LibHttp/MessageSyntax.h>
 
 #include <cstddef>
 #include <http_parser.h>
@@ -26,7 +27,8 @@
 };
 
 /// Parses successive HTTP/1.1 messages from the bytes of a connection. It does
-/// no I/O.
+/// no I/O. A message whose lines are not those of the protocol is Malformed.
+/// Fields after a chunked body are dropped.
 class MessageReader
 {
 public:
@@ -105,6 +107,7 @@
   MessageKind mKind;
   MessageLimits mLimits;
   http_parser mParser{};
+  MessageSyntax mSyntax;
   State mState = State::BetweenMessages;
   bool mHeadComplete = false;
   bool mNoBody = false;
--- a/Tests/LibHttp/TestMessageReader.cpp
+++ b/Tests/LibHttp/TestMessageReader.cpp
@@ -10,6 +10,32 @@
 
 constexpr MessageLimits kSmallLimits{ 64, 16 };
 
+/// The state after a message that is fed whole or byte by byte, up to its end.
+State
+StateAfter(MessageKind aKind, const std::string& aText, std::size_t aStep)
+{
+  MessageReader reader(aKind, MessageLimits());
+  for (std::size_t at = 0; at < aText.size();) {
+    at += reader.Feed(std::string_view(aText).substr(at, aStep));
+    if (reader.Current() != State::BetweenMessages &&
+        reader.Current() != State::InMessage) {
+      break;
+    }
+  }
+  reader.EndOfStream();
+  return reader.Current();
+}
+
+void
+CheckState(MessageKind aKind, const std::string& aText, State aExpected)
+{
+  CAPTURE(aText);
+  for (const std::size_t step : { std::size_t(1), aText.size() }) {
+    CAPTURE(step);
+    CHECK(StateAfter(aKind, aText, step) == aExpected);
+  }
+}
+
 } // namespace
 
 TEST_CASE("A request is read byte by byte, and what follows stays unread")
@@ -145,6 +171,77 @@
   }
 }
 
+// Guards against a body that is cut short, or is not the target's, as the line
+// that told its length was damaged and ignored.
+TEST_CASE("A line of the head that is no field makes a message malformed")
+{
+  for (const std::string line : { "Content Length: 0",
+                                  "Content-Length : 0",
+                                  "Content-Length\t: 0",
+                                  " Content-Length: 0",
+                                  "\tX: y",
+                                  "Content-Length",
+                                  "Content-Length 0",
+                                  ": 0",
+                                  "X\x01: y",
+                                  "X\x7f: y",
+                                  "X\xe4: y",
+                                  "(X): y",
+                                  "X: y\n Content-Length: 0",
+                                  "X: y\r\n Content-Length: 0",
+                                  "X: y\r\n\tz",
+                                  "X: y\nZ: y" }) {
+    CheckState(MessageKind::Responses,
+               "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + line + "\r\n\r\n",
+               State::Malformed);
+    CheckState(MessageKind::Requests,
+               "GET / HTTP/1.1\r\nHost: h\r\n" + line + "\r\n\r\n",
+               State::Malformed);
+  }
+  CheckState(MessageKind::Responses,
+             "HTTP/1.1 200 OK\r\nX:\r\n!#$%&'*+-.^_`|~aZ09:\t y \r\n"
+             "Content-Length: 0\r\n\r\n",
+             State::Complete);
+}
+
+// Guards against bodies that lack or repeat bytes, as the parser skips what
+// stands around chunks.
+TEST_CASE("A line around chunks that is not of the protocol is malformed")
+{
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const char* body : { "4 \r\nbody\r\n0\r\n\r\n",
+                            " 4\r\nbody\r\n0\r\n\r\n",
+                            "2 4\r\nbody\r\n0\r\n\r\n",
+                            "4\nbody\r\n0\r\n\r\n",
+                            "4\rxbody\r\n0\r\n\r\n",
+                            "4\r\nbodyxx0\r\n\r\n",
+                            "4\r\nbody\rx0\r\n\r\n",
+                            "2\r\nbody\r\n0\r\n\r\n",
+                            "0x4\r\nbody\r\n0\r\n\r\n",
+                            "ffffffffffffffffffff\r\nbody\r\n0\r\n\r\n",
+                            "4\r\nbody\r\n0\r\nX y: z\r\n\r\n",
+                            "4\r\nbody\r\n0\r\nno field\r\n\r\n" }) {
+    CheckState(MessageKind::Responses, head + body, State::Malformed);
+  }
+  for (const char* body : { "4\r\nbody\r\n0\r\n\r\n",
+                            "04;a=b\r\nbody\r\n000;c\r\n\r\n",
+                            "2\r\nbo\r\n2\r\ndy\r\n0\r\nX: z\r\n\r\n" }) {
+    CheckState(MessageKind::Responses, head + body, State::Complete);
+  }
+}
+
+// Guards against fields after the body that pass for fields of the head.
+TEST_CASE("Fields after a chunked body are dropped")
+{
+  MessageReader reader(MessageKind::Responses, MessageLimits());
+  reader.Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "4\r\nbody\r\n0\r\nServer-Stamp: s\r\n\r\n");
+  REQUIRE(reader.Current() == State::Complete);
+  CHECK(reader.Body() == "body");
+  CHECK(reader.Fields().Find("Server-Stamp") == nullptr);
+}
+
 // Guards against heads of legal size whose many short fields take far more
 // memory than was counted.
 TEST_CASE("The memory of a head counts each field")
