MessageReader: Refuse responses that do not tell where they end

Cause: a response without a length that can be read counted as one that ends with its connection, whatever the head said of the connection.

Now a response has to tell its length, or be in chunks, or announce the close that ends its body; a connection that is to stay open cannot tell. A length or coding that is there and cannot be read is refused, also beside a close, and so are codings other than chunked.

The users' rules allow an answer "that has no length and ends with its connection".

Four tests and the soak's endless target sent a body without length that announced no close, which no target of the protocol does. They announce it now and check the same as before; "A response tells its length or announces the close that ends it" and "A response with a damaged length is no response" check that the others are refused.

What stays: a damaged answer that announces its close and whose length is hidden by another letter in the name of its field.

--- a/Libraries/LibHttp/MessageReader.cpp
+++ b/Libraries/LibHttp/MessageReader.cpp
@@ -112,6 +112,30 @@
          !isDigit(line.back());
 }
 
+bool
+MessageReader::HasValidFraming() const
+{
+  const std::vector<HttpField>& fields = mFields.All();
+  const bool hasOtherCoding =
+    std::any_of(fields.begin(), fields.end(), [](const HttpField& aField) {
+      return FieldNamesEqual(aField.mName, "Transfer-Encoding") &&
+             !FieldNamesEqual(aField.mValue, "chunked");
+    });
+  if (hasOtherCoding) {
+    return false;
+  }
+  const bool isChunked = (mParser.flags & F_CHUNKED) != 0;
+  const bool hasLength = mParser.content_length != ULLONG_MAX;
+  if (mFields.Find("Content-Length") != nullptr && !hasLength) {
+    return false;
+  }
+  // A connection that stays open can not tell where a body ends.
+  const bool endsWithConnection =
+    (mParser.flags & F_CONNECTION_CLOSE) != 0 || mParser.http_minor == 0;
+  return mKind == MessageKind::Requests || isChunked || hasLength ||
+         endsWithConnection;
+}
+
 void
 MessageReader::EndOfStream()
 {
@@ -233,6 +257,9 @@
   if (self->mNoBody || (isResponse && HasNoBody(self->mStatus))) {
     return kSkipBody;
   }
+  if (!self->HasValidFraming()) {
+    return kAbort;
+  }
   const bool hasLength = aParser->content_length != ULLONG_MAX;
   if (hasLength && aParser->content_length > self->mLimits.mBodyBytes) {
     self->mState = State::BodyTooLarge;
--- a/Libraries/LibHttp/MessageReader.h
+++ b/Libraries/LibHttp/MessageReader.h
@@ -27,8 +27,9 @@
 };
 
 /// Parses successive HTTP/1.1 messages from the bytes of a connection. It does
-/// no I/O. A message whose lines are not those of the protocol is Malformed.
-/// Fields after a chunked body are dropped.
+/// no I/O. A message whose lines are not those of the protocol, or whose head
+/// does not tell where the body ends, is Malformed. Fields after a chunked body
+/// are dropped.
 class MessageReader
 {
 public:
@@ -55,7 +56,7 @@
   /// consumed.
   std::size_t Feed(std::string_view aBytes);
   /// Reports that the peer has closed its side, which completes a response
-  /// without a length.
+  /// without a length that has announced the close.
   void EndOfStream();
   /// Discards the complete message and starts the next.
   void Next();
@@ -103,6 +104,8 @@
   /// Keeps the first bytes of a response, up to the status.
   void RecordStatusLine(std::string_view aBytes);
   [[nodiscard]] bool HasValidStatus() const;
+  /// Whether the head tells where the body ends.
+  [[nodiscard]] bool HasValidFraming() const;
 
   MessageKind mKind;
   MessageLimits mLimits;
--- a/StandIns/Deployment/EndlessServer.cpp
+++ b/StandIns/Deployment/EndlessServer.cpp
@@ -20,7 +20,7 @@
 constexpr std::size_t kMaximumBytes = 256UL * 1024 * 1024;
 constexpr const char* kBeginnings[] = {
   "HTTP/1.1 200 OK\r\nEndless: ",
-  "HTTP/1.1 200 OK\r\nServer-Stamp: endless\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nServer-Stamp: endless\r\nConnection: close\r\n\r\n",
   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
   "",
--- a/Tests/LibHttp/TestHttpStreams.cpp
+++ b/Tests/LibHttp/TestHttpStreams.cpp
@@ -190,7 +190,8 @@
 
 TEST_CASE("A response without length is complete at a close, not at a reset")
 {
-  const std::string bytes = "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\npart";
+  const std::string bytes =
+    "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nConnection: close\r\n\r\npart";
   {
     CannedResponseServer server(bytes, CannedResponseServer::Ending::Close);
     const StreamOutcome outcome = OutcomeOf(server.Address());
@@ -203,6 +204,30 @@
   }
 }
 
+// Guards against a body that breaks off and is passed on as the whole one,
+// since the field that told its length was damaged (review/14).
+TEST_CASE("A response with a damaged length is no response, however it ends")
+{
+  for (const char* field : { "Content Length: 9",
+                             "Content-Length : 9",
+                             "Content-Lengtx: 9",
+                             "Content-Length\x01: 9",
+                             "Content-Length 9",
+                             "X: y\r\n Content-Length: 9",
+                             "Transfer-Encoding: chunkex" }) {
+    CAPTURE(field);
+    CannedResponseServer server(
+      std::string("HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n") + field +
+        "\r\n\r\npart",
+      CannedResponseServer::Ending::Close);
+    bool reusable = true;
+    const StreamOutcome outcome = OutcomeOf(server.Address(), &reusable);
+    REQUIRE(std::holds_alternative<StreamFailure>(outcome));
+    CHECK(std::get<StreamFailure>(outcome) == StreamFailure::Malformed);
+    CHECK(!reusable);
+  }
+}
+
 TEST_CASE("A refused connection has sent nothing")
 {
   const SocketAddress unusedAddress{ "127.0.0.1", 1 };
@@ -307,7 +332,7 @@
     { "HTTP/1.1 200 OK\r\nEndless: ",
       16UL * 1024 * 1024,
       StreamFailure::TooLarge },
-    { "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\n",
+    { "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nConnection: close\r\n\r\n",
       24UL * 1024 * 1024,
       StreamFailure::TooLarge },
     { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
@@ -359,7 +384,7 @@
     }
   };
   for (std::size_t i = 0; i < kEndless; ++i) {
-    send("HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\n" +
+    send("HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nConnection: close\r\n\r\n" +
            std::string(kEndlessBytes, 'x'),
          [&](const StreamOutcome& aOutcome) {
            ++ended;
--- a/Tests/LibHttp/TestMessageReader.cpp
+++ b/Tests/LibHttp/TestMessageReader.cpp
@@ -70,7 +70,7 @@
 TEST_CASE("A response without a length ends only with its connection")
 {
   MessageReader reader(MessageKind::Responses, MessageLimits());
-  reader.Feed("HTTP/1.1 200 OK\r\n\r\npart");
+  reader.Feed("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
   CHECK(reader.Current() == State::InMessage);
   reader.EndOfStream();
   CHECK(reader.Current() == State::Complete);
@@ -204,6 +204,33 @@
              State::Complete);
 }
 
+// A server that keeps its connection open cannot end a body by closing it.
+TEST_CASE("A response tells its length or announces the close that ends it")
+{
+  const std::string start = "HTTP/1.1 200 OK\r\nX: y\r\n";
+  for (const char* fields : { "",
+                              "Content-Lengtx: 4\r\n",
+                              "Content-Length:\r\n",
+                              "Content-Length: \r\nConnection: close\r\n",
+                              "Connection: keep-alive\r\n",
+                              "Transfer-Encoding: chunkex\r\n",
+                              "Transfer-Encoding:\r\nConnection: close\r\n",
+                              "Transfer-Encoding: gzip\r\n"
+                              "Connection: close\r\n" }) {
+    CheckState(
+      MessageKind::Responses, start + fields + "\r\nbody", State::Malformed);
+  }
+  for (const char* fields : { "Content-Length: 4\r\n",
+                              "Connection: close\r\n",
+                              "Connection: x, Close\r\n" }) {
+    CheckState(
+      MessageKind::Responses, start + fields + "\r\nbody", State::Complete);
+  }
+  CheckState(MessageKind::Responses,
+             "HTTP/1.0 200 OK\r\nX: y\r\n\r\nbody",
+             State::Complete);
+}
+
 // Guards against bodies that lack or repeat bytes, as the parser skips what
 // stands around chunks.
 TEST_CASE("A line around chunks that is not of the protocol is malformed")
